--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the fleet; see docs/MEASUREMENTS.md."""
--- /dev/null
+++ b/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
@@ -0,0 +1,96 @@
+"""Registry of every error code that toucanspindle can report.
+
+A code is registered once, here, with the HTTP status that carries it towards callers and a
+description for the reference pages.  Numbers are grouped: 1xx process settings, 2xx fleet
+configuration and operators' commands, 3xx outcomes of requests, 4xx the platform, 5xx control
+traffic between processes, 6xx decisions, 7xx the stand-ins.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+
+@dataclass(frozen=True)
+class ErrorCode:
+    """An error code: its printed name, HTTP status towards callers, and description."""
+
+    name: str
+    http_status: int
+    description: str
+
+    def __str__(self) -> str:
+        """Return the printed name."""
+        return self.name
+
+
+_registry: dict[str, ErrorCode] = {}
+
+
+def _register(name: str, http_status: int, description: str) -> ErrorCode:
+    if name in _registry:
+        raise ValueError(f"error code {name} is registered twice")
+    code = ErrorCode(name, http_status, description)
+    _registry[name] = code
+    return code
+
+
+def all_codes() -> list[ErrorCode]:
+    """Return every registered code, sorted by name."""
+    return [_registry[name] for name in sorted(_registry)]
+
+
+def lookup_code(name: str) -> ErrorCode | None:
+    """Return the code registered under `name`, or None."""
+    return _registry.get(name)
+
+
+# 1xx: process settings.
+SETTINGS_INVALID: Final = _register("TS101", 500, "A process settings file has wrong values.")
+SETTINGS_UNREADABLE: Final = _register("TS102", 500, "A settings file can't be read.")
+ADDRESS_IN_USE: Final = _register("TS103", 500, "A listening address is in use.")
+ADDRESS_INVALID: Final = _register("TS104", 500, "A listening address isn't of this host.")
+
+# 2xx: fleet configuration and operators' commands.
+CONFIG_INVALID: Final = _register("TS201", 500, "A fleet configuration has wrong values.")
+CONFIG_CONFLICT: Final = _register("TS202", 500, "Another operator's change was accepted first.")
+CONFIG_ABSENT: Final = _register("TS203", 503, "No fleet configuration has been applied yet.")
+CONFIG_TOO_LARGE: Final = _register("TS204", 500, "A part of the configuration exceeds 1 MB.")
+UNKNOWN_NAME: Final = _register("TS205", 500, "A named service, target or exception is unknown.")
+CHANGE_UNCERTAIN: Final = _register("TS206", 500, "Whether a change took effect isn't known yet.")
+
+# 3xx: outcomes of requests.
+ACCOUNT_MISSING: Final = _register("TS301", 400, "The request names no account.")
+NO_ROUTE: Final = _register("TS302", 404, "No route matches the request.")
+SERVICE_UNKNOWN: Final = _register("TS303", 404, "The service isn't declared.")
+KEY_MISSING: Final = _register("TS304", 428, "A non-idempotent request has no idempotency key.")
+TOKEN_MISSING: Final = _register("TS305", 428, "A non-idempotent request has no token.")
+TOKEN_INVALID: Final = _register("TS306", 428, "The token was forged or altered.")
+TOKEN_EXPIRED: Final = _register("TS307", 428, "The token has expired.")
+KEY_REUSED: Final = _register("TS308", 422, "The key was used with another request.")
+RECORDS_FULL: Final = _register("TS309", 503, "The node can't record another request.")
+DEADLINE_TOO_SHORT: Final = _register("TS310", 503, "The deadline passed before dispatch.")
+OVERLOADED: Final = _register("TS311", 503, "The service has no room for the request.")
+ACCOUNT_LIMITED: Final = _register("TS312", 429, "The account is over its rate limit.")
+NO_TARGET: Final = _register("TS313", 503, "No target could take the request.")
+QUARANTINED: Final = _register("TS314", 409, "The request crashed targets and is quarantined.")
+UNKNOWN_TIMEOUT: Final = _register("TS315", 504, "The target didn't answer in time.")
+UNKNOWN_BROKEN: Final = _register("TS316", 504, "The target's answer was lost or incomplete.")
+UNKNOWN_ISSUER: Final = _register("TS317", 504, "The node that issued the token can't be heard.")
+UNKNOWN_FOREIGN: Final = _register("TS318", 504, "The target answered another request.")
+BODY_TOO_LARGE: Final = _register("TS319", 413, "The request body exceeds the limit.")
+BAD_REQUEST: Final = _register("TS320", 400, "The request is malformed.")
+NODE_CLOSING: Final = _register("TS321", 503, "The node is closing and takes no new request.")
+
+# 4xx: the platform.
+PLATFORM_AWAY: Final = _register("TS401", 503, "The platform can't be reached.")
+PLATFORM_CONFLICT: Final = _register("TS402", 500, "A conditional update met another version.")
+PLATFORM_MALFORMED: Final = _register("TS403", 500, "The platform's answer can't be understood.")
+PLATFORM_REFUSED: Final = _register("TS404", 500, "The platform refused the call.")
+
+# 5xx: control traffic between processes.
+AGENT_AWAY: Final = _register("TS501", 503, "The agent can't be reached.")
+PEER_MALFORMED: Final = _register("TS502", 500, "A peer's message can't be understood.")
+INCARNATION_OUTDATED: Final = _register("TS503", 500, "A message names an outdated incarnation.")
+
+# 7xx: the stand-ins.
+STANDIN_USAGE: Final = _register("TS701", 400, "A stand-in was asked for something it can't do.")
--- /dev/null
+++ b/packages/toucanspindle-core/toucanspindle_core/policy.py
@@ -0,0 +1,120 @@
+"""Merges defaults and exceptions into what the request path uses.
+
+For each service the settings are the defaults, overridden field by field by the service's
+exceptions in the order they are listed.  Expired exceptions are left out.  The result is plain
+frozen data, indexed for look-ups by service, by target and by route.
+"""
+
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+from toucanspindle_core.fleetconfig import FleetConfig, ServiceModel, ServiceSettings
+from toucanspindle_core.hostport import HostPort
+
+
+@dataclass(frozen=True)
+class Target:
+    """A back end of a service."""
+
+    name: str
+    address: HostPort
+    failure_domain: str
+    drained: bool
+
+
+@dataclass(frozen=True)
+class Route:
+    """The routing result of one request."""
+
+    service: str
+    operation: str
+    method: str
+    path_prefix: str
+    idempotent: bool
+
+
+@dataclass(frozen=True)
+class ServicePolicy:
+    """A service with its merged settings.
+
+    `exception_by_setting` names, per setting that an exception changed, that exception's id.
+    """
+
+    name: str
+    targets: tuple[Target, ...]
+    routes: tuple[Route, ...]
+    settings: ServiceSettings
+    exception_by_setting: dict[str, str]
+
+    def floor_count(self) -> int:
+        """Return how many healthy targets ejections must leave (rounded up)."""
+        percent = self.settings.capacity_floor_percent
+        return -(-len(self.targets) * percent // 100)
+
+
+@dataclass(frozen=True)
+class AccountClass:
+    """A class of accounts and its weight."""
+
+    name: str
+    weight: int
+
+
+DEFAULT_ACCOUNT_CLASS = AccountClass("default", 1)
+
+
+@dataclass(frozen=True)
+class FleetPolicy:
+    """The merged configuration of one generation."""
+
+    generation: int
+    fleet: str
+    services: dict[str, ServicePolicy]
+    account_class_by_account: dict[str, AccountClass]
+
+    def account_class(self, account: str) -> AccountClass:
+        """Return the class of an account; accounts that aren't listed share one class."""
+        return self.account_class_by_account.get(account, DEFAULT_ACCOUNT_CLASS)
+
+
+def merge_policy(config: FleetConfig, generation: int, now: datetime | None = None) -> FleetPolicy:
+    """Merge a configuration; exceptions that expired before `now` (UTC) don't apply."""
+    moment = now or datetime.now(UTC)
+    services = {
+        service.name: _merge_service(config, service, moment) for service in config.services
+    }
+    classes = {
+        account: AccountClass(group.name, group.weight)
+        for group in config.account_classes
+        for account in group.accounts
+    }
+    return FleetPolicy(generation, config.fleet, services, classes)
+
+
+def _merge_service(config: FleetConfig, service: ServiceModel, now: datetime) -> ServicePolicy:
+    values = config.defaults.model_dump()
+    sources: dict[str, str] = {}
+    for exception in config.exceptions:
+        if exception.service != service.name or _expired(exception.expires, now):
+            continue
+        changed = exception.settings.model_dump(exclude_none=True)
+        values.update(changed)
+        sources.update(dict.fromkeys(changed, exception.id))
+    targets = tuple(
+        Target(t.name, HostPort.parse(t.address), t.failure_domain, t.drained)
+        for t in service.targets
+    )
+    routes = tuple(
+        Route(service.name, r.operation, r.method, r.path_prefix, r.idempotent)
+        for r in service.routes
+    )
+    settings = ServiceSettings.model_validate(values)
+    return ServicePolicy(service.name, targets, routes, settings, sources)
+
+
+def _expired(expires: datetime | None, now: datetime) -> bool:
+    if expires is None:
+        return False
+    if expires.tzinfo is None:
+        expires = expires.replace(tzinfo=UTC)
+    return expires <= now
--- /dev/null
+++ b/packages/toucanspindle-ctl/toucanctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators and callers."""
--- /dev/null
+++ b/packages/toucanspindle-standins/toucanspindle_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for tests and demonstrations; not for production."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, for model checking."""
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,53 @@
+"""Tests of merging defaults and exceptions."""
+
+from datetime import UTC, datetime
+from typing import Any
+
+from testtools import TestCase
+from toucanspindle_core.fleetconfig import FleetConfig
+from toucanspindle_core.policy import merge_policy
+
+
+def config_with(*exceptions: dict[str, Any]) -> FleetConfig:
+    """Return a configuration of one service with the given exceptions."""
+    target = {"name": "lotbook-1", "address": "127.0.0.1:9001", "failure_domain": "beaufort"}
+    route = {"method": "GET", "path_prefix": "/lots", "operation": "lookup", "idempotent": True}
+    return FleetConfig.model_validate(
+        {
+            "fleet": "karoo",
+            "failure_domains": ["beaufort"],
+            "services": [{"name": "lotbook", "targets": [target], "routes": [route]}],
+            "exceptions": list(exceptions),
+        }
+    )
+
+
+class MergeTests(TestCase):
+    """Merging defaults with exceptions."""
+
+    def test_exception_overrides_only_its_settings(self) -> None:
+        config = config_with(
+            {
+                "id": "slow-yard",
+                "service": "lotbook",
+                "reason": "yard link is slow",
+                "settings": {"deadline_ms": 5000},
+            }
+        )
+        policy = merge_policy(config, 3).services["lotbook"]
+        self.assertEqual(5000, policy.settings.deadline_ms)
+        self.assertEqual(config.defaults.fan_in, policy.settings.fan_in)
+        self.assertEqual({"deadline_ms": "slow-yard"}, policy.exception_by_setting)
+
+    def test_expired_exception_does_not_apply(self) -> None:
+        config = config_with(
+            {
+                "id": "slow-yard",
+                "service": "lotbook",
+                "reason": "yard link is slow",
+                "expires": "2026-01-01T00:00:00Z",
+                "settings": {"deadline_ms": 5000},
+            }
+        )
+        policy = merge_policy(config, 3, datetime(2026, 1, 2, tzinfo=UTC)).services["lotbook"]
+        self.assertEqual(config.defaults.deadline_ms, policy.settings.deadline_ms)
