--- a/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
+++ b/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
@@ -57,6 +57,9 @@
 CONFIG_TOO_LARGE: Final = _register("TS204", 500, "A part of the configuration exceeds 1 MB.")
 UNKNOWN_NAME: Final = _register("TS205", 500, "A named service, target or exception is unknown.")
 CHANGE_UNCERTAIN: Final = _register("TS206", 500, "Whether a change took effect isn't known yet.")
+CONFIG_PART_MISSING: Final = _register("TS207", 503, "A part of the configuration is missing.")
+CONFIG_PART_CORRUPT: Final = _register("TS208", 500, "A part doesn't match its digest or role.")
+CONFIG_HEAD_MALFORMED: Final = _register("TS209", 500, "The configuration head is malformed.")
 
 # 3xx: outcomes of requests.
 ACCOUNT_MISSING: Final = _register("TS301", 400, "The request names no account.")
@@ -80,6 +83,7 @@
 BODY_TOO_LARGE: Final = _register("TS319", 413, "The request body exceeds the limit.")
 BAD_REQUEST: Final = _register("TS320", 400, "The request is malformed.")
 NODE_CLOSING: Final = _register("TS321", 503, "The node is closing and takes no new request.")
+UNKNOWN_FORGOTTEN: Final = _register("TS322", 504, "The token is older than the records kept.")
 
 # 4xx: the platform.
 PLATFORM_AWAY: Final = _register("TS401", 503, "The platform can't be reached.")
