--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,69 @@
+"""Tests of quarantine and of collecting evidence."""
+
+from testtools import TestCase
+from toucanspindle_core.clock import ManualClock
+from toucanspindle_core.evidence import EvidenceCollector, Outcome, account_bucket
+from toucanspindle_core.quarantine import CRASH_MEMORY_S, QUARANTINE_S, QuarantineTable
+from toucanspindle_node.evidencewire import (
+    parse_quarantine,
+    parse_report,
+    quarantine_message,
+    report_message,
+)
+
+
+class QuarantineTableTests(TestCase):
+    """Requests that crash targets."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = ManualClock(100)
+        self.table = QuarantineTable(self.clock)
+
+    def test_the_second_distinct_target_quarantines(self) -> None:
+        self.assertFalse(self.table.record_crash("orders", "f", "t1"))
+        self.assertFalse(self.table.record_crash("orders", "f", "t1"))
+        self.assertTrue(self.table.record_crash("orders", "f", "t2"))
+        self.assertTrue(self.table.is_quarantined("orders", "f"))
+        self.assertFalse(self.table.is_quarantined("ledger", "f"))
+
+    def test_two_nodes_with_one_crash_each_quarantine_together(self) -> None:
+        other = QuarantineTable(self.clock)
+        other.record_crash("orders", "f", "t2")
+        self.table.record_crash("orders", "f", "t1")
+        records = [parse_quarantine(quarantine_message(r)) for r in other.entries()]
+        self.table.merge(records)
+        self.assertTrue(self.table.is_quarantined("orders", "f"))
+
+    def test_entries_expire_and_merging_does_not_renew_them(self) -> None:
+        other = QuarantineTable(self.clock)
+        self.table.record_crash("orders", "f", "t1")
+        self.table.record_crash("orders", "f", "t2")
+        for _ in range(int(QUARANTINE_S) + 1):
+            other.merge(self.table.entries())
+            self.clock.advance(1)
+            self.table.merge(other.entries())
+        self.assertFalse(self.table.is_quarantined("orders", "f"))
+        self.assertFalse(other.is_quarantined("orders", "f"))
+
+    def test_a_single_crash_is_forgotten(self) -> None:
+        self.table.record_crash("orders", "f", "t1")
+        self.clock.advance(CRASH_MEMORY_S + 1)
+        self.assertFalse(self.table.record_crash("orders", "f", "t2"))
+
+
+class EvidenceCollectorTests(TestCase):
+    """Counting outcomes."""
+
+    def test_counts_are_drained_once_and_survive_the_wire(self) -> None:
+        collector = EvidenceCollector()
+        collector.record("orders", "t1", "order", "shop", Outcome.SUCCEEDED, 0.02)
+        collector.record("orders", "t1", "order", "shop", Outcome.FAILED, 0.02)
+        collector.record("orders", "t1", "order", "shop", Outcome.SHED, 0.0)
+        (evidence,) = collector.drain()
+        observed = parse_report(report_message(evidence, "node-1", "bole", 4))
+        self.assertEqual(evidence, observed.evidence)
+        (counts,) = observed.evidence.targets
+        self.assertEqual((1, 1, 1), (counts.succeeded, counts.failed, counts.shed))
+        self.assertEqual(account_bucket("shop"), counts.account_bucket)
+        self.assertEqual([], collector.drain())
