--- /dev/null
+++ b/packages/toucanspindle-core/toucanspindle_core/configrules.py
@@ -0,0 +1,202 @@
+"""Rules that hold between the values of a fleet configuration.
+
+The models of `fleetconfig.py` check each value alone.  The rules here check names against each
+other (duplicates, unknown references) and the merged settings of each service, now and after
+each expiry of an exception: values that are valid alone may not be so together.  Every fault is
+returned, none raised, so that all faults of a file are reported in one go.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import Any, Final
+
+from toucanspindle_core import errorcodes
+from toucanspindle_core.errors import SettingsError
+from toucanspindle_core.fleetconfig import FleetConfig
+from toucanspindle_core.policy import DEFAULT_ACCOUNT_CLASS, ServicePolicy, merge_policy
+
+MAX_ACCOUNT_CLASSES: Final = 32  # Each class is a label of the latency histograms.
+CONNECTIONS_OF_TARGET: Final = 360
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One wrong value: where it is, what it is, what is allowed, and what to do."""
+
+    path: str
+    value: Any
+    allowed: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Return the line that is shown to operators."""
+        return f"{self.path} = {self.value!r}: {self.allowed}; {self.remedy}"
+
+
+def check_config(config: FleetConfig, origin: str, now: datetime | None = None) -> None:
+    """Raise one SettingsError that lists every broken rule; `origin` names the file."""
+    raise_faults(find_faults(config, now), origin)
+
+
+def raise_faults(faults: list[Fault], origin: str) -> None:
+    """Raise one SettingsError that lists the faults, if there are any."""
+    if not faults:
+        return
+    lines = "".join(f"\n  {fault}" for fault in faults)
+    text = f"{origin} has {len(faults)} wrong value(s):{lines}\n"
+    raise SettingsError(errorcodes.CONFIG_INVALID, text, "correct each value named above")
+
+
+def find_faults(config: FleetConfig, now: datetime | None = None) -> list[Fault]:
+    """Return every broken rule of a configuration."""
+    faults = list(_name_faults(config))
+    faults.extend(_account_faults(config))
+    faults.extend(_exception_faults(config))
+    if not faults:
+        faults.extend(_merged_faults(config, now or datetime.now(UTC)))
+    return faults
+
+
+def _name_faults(config: FleetConfig) -> Iterator[Fault]:
+    domains = _Unique("a failure domain is declared once", "remove one of them")
+    for index, domain in enumerate(config.failure_domains):
+        yield from domains.add(domain, f"failure_domains.{index}")
+    services = _Unique("the name of a service is used once", "rename one of them")
+    targets = _Unique("the name of a target is used once in the fleet", "rename one of them")
+    addresses = _Unique("an address belongs to one target", "correct one of them")
+    routes = _Unique("a method and path prefix belong to one route", "remove one of them")
+    for index, service in enumerate(config.services):
+        path = f"services.{index}"
+        yield from services.add(service.name, f"{path}.name")
+        for number, target in enumerate(service.targets):
+            place = f"{path}.targets.{number}"
+            yield from targets.add(target.name, f"{place}.name")
+            yield from addresses.add(target.address, f"{place}.address")
+            if target.failure_domain not in config.failure_domains:
+                yield _undeclared_domain(config, f"{place}.failure_domain", target.failure_domain)
+        for number, route in enumerate(service.routes):
+            key = f"{route.method} {route.path_prefix}"
+            yield from routes.add(key, f"{path}.routes.{number}")
+
+
+def _undeclared_domain(config: FleetConfig, path: str, value: str) -> Fault:
+    declared = ", ".join(config.failure_domains)
+    return Fault(path, value, f"one of {declared}", "correct it or declare it in failure_domains")
+
+
+def _account_faults(config: FleetConfig) -> Iterator[Fault]:
+    names = _Unique("the name of an account class is used once", "rename one of them")
+    accounts = _Unique("an account is listed once, in one class", "remove it from one class")
+    for index, group in enumerate(config.account_classes):
+        path = f"account_classes.{index}"
+        yield from names.add(group.name, f"{path}.name")
+        if group.name == DEFAULT_ACCOUNT_CLASS.name:
+            allowed = "this name is kept for accounts that aren't listed"
+            yield Fault(f"{path}.name", group.name, allowed, "choose another name")
+        for number, account in enumerate(group.accounts):
+            yield from accounts.add(account, f"{path}.accounts.{number}")
+    count = len(config.account_classes)
+    if count > MAX_ACCOUNT_CLASSES:
+        allowed = f"at most {MAX_ACCOUNT_CLASSES} classes"
+        yield Fault("account_classes", count, allowed, "join classes of the same weight")
+
+
+def _exception_faults(config: FleetConfig) -> Iterator[Fault]:
+    ids = _Unique("the id of an exception is used once", "rename one of them")
+    services = {service.name for service in config.services}
+    for index, exception in enumerate(config.exceptions):
+        path = f"exceptions.{index}"
+        yield from ids.add(exception.id, f"{path}.id")
+        if exception.service not in services:
+            allowed = f"a declared service ({', '.join(sorted(services)) or 'none is declared'})"
+            yield Fault(f"{path}.service", exception.service, allowed, "correct the name")
+        if not exception.settings.model_dump(exclude_none=True):
+            allowed = "at least one setting"
+            yield Fault(f"{path}.settings", {}, allowed, "name a setting or remove the exception")
+
+
+def _merged_faults(config: FleetConfig, now: datetime) -> Iterator[Fault]:
+    seen: set[Fault] = set()
+    for moment in _moments(config, now):
+        for service in merge_policy(config, 0, moment).services.values():
+            for fault in _service_faults(service):
+                if fault not in seen:
+                    seen.add(fault)
+                    yield fault
+
+
+def _moments(config: FleetConfig, now: datetime) -> list[datetime]:
+    """Return now and each later expiry: the moments at which merged settings change."""
+    expiries = {utc(item.expires) for item in config.exceptions if item.expires is not None}
+    return [now, *sorted(moment for moment in expiries if moment > now)]
+
+
+def utc(moment: datetime) -> datetime:
+    """Return a moment with its zone; one without a zone is taken as UTC."""
+    return moment if moment.tzinfo else moment.replace(tzinfo=UTC)
+
+
+def _service_faults(service: ServicePolicy) -> Iterator[Fault]:
+    settings = service.settings
+    floor = service.floor_count()
+    total = len(service.targets)
+    if floor == total and settings.capacity_floor_percent < 100:
+        yield _merged_fault(
+            service,
+            "capacity_floor_percent",
+            f"with {total} target(s) this floor lets none be ejected",
+            "lower it, add targets, or set 100 to say that none may be ejected",
+        )
+    if settings.hedge_after_ms >= settings.deadline_ms:
+        yield _merged_fault(
+            service,
+            "hedge_after_ms",
+            f"below deadline_ms = {settings.deadline_ms}",
+            "lower it or raise deadline_ms",
+        )
+    if settings.hedge_after_ms > 0 and settings.max_attempts == 1:
+        yield _merged_fault(
+            service,
+            "hedge_after_ms",
+            "0 with max_attempts = 1, as a hedge is a second attempt",
+            "set it to 0 or raise max_attempts",
+        )
+    connections = settings.fan_in * settings.connections_per_target
+    if connections > CONNECTIONS_OF_TARGET:
+        yield _merged_fault(
+            service,
+            "connections_per_target",
+            f"at most {CONNECTIONS_OF_TARGET} over fan_in = {settings.fan_in} nodes, not"
+            f" {connections}",
+            "lower it or fan_in",
+        )
+    if connections < settings.slots_per_target:
+        yield _merged_fault(
+            service,
+            "connections_per_target",
+            f"at least slots_per_target = {settings.slots_per_target} over fan_in ="
+            f" {settings.fan_in} nodes, not {connections}",
+            "raise it or fan_in",
+        )
+
+
+def _merged_fault(service: ServicePolicy, setting: str, allowed: str, remedy: str) -> Fault:
+    source = service.exception_by_setting.get(setting)
+    origin = f"exception {source}" if source else "the defaults"
+    path = f"merged settings of {service.name}: {setting}"
+    return Fault(path, getattr(service.settings, setting), f"{allowed} (from {origin})", remedy)
+
+
+class _Unique:
+    """Values that may be used once, with the path of the first use."""
+
+    def __init__(self, allowed: str, remedy: str) -> None:
+        self._allowed = allowed
+        self._remedy = remedy
+        self._first_path: dict[str, str] = {}
+
+    def add(self, value: str, path: str) -> Iterable[Fault]:
+        first = self._first_path.setdefault(value, path)
+        if first != path:
+            yield Fault(path, value, f"{self._allowed}, first at {first}", self._remedy)
