Treat a write answered by a server fault or garbled as open

Cause: the client raised PlatformError, which means 'nothing was written', for 500, 502, 504 and for answers that can't be parsed, although the write may have taken effect. An operator would have been told that a change wasn't accepted when it was. Ruled out: telling them apart by body; the platform promises nothing about these. A 4xx stays certain.

--- a/packages/toucanspindle-core/toucanspindle_core/platformclient.py
+++ b/packages/toucanspindle-core/toucanspindle_core/platformclient.py
@@ -8,8 +8,9 @@
     GET    /v1/watch/{kind}/{name}?after=n&wait_s=s   200 as GET once version > n, else 204
     GET    /v1/hosts                                  200 {"hosts": [HostEntry]}
 
-A write whose answer was lost raises PlatformUncertainError: the caller must look before it tries
-again.  A connection that was refused raises PlatformError: nothing was written.
+A write whose answer was lost, garbled or a server fault raises PlatformUncertainError: the caller
+must look before it tries again.  A connection that was refused raises PlatformError: nothing was
+written.
 """
 
 import json
@@ -123,11 +124,14 @@
         body = json.dumps(value, default=str).encode()
         headers = headers | {"Content-Type": "application/json"}
         response = self._call("PUT", _object_path(kind, name), body=body, headers=headers)
-        answer = _checked_json(response)
         try:
-            return int(answer["version"])
+            return int(_checked_json(response)["version"])
         except (KeyError, TypeError, ValueError) as error:
-            raise _malformed(error) from error
+            raise _open_write(_malformed(error)) from error
+        except PlatformError as error:
+            if error.code is errorcodes.PLATFORM_MALFORMED or response.status >= 500:
+                raise _open_write(error) from error
+            raise
 
     def _call(
         self,
@@ -184,6 +188,11 @@
         raise _malformed(error) from error
 
 
+def _open_write(error: PlatformError) -> PlatformUncertainError:
+    """Return the error for a write whose answer doesn't tell whether it took effect."""
+    return PlatformUncertainError(error.code, error.text, error.remedy)
+
+
 def _malformed(error: Exception) -> PlatformError:
     return PlatformError(
         errorcodes.PLATFORM_MALFORMED,
