--- a/packages/toucanspindle-node/toucanspindle_node/agent_hooks.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_hooks.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol, TypeVar
 
-from toucanspindle_core.control_pb2 import EjectionSets, EvidenceBatch, Member
+from toucanspindle_core.control_pb2 import EjectionSet, EjectionSets, EvidenceBatch, Member
 from toucanspindle_core.platformclient import PlatformClient
 from toucanspindle_core.policy import FleetPolicy
 from toucanspindle_core.processsettings import ProcessSettings
@@ -61,6 +61,10 @@
         """Return the names of targets that the platform's host list shows as leaving."""
         ...
 
+    def pulled_ejections(self, service: str) -> list[EjectionSet]:
+        """Return the sets of other judges that this agent pulled and that haven't lapsed."""
+        ...
+
     async def call_platform(self, call: Callable[[PlatformClient], T]) -> T:
         """Run a blocking platform call off the event loop; raises what the call raises."""
         ...
