Add the stand-in platform, stand-in targets and the process harness

The whole path and its tests need a platform and targets that fail on demand. Both are asyncio protocol servers, so that a waiting watch costs no thread and a target adds little to a measured request. Ruled out: cheroot for the stand-ins, since each waiting watch would hold one of its threads. Runs are logged with one unbuffered write before they are answered, so the log outlives a killed target.

--- /dev/null
+++ b/packages/toucanspindle-standins/toucanspindle_standins/httpcall.py
@@ -0,0 +1,67 @@
+"""A plain HTTP/1.1 caller for tests and the demonstration: one connection per call, no retries."""
+
+import http.client
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from toucanspindle_core.hostport import HostPort
+
+CALL_TIMEOUT_S: Final = 10.0
+
+
+class BrokenAnswerError(OSError):
+    """No whole answer came: the connection was refused, reset, cut, silent or garbled."""
+
+
+@dataclass(frozen=True)
+class HttpResult:
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body's JSON."""
+        return json.loads(self.body)
+
+
+def http_call(
+    address: HostPort,
+    method: str,
+    path: str,
+    headers: Mapping[str, str] | None = None,
+    body: bytes | None = None,
+    *,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> HttpResult:
+    """Call once and return the whole answer; raise BrokenAnswerError when there is none."""
+    connection = http.client.HTTPConnection(address.ip, address.port, timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=dict(headers or {}))
+        response = connection.getresponse()
+        data = response.read()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return HttpResult(response.status, names, data)
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        raise BrokenAnswerError(f"{method} {path} at {address}: {error!r}") from error
+    finally:
+        connection.close()
+
+
+def put_json(address: HostPort, path: str, value: Any) -> HttpResult:
+    """PUT a JSON value, such as faults; raise AssertionError unless the answer is 200."""
+    result = http_call(address, "PUT", path, body=json.dumps(value).encode())
+    if result.status != 200:
+        raise AssertionError(f"PUT {path} at {address}: {result.status} {result.body!r}")
+    return result
+
+
+def get_json(address: HostPort, path: str) -> Any:
+    """GET a JSON value; raise AssertionError unless the answer is 200."""
+    result = http_call(address, "GET", path)
+    if result.status != 200:
+        raise AssertionError(f"GET {path} at {address}: {result.status} {result.body!r}")
+    return result.json()
--- /dev/null
+++ b/packages/toucanspindle-standins/toucanspindle_standins/main.py
@@ -0,0 +1,181 @@
+"""The command line `toucan-standins`: stand-ins for tests and demonstrations.
+
+Not for production: nothing here is secured, and everything is kept in memory.
+"""
+
+import sys
+from pathlib import Path
+from typing import Annotated, Literal
+
+from cyclopts import App, Parameter
+from toucanspindle_core import errorcodes
+from toucanspindle_core.errors import SettingsError, ToucanError
+from toucanspindle_core.fleetconfig import FleetConfig
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_core.platformclient import HostList
+from toucanspindle_core.policy import merge_policy
+from toucanspindle_core.processsettings import read_toml, validate_model
+
+from toucanspindle_standins.platformserver import PlatformServer
+from toucanspindle_standins.serving import serve_until_signal
+from toucanspindle_standins.targetserver import TargetServer, TargetSettings
+
+app = App(
+    name="toucan-standins",
+    help="Stand-ins of the platform and of targets, for tests only: NOT FOR PRODUCTION.",
+    version="0.1.0",
+)
+
+Distribution = Literal["fixed", "exponential"]
+
+
+@app.command
+def platform(*, address: str, hosts: Path | None = None) -> None:
+    """Serve the object API at an address.
+
+    Parameters
+    ----------
+    address
+        IP:port to listen at.
+    hosts
+        JSON file {"hosts": [...]} with the first host list.
+    """
+    listed = HostList(hosts=[])
+    if hosts is not None:
+        listed = HostList.model_validate_json(hosts.read_text(encoding="utf-8"))
+    server = PlatformServer(parse_address(address), listed)
+    serve_until_signal([server], f"platform ready at {address}")
+
+
+@app.command
+def targets(
+    *,
+    fleet: Path,
+    service: Annotated[list[str] | None, Parameter(negative=())] = None,
+    service_ms: float = 5.0,
+    distribution: Distribution = "fixed",
+    seed: int = 1,
+) -> None:
+    """Serve every target of a fleet file in one process.
+
+    Parameters
+    ----------
+    fleet
+        Fleet configuration as TOML.
+    service
+        Serve only the targets of this service; may be repeated.
+    service_ms
+        Time that a request takes in its slot.
+    distribution
+        Service times are all the same, or exponential with that mean.
+    seed
+        Seed of the service times and faults.
+    """
+    config = validate_model(FleetConfig, read_toml(fleet), str(fleet))
+    servers: list[TargetServer] = []
+    for policy in merge_policy(config, 1).services.values():
+        if service and policy.name not in service:
+            continue
+        slots = policy.settings.slots_per_target
+        for target in policy.targets:
+            settings = TargetSettings(
+                name=target.name,
+                service=policy.name,
+                address=target.address,
+                slots=slots,
+                service_ms=service_ms,
+                distribution=distribution,
+                seed=seed + len(servers),
+            )
+            servers.append(TargetServer(settings))
+    if not servers:
+        raise SettingsError(
+            errorcodes.STANDIN_USAGE, "No target is left to serve.", "name a service of the file"
+        )
+    serve_until_signal(servers, f"{len(servers)} targets ready")
+
+
+@app.command
+def target(
+    *,
+    address: str,
+    name: str,
+    service: str,
+    slots: int = 4,
+    service_ms: float = 5.0,
+    distribution: Distribution = "fixed",
+    queue_limit: int = 64,
+    cold_start_s: float = 0.0,
+    cold_start_factor: float = 1.0,
+    padding_bytes: int = 0,
+    log: Path | None = None,
+    seed: int = 1,
+) -> None:
+    """Serve one target in a process of its own, which a crashing request ends.
+
+    Parameters
+    ----------
+    address
+        IP:port to listen at.
+    name
+        Name of the target.
+    service
+        Service that it belongs to.
+    slots
+        Requests that run at a time.
+    service_ms
+        Time that a request takes in its slot.
+    distribution
+        Service times are all the same, or exponential with that mean.
+    queue_limit
+        Requests that wait for a slot; more are shed as not run.
+    cold_start_s
+        Time after the start during which the target is slower.
+    cold_start_factor
+        Slowdown at the start; it fades evenly.
+    padding_bytes
+        Bytes added to each answer.
+    log
+        File to which each start and finish of a run is appended.
+    seed
+        Seed of the service times and faults.
+    """
+    settings = TargetSettings(
+        name=name,
+        service=service,
+        address=parse_address(address),
+        slots=slots,
+        service_ms=service_ms,
+        distribution=distribution,
+        queue_limit=queue_limit,
+        cold_start_s=cold_start_s,
+        cold_start_factor=cold_start_factor,
+        padding_bytes=padding_bytes,
+        log_path=log,
+        own_process=True,
+        seed=seed,
+    )
+    serve_until_signal([TargetServer(settings)], f"target {name} ready at {address}")
+
+
+def parse_address(text: str) -> HostPort:
+    """Parse an address of the command line; raise SettingsError."""
+    try:
+        return HostPort.parse(text)
+    except ValueError as error:
+        raise SettingsError(
+            errorcodes.ADDRESS_INVALID, f"{error}.", "name an address as IP:port"
+        ) from error
+
+
+def run() -> None:
+    """Run the command line; errors go to stderr with code and remedy, exit code 1."""
+    try:
+        app()
+    except ToucanError as error:
+        print(error, file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,81 @@
+"""Process harness of the integration tests.
+
+The parts that the demonstration needs too live in the stand-ins package; this module adds the
+test case that owns processes and ends them whatever happens.
+"""
+
+import tempfile
+from pathlib import Path
+from typing import Any, Final
+
+from testtools import TestCase
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_standins.httpcall import (
+    BrokenAnswerError,
+    HttpResult,
+    get_json,
+    http_call,
+    put_json,
+)
+from toucanspindle_standins.processes import (
+    AddressPool,
+    ManagedProcess,
+    WaitTimeoutError,
+    listens,
+    wait_until,
+)
+
+__all__ = [
+    "ADDRESSES",
+    "BrokenAnswerError",
+    "HttpResult",
+    "ManagedProcess",
+    "ProcessTestCase",
+    "WaitTimeoutError",
+    "get_json",
+    "http_call",
+    "listens",
+    "put_json",
+    "wait_until",
+]
+
+ADDRESSES: Final = AddressPool()
+STANDINS: Final = "toucanspindle_standins.main"
+
+
+class ProcessTestCase(TestCase):
+    """A test case with a temporary folder and processes that end with the test."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory(prefix="toucanspindle-test-")
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def start_process(
+        self, name: str, *argv: str, ready_at: HostPort | None = None
+    ) -> ManagedProcess:
+        """Start `python -m argv...`; it is killed at the end of the test."""
+        process = ManagedProcess(name, argv, self.folder)
+        self.addCleanup(process.close)
+        process.start(ready_at)
+        return process
+
+    def start_platform(self) -> HostPort:
+        """Start a stand-in platform and return its address."""
+        address = ADDRESSES.take()
+        argv = (STANDINS, "platform", "--address", str(address))
+        self.start_process("platform", *argv, ready_at=address)
+        return address
+
+    def start_target(self, name: str, **options: Any) -> tuple[ManagedProcess, HostPort]:
+        """Start a stand-in target with a run log at `folder/name.log`.
+
+        `options` are those of `toucan-standins target`, such as `slots=2`.
+        """
+        address = ADDRESSES.take()
+        argv = [STANDINS, "target", "--address", str(address), "--name", name]
+        options = {"service": "lotbook", "log": self.folder / f"{name}.log"} | options
+        for option, value in options.items():
+            argv += [f"--{option.replace('_', '-')}", str(value)]
+        return self.start_process(name, *argv, ready_at=address), address
--- /dev/null
+++ b/tests/test_standin_target.py
@@ -0,0 +1,197 @@
+"""Tests of the stand-in targets: the contract of targets, their faults and their log."""
+
+import json
+import threading
+from pathlib import Path
+from typing import Any
+
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_standins.runlog import read_run_file
+from toucanspindle_standins.targetfaults import account_bucket
+
+from tests.harness import (
+    ADDRESSES,
+    BrokenAnswerError,
+    HttpResult,
+    ProcessTestCase,
+    get_json,
+    http_call,
+    put_json,
+    wait_until,
+)
+
+
+class TargetCase(ProcessTestCase):
+    """Starts one target of one slot."""
+
+    service_ms = 1.0
+    queue_limit = 1
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.process, self.address = self.start_target(
+            "lotbook-1", slots=1, service_ms=self.service_ms, queue_limit=self.queue_limit
+        )
+
+    def call(self, request_id: str, **headers: str) -> HttpResult:
+        """Send one lookup."""
+        sent = {"Request-Id": request_id, "Toucan-Account": "yard-1"} | headers
+        return http_call(self.address, "GET", "/lots/1", sent)
+
+    def call_apart(self, request_id: str, **headers: str) -> tuple[threading.Thread, list[Any]]:
+        """Send one lookup in a thread of its own; the list gets its answer."""
+        answers: list[Any] = []
+        thread = threading.Thread(target=lambda: answers.append(self.call(request_id, **headers)))
+        thread.start()
+        return thread, answers
+
+    def set_faults(self, **faults: Any) -> None:
+        """Put faults in force."""
+        put_json(self.address, "/admin/faults", faults)
+
+    def health(self) -> Any:
+        """Return the body of the health endpoint."""
+        return http_call(self.address, "GET", "/.target/health").json()
+
+    def runs(self) -> list[str]:
+        """Return the ids of all runs."""
+        return [run["request_id"] for run in get_json(self.address, "/admin/log")["runs"]]
+
+
+class ContractTests(TargetCase):
+    """What a target without faults does."""
+
+    def test_answer_names_its_request(self) -> None:
+        headers = {"Request-Id": "r-1", "Toucan-Account": "yard-9", "Idempotency-Key": "k-1"}
+        answer = http_call(self.address, "POST", "/reservations", headers, b"lot 7")
+        self.assertEqual("r-1", answer.headers["request-id"])
+        body = answer.json()
+        named = (body["request_id"], body["account"], body["key"], body["run"])
+        self.assertEqual(("r-1", "yard-9", "k-1", 1), named)
+        [run] = read_run_file(self.folder / "lotbook-1.log")
+        self.assertEqual((body["body_digest"], "k-1"), (run.body_digest, run.key))
+        self.assertGreater(run.finished, 0)
+
+    def test_drain_signal_finishes_what_runs(self) -> None:
+        self.set_faults(slow_factor=300)
+        thread, answers = self.call_apart("r-1")
+        wait_until(lambda: self.health()["running"] == 1)
+        self.process.terminate()
+        thread.join(10)
+        self.assertEqual(200, answers[0].status)
+        self.assertEqual("1", answers[0].headers["target-draining"])
+        self.assertEqual(0, self.process.wait())
+
+
+class QueueTests(TargetCase):
+    """Slots, shed answers, deadlines and cancellation; the first request holds the slot."""
+
+    service_ms = 1500.0
+
+    def test_full_target_sheds_and_does_not_run(self) -> None:
+        first, _ = self.call_apart("r-1")
+        wait_until(lambda: self.health()["running"] == 1)
+        second, _ = self.call_apart("r-2")
+        wait_until(lambda: self.health()["queued"] == 1)
+        shed = self.call("r-3")
+        self.assertEqual((503, "not-run"), (shed.status, shed.headers["target-outcome"]))
+        first.join(10)
+        second.join(10)
+        self.assertEqual(["r-1", "r-2"], self.runs())
+
+    def test_deadline_in_the_queue_is_not_run(self) -> None:
+        first, _ = self.call_apart("r-1")
+        wait_until(lambda: self.health()["running"] == 1)
+        late = self.call("r-2", **{"Deadline-Ms": "20"})
+        self.assertEqual((503, "not-run"), (late.status, late.headers["target-outcome"]))
+        first.join(10)
+        self.assertEqual(["r-1"], self.runs())
+
+    def test_cancel_says_what_it_found(self) -> None:
+        first, _ = self.call_apart("r-1")
+        wait_until(lambda: self.health()["running"] == 1)
+        second, answers = self.call_apart("r-2")
+        wait_until(lambda: self.health()["queued"] == 1)
+        self.assertEqual("running", self.cancel("r-1"))
+        self.assertEqual("cancelled-before-run", self.cancel("r-2"))
+        self.assertEqual("unknown", self.cancel("r-3"))
+        first.join(10)
+        second.join(10)
+        self.assertEqual("done", self.cancel("r-1"))
+        self.assertEqual("not-run", answers[0].headers["target-outcome"])
+        self.assertEqual(["r-1"], self.runs())
+
+    def cancel(self, request_id: str) -> str:
+        """Cancel a request and return its state."""
+        path = f"/.target/requests/{request_id}"
+        return str(http_call(self.address, "DELETE", path).json()["state"])
+
+
+class FaultTests(TargetCase):
+    """Faults on demand."""
+
+    def test_wrong_for_one_account_bucket_only(self) -> None:
+        accounts = [f"yard-{number}" for number in range(40)]
+        self.set_faults(wrong_account_bucket=account_bucket("yard-3", 4), account_buckets=4)
+        wrong = {a for a in accounts if self.call("r", **{"Toucan-Account": a}).status == 500}
+        bucket = account_bucket("yard-3", 4)
+        self.assertEqual({a for a in accounts if account_bucket(a, 4) == bucket}, wrong)
+        self.assertEqual("ok", self.health()["status"])
+
+    def test_crossed_answer_carries_the_previous_id(self) -> None:
+        self.call("r-1")
+        self.set_faults(crossed_share=1)
+        self.assertEqual("r-1", self.call("r-2").headers["request-id"])
+
+    def test_damaged_framing_is_noticed_by_a_strict_reader(self) -> None:
+        for fault in ("cut", "broken-chunk", "length-too-long"):
+            self.set_faults(answer_fault=fault)
+            with self.assertRaises(BrokenAnswerError):
+                http_call(self.address, "GET", "/lots/1", timeout_s=0.5)
+        self.set_faults(answer_fault="length-too-short")
+        self.assertRaises(json.JSONDecodeError, self.call("r-1").json)
+
+    def test_run_of_a_reset_answer_is_logged(self) -> None:
+        self.set_faults(reset_after_run_share=1)
+        self.assertRaises(BrokenAnswerError, self.call, "r-1")
+        self.set_faults(reset_before_run_share=1)
+        self.assertRaises(BrokenAnswerError, self.call, "r-2")
+        self.set_faults()
+        self.assertEqual(["r-1"], self.runs())
+
+    def test_crash_leaves_the_start_in_the_log_file(self) -> None:
+        self.set_faults(crash_marker="poison")
+        self.assertRaises(BrokenAnswerError, self.call, "r-1", **{"Note": "poison"})
+        self.assertEqual(70, self.process.wait())
+        [run] = read_run_file(self.folder / "lotbook-1.log")
+        self.assertEqual(("r-1", 0.0), (run.request_id, run.finished))
+
+
+class FleetTargetsTests(ProcessTestCase):
+    """All targets of a fleet file in one process."""
+
+    def test_each_target_has_its_own_address_and_faults(self) -> None:
+        names = ["lotbook-1", "lotbook-2"]
+        fleet, addresses = write_fleet(self.folder, names)
+        argv = ("toucanspindle_standins.main", "targets", "--fleet", str(fleet))
+        process = self.start_process("targets", *argv, ready_at=addresses[1])
+        put_json(addresses[0], "/admin/faults", {"crash_marker": "bad", "crash_restart_ms": 50})
+        self.assertRaises(BrokenAnswerError, http_call, addresses[0], "GET", "/lots/bad")
+        answer = http_call(addresses[1], "GET", "/lots/bad")
+        self.assertEqual("lotbook-2", answer.json()["target"])
+        wait_until(lambda: http_call(addresses[0], "GET", "/lots/1").status == 200)
+        self.assertTrue(process.running)
+
+
+def write_fleet(folder: Path, names: list[str]) -> tuple[Path, list[HostPort]]:
+    """Write a fleet file of one service; return it and the addresses of its targets."""
+    addresses = [ADDRESSES.take() for _ in names]
+    lines = ['fleet = "karoo"', 'failure_domains = ["beaufort"]', "[[services]]"]
+    lines += ['name = "lotbook"', "[[services.routes]]", 'method = "GET"', 'path_prefix = "/lots"']
+    lines += ['operation = "lookup"', "idempotent = true"]
+    for name, address in zip(names, addresses, strict=True):
+        lines += ["[[services.targets]]", f'name = "{name}"', f'address = "{address}"']
+        lines += ['failure_domain = "beaufort"']
+    path = folder / "fleet.toml"
+    path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+    return path, addresses
