--- a/packages/toucanspindle-core/toucanspindle_core/configrules.py
+++ b/packages/toucanspindle-core/toucanspindle_core/configrules.py
@@ -19,19 +19,50 @@
 MAX_ACCOUNT_CLASSES: Final = 32  # Each class is a label of the latency histograms.
 CONNECTIONS_OF_TARGET: Final = 360
 
+Path = tuple[str | int, ...]
+
 
 @dataclass(frozen=True)
 class Fault:
-    """One wrong value: where it is, what it is, what is allowed, and what to do."""
+    """One wrong value: where it is, what it is, what is allowed, and what to do.
+
+    `first` is the path of an earlier use of the same value, for values that may be used once.
+    """
 
-    path: str
+    path: Path
     value: Any
     allowed: str
     remedy: str
+    first: Path = ()
 
     def __str__(self) -> str:
         """Return the line that is shown to operators."""
-        return f"{self.path} = {self.value!r}: {self.allowed}; {self.remedy}"
+        allowed = (
+            f"{self.allowed}, first at {path_text(self.first)}" if self.first else self.allowed
+        )
+        return f"{path_text(self.path)} = {self.value!r}: {allowed}; {self.remedy}"
+
+
+@dataclass(frozen=True)
+class LeftOut:
+    """What was left out of a configuration because it is wrong in itself.
+
+    References to the names are no faults, and merged settings that depend on what was left out
+    aren't judged.
+    """
+
+    services: frozenset[str] = frozenset()
+    failure_domains: frozenset[str] = frozenset()
+    merged_of: frozenset[str] = frozenset()
+    all_merged: bool = False
+
+
+NOTHING_LEFT_OUT: Final = LeftOut()
+
+
+def path_text(path: Path) -> str:
+    """Return a path as it is shown to operators."""
+    return ".".join(str(step) for step in path) or "(top)"
 
 
 def check_config(config: FleetConfig, origin: str, now: datetime | None = None) -> None:
@@ -48,82 +79,91 @@
     raise SettingsError(errorcodes.CONFIG_INVALID, text, "correct each value named above")
 
 
-def find_faults(config: FleetConfig, now: datetime | None = None) -> list[Fault]:
+def find_faults(
+    config: FleetConfig, now: datetime | None = None, left_out: LeftOut = NOTHING_LEFT_OUT
+) -> list[Fault]:
     """Return every broken rule of a configuration."""
-    faults = list(_name_faults(config))
+    faults = list(_name_faults(config, left_out))
     faults.extend(_account_faults(config))
-    faults.extend(_exception_faults(config))
-    if not faults:
-        faults.extend(_merged_faults(config, now or datetime.now(UTC)))
+    faults.extend(_exception_faults(config, left_out))
+    faults.extend(_merged_faults(config, now or datetime.now(UTC), left_out))
     return faults
 
 
-def _name_faults(config: FleetConfig) -> Iterator[Fault]:
+def _name_faults(config: FleetConfig, left_out: LeftOut) -> Iterator[Fault]:
     domains = _Unique("a failure domain is declared once", "remove one of them")
     for index, domain in enumerate(config.failure_domains):
-        yield from domains.add(domain, f"failure_domains.{index}")
+        yield from domains.add(domain, ("failure_domains", index))
     services = _Unique("the name of a service is used once", "rename one of them")
     targets = _Unique("the name of a target is used once in the fleet", "rename one of them")
     addresses = _Unique("an address belongs to one target", "correct one of them")
     routes = _Unique("a method and path prefix belong to one route", "remove one of them")
     for index, service in enumerate(config.services):
-        path = f"services.{index}"
-        yield from services.add(service.name, f"{path}.name")
+        path: Path = ("services", index)
+        yield from services.add(service.name, (*path, "name"))
         for number, target in enumerate(service.targets):
-            place = f"{path}.targets.{number}"
-            yield from targets.add(target.name, f"{place}.name")
-            yield from addresses.add(target.address, f"{place}.address")
-            if target.failure_domain not in config.failure_domains:
-                yield _undeclared_domain(config, f"{place}.failure_domain", target.failure_domain)
+            place = (*path, "targets", number)
+            yield from targets.add(target.name, (*place, "name"))
+            yield from addresses.add(target.address, (*place, "address"))
+            yield from _domain_faults(config, left_out, place, target.failure_domain)
         for number, route in enumerate(service.routes):
             key = f"{route.method} {route.path_prefix}"
-            yield from routes.add(key, f"{path}.routes.{number}")
+            yield from routes.add(key, (*path, "routes", number))
 
 
-def _undeclared_domain(config: FleetConfig, path: str, value: str) -> Fault:
-    declared = ", ".join(config.failure_domains)
-    return Fault(path, value, f"one of {declared}", "correct it or declare it in failure_domains")
+def _domain_faults(
+    config: FleetConfig, left_out: LeftOut, place: Path, domain: str
+) -> Iterator[Fault]:
+    if domain in config.failure_domains or domain in left_out.failure_domains:
+        return
+    declared = f"one of {', '.join(config.failure_domains)}"
+    remedy = "correct it or declare it in failure_domains"
+    yield Fault((*place, "failure_domain"), domain, declared, remedy)
 
 
 def _account_faults(config: FleetConfig) -> Iterator[Fault]:
     names = _Unique("the name of an account class is used once", "rename one of them")
     accounts = _Unique("an account is listed once, in one class", "remove it from one class")
     for index, group in enumerate(config.account_classes):
-        path = f"account_classes.{index}"
-        yield from names.add(group.name, f"{path}.name")
+        path: Path = ("account_classes", index)
+        yield from names.add(group.name, (*path, "name"))
         if group.name == DEFAULT_ACCOUNT_CLASS.name:
             allowed = "this name is kept for accounts that aren't listed"
-            yield Fault(f"{path}.name", group.name, allowed, "choose another name")
+            yield Fault((*path, "name"), group.name, allowed, "choose another name")
         for number, account in enumerate(group.accounts):
-            yield from accounts.add(account, f"{path}.accounts.{number}")
+            yield from accounts.add(account, (*path, "accounts", number))
     count = len(config.account_classes)
     if count > MAX_ACCOUNT_CLASSES:
         allowed = f"at most {MAX_ACCOUNT_CLASSES} classes"
-        yield Fault("account_classes", count, allowed, "join classes of the same weight")
+        yield Fault(("account_classes",), count, allowed, "join classes of the same weight")
 
 
-def _exception_faults(config: FleetConfig) -> Iterator[Fault]:
+def _exception_faults(config: FleetConfig, left_out: LeftOut) -> Iterator[Fault]:
     ids = _Unique("the id of an exception is used once", "rename one of them")
-    services = {service.name for service in config.services}
+    declared = {service.name for service in config.services}
     for index, exception in enumerate(config.exceptions):
-        path = f"exceptions.{index}"
-        yield from ids.add(exception.id, f"{path}.id")
-        if exception.service not in services:
-            allowed = f"a declared service ({', '.join(sorted(services)) or 'none is declared'})"
-            yield Fault(f"{path}.service", exception.service, allowed, "correct the name")
+        path: Path = ("exceptions", index)
+        yield from ids.add(exception.id, (*path, "id"))
+        if exception.service not in declared | left_out.services:
+            names = ", ".join(sorted(declared)) or "none is declared"
+            allowed = f"a declared service ({names})"
+            yield Fault((*path, "service"), exception.service, allowed, "correct the name")
         if not exception.settings.model_dump(exclude_none=True):
-            allowed = "at least one setting"
-            yield Fault(f"{path}.settings", {}, allowed, "name a setting or remove the exception")
+            remedy = "name a setting or remove the exception"
+            yield Fault((*path, "settings"), {}, "at least one setting", remedy)
 
 
-def _merged_faults(config: FleetConfig, now: datetime) -> Iterator[Fault]:
+def _merged_faults(config: FleetConfig, now: datetime, left_out: LeftOut) -> Iterator[Fault]:
+    if left_out.all_merged:
+        return
     seen: set[Fault] = set()
     for moment in _moments(config, now):
         for service in merge_policy(config, 0, moment).services.values():
-            for fault in _service_faults(service):
-                if fault not in seen:
-                    seen.add(fault)
-                    yield fault
+            if service.name in left_out.merged_of:
+                continue
+            faults = [fault for fault in _service_faults(service) if fault not in seen]
+            seen.update(faults)
+            yield from faults
 
 
 def _moments(config: FleetConfig, now: datetime) -> list[datetime]:
@@ -184,7 +224,7 @@
 def _merged_fault(service: ServicePolicy, setting: str, allowed: str, remedy: str) -> Fault:
     source = service.exception_by_setting.get(setting)
     origin = f"exception {source}" if source else "the defaults"
-    path = f"merged settings of {service.name}: {setting}"
+    path = ("merged settings", service.name, setting)
     return Fault(path, getattr(service.settings, setting), f"{allowed} (from {origin})", remedy)
 
 
@@ -194,9 +234,10 @@
     def __init__(self, allowed: str, remedy: str) -> None:
         self._allowed = allowed
         self._remedy = remedy
-        self._first_path: dict[str, str] = {}
+        self._first_path: dict[str, Path] = {}
 
-    def add(self, value: str, path: str) -> Iterable[Fault]:
+    def add(self, value: str, path: Path) -> Iterable[Fault]:
+        """Note a use; return a fault when the value was used before."""
         first = self._first_path.setdefault(value, path)
         if first != path:
-            yield Fault(path, value, f"{self._allowed}, first at {first}", self._remedy)
+            yield Fault(path, value, self._allowed, self._remedy, first)
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -5,8 +5,10 @@
 from testtools import TestCase
 from testtools.matchers import MatchesException, Raises
 from toucanspindle_core.clock import ManualClock
+from toucanspindle_core.configacceptance import Patience
+from toucanspindle_core.configchain import StoredHead
 from toucanspindle_core.configparts import ConfigPartError
-from toucanspindle_core.configstore import ConfigStore, StoredHead
+from toucanspindle_core.configstore import ConfigStore
 from toucanspindle_core.errors import ConflictError, PlatformError, PlatformUncertainError
 from toucanspindle_core.objects import CONFIG_KIND, HEAD_NAME, PART_KIND
 
@@ -16,7 +18,7 @@
 def store_on(objects: FakeObjectStore) -> ConfigStore:
     """Return a store whose pauses move a manual clock."""
     clock = ManualClock()
-    return ConfigStore(objects, clock, clock.advance)
+    return ConfigStore(objects, Patience(clock=clock, pause=clock.advance))
 
 
 def accepted(stored: StoredHead | None) -> StoredHead:
@@ -65,7 +67,7 @@
         error = self.assertRaises(
             ConflictError, store.accept, fleet_config(deadline_ms=800), "ann", "mine", 1
         )
-        for word in ("bob", "slow yard", "fleet", "unchanged"):
+        for word in ("bob", "slow yard", "defaults.deadline_ms: 2000 -> 900", "unchanged"):
             self.assertIn(word, error.text)
 
 
