Serve callers through a chain of filters, at most once per key

Ruled out: saying 'not run' when an earlier attempt of the same request may have run; the outcome is unknown as soon as one attempt can't be proved not to have run.

--- a/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
+++ b/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
@@ -84,6 +84,7 @@
 BAD_REQUEST: Final = _register("TS320", 400, "The request is malformed.")
 NODE_CLOSING: Final = _register("TS321", 503, "The node is closing and takes no new request.")
 UNKNOWN_FORGOTTEN: Final = _register("TS322", 504, "The token is older than the records kept.")
+QUARANTINED_NOW: Final = _register("TS323", 504, "The request crashed targets that ran it.")
 
 # 4xx: the platform.
 PLATFORM_AWAY: Final = _register("TS401", 503, "The platform can't be reached.")
@@ -95,6 +96,10 @@
 AGENT_AWAY: Final = _register("TS501", 503, "The agent can't be reached.")
 PEER_MALFORMED: Final = _register("TS502", 500, "A peer's message can't be understood.")
 INCARNATION_OUTDATED: Final = _register("TS503", 500, "A message names an outdated incarnation.")
+INCARNATION_UNKNOWN: Final = _register("TS504", 500, "A message names an unknown incarnation.")
+PEER_AWAY: Final = _register("TS505", 503, "A peer can't be reached.")
+PART_MISSING: Final = _register("TS506", 503, "A configuration lacks a part, or one is altered.")
+HEAD_BEHIND: Final = _register("TS507", 500, "The platform holds an older configuration.")
 
 # 7xx: the stand-ins.
 STANDIN_USAGE: Final = _register("TS701", 400, "A stand-in was asked for something it can't do.")
--- /dev/null
+++ b/packages/toucanspindle-node/toucanspindle_node/entryserver.py
@@ -0,0 +1,248 @@
+"""Serves callers over HTTP/1.1 with cheroot, and refuses malformed requests with a code.
+
+cheroot accepts connections and parses requests on a pool of threads.  This module makes its
+parsing strict where two readers of the same bytes could disagree (duplicate or conflicting
+lengths, folded headers), so that no caller can smuggle a request into another's connection, and
+turns each request into a `CallerRequest` for the chain of filters.  A request is read whole
+before the first filter sees it, and an answer is written whole, with its length.
+"""
+
+import json
+import threading
+from collections.abc import Callable
+from email.utils import formatdate
+from http import HTTPStatus
+from typing import Any, Final
+
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import Gateway, HeaderReader, HTTPConnection, HTTPRequest, HTTPServer
+from toucanspindle_core import errorcodes
+from toucanspindle_core.errorcodes import ErrorCode
+from toucanspindle_core.errors import RequestError, SettingsError
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_core.outcome import Outcome
+
+from toucanspindle_node import messages
+from toucanspindle_node.exchange import CallerRequest
+from toucanspindle_node.listening import explain_bind_error
+
+MAX_HEADER_BYTES: Final = 32_768
+MAX_BODY_BYTES: Final = 16_777_216
+LISTEN_BACKLOG: Final = 512
+KEEP_ALIVE_S: Final = 75
+MAX_KEEP_ALIVE_CONNECTIONS: Final = 10_000
+SINGLE_HEADERS: Final = frozenset(
+    {b"Content-Length", b"Transfer-Encoding", b"Host", b"Idempotency-Key", b"Toucan-Account"}
+)
+HANDLE = Callable[[CallerRequest], Outcome]
+
+
+class StrictHeaderReader(HeaderReader):
+    """Reads headers; refuses what two readers could take differently."""
+
+    def __call__(self, rfile: Any, hdict: dict[bytes, bytes] | None = None) -> Any:
+        """Read headers from `rfile`; raise ValueError for an ambiguous header."""
+        guarded = _HeaderLines(rfile)
+        headers = super().__call__(guarded, hdict)
+        if b"Content-Length" in headers and b"Transfer-Encoding" in headers:
+            raise ValueError("Content-Length and Transfer-Encoding exclude each other.")
+        length = headers.get(b"Content-Length")
+        if length is not None and not length.isdigit():
+            raise ValueError("Content-Length must be a decimal number.")
+        encoding = headers.get(b"Transfer-Encoding")
+        if encoding is not None and encoding.lower() != b"chunked":
+            raise ValueError("Transfer-Encoding must be chunked.")
+        return headers
+
+
+class _HeaderLines:
+    """Passes header lines through; raises ValueError for one that is ambiguous."""
+
+    def __init__(self, rfile: Any) -> None:
+        self._rfile = rfile
+        self._seen: set[bytes] = set()
+
+    def readline(self, *args: int) -> bytes:
+        line: bytes = self._rfile.readline(*args)
+        if line == b"\r\n":
+            return line
+        if not line.endswith(b"\r\n"):
+            raise ValueError("Header lines end in CR LF.")
+        if line[:1] in {b" ", b"\t"}:
+            raise ValueError("Folded header lines aren't allowed.")
+        name, colon, value = line[:-2].partition(b":")
+        if not colon or not name or name != name.strip():
+            raise ValueError("A header line needs a name, directly followed by a colon.")
+        if b"\r" in value or b"\0" in value:
+            raise ValueError("A header value has a control character.")
+        canonical = name.title()
+        if canonical in SINGLE_HEADERS and canonical in self._seen:
+            raise ValueError(f"{canonical.decode('latin-1')} is given twice.")
+        self._seen.add(canonical)
+        return line
+
+
+class EntryRequest(HTTPRequest):
+    """A request whose refusals carry an error code and a remedy."""
+
+    header_reader = StrictHeaderReader()
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Refuse the request in place of cheroot's plain text, and close the connection."""
+        number = int(str(status)[:3])
+        code = errorcodes.BODY_TOO_LARGE if number == 413 else errorcodes.BAD_REQUEST
+        self.close_connection = True
+        text = str(msg) or str(status)
+        refusal = RequestError(code, text, messages.REMEDY_BAD_REQUEST)
+        body = error_body("not-run", code, refusal.text, refusal.remedy, "")
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Toucan-Outcome", "not-run"),
+            ("Toucan-Error", code.name),
+        ]
+        self.conn.wfile.write(_encode_answer(number, headers, body, True))
+        self.sent_headers = True
+
+
+class EntryConnection(HTTPConnection):
+    """A caller's connection."""
+
+    RequestHandlerClass = EntryRequest
+
+
+class EntryGateway(Gateway):
+    """Hands a parsed request to the chain of filters and writes the outcome."""
+
+    def respond(self) -> None:
+        """Answer the request whole."""
+        request = self.req
+        server: EntryServer = request.server
+        try:
+            body = request.rfile.read()
+        except (MaxSizeExceeded, ValueError, OSError) as error:
+            request.simple_response("400 Bad Request", f"The body can't be read: {error}.")
+            return
+        if getattr(request.rfile, "remaining", 0):
+            # The caller closed its side amid the body; there is nobody to answer.
+            request.close_connection = True
+            request.sent_headers = True
+            return
+        if request.chunked_read:
+            # What follows a chunked body (trailers) is never taken for another request.
+            request.close_connection = True
+        caller_request = CallerRequest(
+            request.method.decode("latin-1"),
+            request.uri.decode("latin-1"),
+            {
+                k.decode("latin-1").lower(): v.decode("latin-1")
+                for k, v in request.inheaders.items()
+            },
+            body,
+        )
+        outcome = server.handle(caller_request)
+        close = request.close_connection or server.closing
+        request.close_connection = close
+        headers = list(outcome.headers)
+        include_body = caller_request.method != "HEAD"
+        request.sent_headers = True
+        request.conn.wfile.write(
+            _encode_answer(outcome.status, headers, outcome.body, close, include_body)
+        )
+
+
+class EntryServer(HTTPServer):
+    """The listening side of a proxy.
+
+    Invariant: `in_flight` counts the requests between their last byte and the end of their answer.
+    """
+
+    ConnectionClass = EntryConnection
+    max_request_header_size = MAX_HEADER_BYTES
+    max_request_body_size = MAX_BODY_BYTES
+    keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
+    timeout = KEEP_ALIVE_S
+
+    def __init__(self, address: HostPort, threads: int, handle: HANDLE) -> None:
+        """Create a server that answers with what `handle` returns."""
+        super().__init__(
+            (address.ip, address.port), EntryGateway, minthreads=threads, maxthreads=threads
+        )
+        self.request_queue_size = LISTEN_BACKLOG
+        self.closing = False
+        self._handle = handle
+        self._address = address
+        self._in_flight = 0
+        self._idle = threading.Condition()
+        self._thread: threading.Thread | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """The number of requests being answered."""
+        return self._in_flight
+
+    def handle(self, request: CallerRequest) -> Outcome:
+        """Answer one request, counted as in flight."""
+        with self._idle:
+            self._in_flight += 1
+        try:
+            return self._handle(request)
+        finally:
+            with self._idle:
+                self._in_flight -= 1
+                self._idle.notify_all()
+
+    def start_serving(self) -> None:
+        """Listen and serve in threads; raise SettingsError when the address can't be used."""
+        try:
+            self.prepare()
+        except OSError as error:
+            raise explain_bind_error("entry_address", self._address, error) from error
+        self._thread = threading.Thread(target=self.serve, name="entry", daemon=True)
+        self._thread.start()
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request is in flight; return False on timeout."""
+        with self._idle:
+            return self._idle.wait_for(lambda: self._in_flight == 0, timeout_s)
+
+    def stop_serving(self) -> None:
+        """Close the listening socket and all connections."""
+        self.stop()
+        if self._thread is not None:
+            self._thread.join()
+
+
+def error_body(outcome: str, code: ErrorCode, text: str, remedy: str, request_id: str) -> bytes:
+    """Return the JSON body of an error answer."""
+    return json.dumps(
+        {
+            "outcome": outcome,
+            "code": code.name,
+            "message": text,
+            "remedy": remedy,
+            "request_id": request_id,
+        }
+    ).encode()
+
+
+def _encode_answer(
+    status: int,
+    headers: list[tuple[str, str]],
+    body: bytes,
+    close: bool,
+    include_body: bool = True,
+) -> bytes:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Status"
+    lines = [f"HTTP/1.1 {status} {phrase}", f"Date: {formatdate(usegmt=True)}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+    return head + body if include_body else head
+
+
+__all__ = ["EntryServer", "SettingsError", "error_body"]
--- /dev/null
+++ b/packages/toucanspindle-node/toucanspindle_node/handover.py
@@ -0,0 +1,57 @@
+"""Hands the finished records of a closing proxy to a successor (step HandOver).
+
+The successor is the live member next in rendezvous order, preferably in another failure domain.
+If one doesn't take all the records, the next is tried.  Only after every record was taken is the
+last batch marked complete, which lets the successor say *not run* for keys it doesn't know.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from logbook import Logger
+from toucanspindle_core import control_pb2 as pb
+from toucanspindle_core.assignment import choose_by_weight
+from toucanspindle_core.errors import ControlError
+from toucanspindle_core.records import RecordTable
+
+from toucanspindle_node.fleetstate import FleetState
+from toucanspindle_node.issuerlink import RECORDS_PER_BATCH, IssuerCaller
+from toucanspindle_node.outcomewire import record_message
+
+MAX_SUCCESSORS: Final = 3
+
+log = Logger("handover")
+
+
+def hand_over_records(
+    records: RecordTable, incarnation: str, state: FleetState, caller: IssuerCaller
+) -> str:
+    """Hand all finished records over; return the successor's incarnation, or "" without one."""
+    messages = [record_message(record, outcome) for record, outcome in records.finished()]
+    keep_ms = int(records.lifetime_s * 1000)
+    for successor in _successors(incarnation, state):
+        try:
+            for batch in _batches(incarnation, messages, keep_ms):
+                caller.hand_over(successor.proxy_control_address, batch)
+        except ControlError as error:
+            log.warning("{}", error)
+            continue
+        log.info("{} records handed over to {}", len(messages), successor.node)
+        return successor.incarnation
+    if messages:
+        log.error("no node took the {} records; their outcomes become unknown", len(messages))
+    return ""
+
+
+def _successors(incarnation: str, state: FleetState) -> list[pb.Member]:
+    others = [m for m in state.live_members() if m.incarnation != incarnation]
+    return choose_by_weight(incarnation, others, MAX_SUCCESSORS)
+
+
+def _batches(
+    incarnation: str, records: list[pb.FinishedRecord], keep_ms: int
+) -> Iterable[pb.RecordBatch]:
+    for start in range(0, len(records), RECORDS_PER_BATCH):
+        batch = records[start : start + RECORDS_PER_BATCH]
+        yield pb.RecordBatch(from_incarnation=incarnation, records=batch, keep_ms=keep_ms)
+    yield pb.RecordBatch(from_incarnation=incarnation, complete=True, keep_ms=keep_ms)
--- /dev/null
+++ b/packages/toucanspindle-node/toucanspindle_node/issuerlink.py
@@ -0,0 +1,169 @@
+"""Traffic between proxies: requests sent to their issuer, and records handed over at shutdown.
+
+`IssuerServer` answers for this incarnation; the work itself runs on a small pool of threads,
+since the request path blocks.  `IssuerCaller` is the other side.  Channels are kept per address.
+"""
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+from toucanspindle_core import control_pb2 as pb
+from toucanspindle_core import errorcodes
+from toucanspindle_core.control_grpc import IssuerLinkBase, IssuerLinkStub
+from toucanspindle_core.errors import ControlError, RequestError
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_core.inheritedrecords import InheritedRecord, InheritedRecords
+from toucanspindle_core.outcome import Outcome
+
+from toucanspindle_node import messages
+from toucanspindle_node.eventloop import EventLoopThread
+from toucanspindle_node.exchange import CallerRequest, Exchange
+from toucanspindle_node.listening import explain_bind_error
+from toucanspindle_node.outcomewire import (
+    answer_message,
+    parse_answer,
+    parse_record,
+    parse_submit,
+    submit_message,
+)
+
+SUBMIT_THREADS: Final = 8
+HAND_OVER_TIMEOUT_S: Final = 5.0
+RECORDS_PER_BATCH: Final = 200
+ANSWER_MARGIN_S: Final = 0.25
+
+
+class IssuerServer(IssuerLinkBase):
+    """Answers other proxies and `toucanctl explain`."""
+
+    def __init__(
+        self,
+        address: HostPort,
+        handle: Callable[[CallerRequest], Outcome],
+        inherited: InheritedRecords,
+        explain: Callable[[str], list[str]],
+    ) -> None:
+        """Create a server: `handle` runs relayed requests, `explain` tells about a request id."""
+        self._address = address
+        self._handle = handle
+        self._inherited = inherited
+        self._explain = explain
+        self._executor = ThreadPoolExecutor(SUBMIT_THREADS, thread_name_prefix="issuer")
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen; raise SettingsError when the address can't be used."""
+        self._server = Server([self])
+        try:
+            await self._server.start(self._address.ip, self._address.port)
+        except OSError as error:
+            raise explain_bind_error("proxy_control_address", self._address, error) from error
+
+    async def close(self) -> None:
+        """Stop listening and end all streams."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        self._executor.shutdown(wait=False)
+
+    async def Submit(  # noqa: N802
+        self, stream: "Stream[pb.SubmitRequest, pb.SubmitAnswer]"
+    ) -> None:
+        """Run or answer a request whose token this incarnation issued or inherited."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        loop = asyncio.get_running_loop()
+        outcome = await loop.run_in_executor(self._executor, self._handle, parse_submit(message))
+        await stream.send_message(answer_message(outcome))
+
+    async def HandOver(self, stream: "Stream[pb.RecordBatch, pb.Empty]") -> None:  # noqa: N802
+        """Take over records of a proxy that closes (step HandOver)."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        try:
+            records: list[InheritedRecord] = [parse_record(r) for r in message.records]
+        except ValueError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, f"malformed record: {error}") from error
+        accepted = self._inherited.accept(
+            message.from_incarnation, records, message.keep_ms / 1000, message.complete
+        )
+        if not accepted:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "no room for the records")
+        await stream.send_message(pb.Empty())
+
+    async def Explain(  # noqa: N802
+        self, stream: "Stream[pb.ExplainRequest, pb.Explanation]"
+    ) -> None:
+        """Tell what is known of a request id."""
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(pb.Explanation(lines=self._explain(message.request_id)))
+
+
+class IssuerCaller:
+    """Calls other proxies; used by worker threads."""
+
+    def __init__(self, loop: EventLoopThread) -> None:
+        """Create a caller whose channels live on `loop`."""
+        self._loop = loop
+        self._channels: dict[str, Channel] = {}
+
+    def close(self) -> None:
+        """Close all channels."""
+        self._loop.call(self._close(), HAND_OVER_TIMEOUT_S)
+
+    def submit(self, address: str, exchange: Exchange) -> Outcome:
+        """Send a request to its issuer and return the outcome (step AskIssuer).
+
+        When the issuer can't be heard the outcome is *unknown*, even if the connection was
+        refused: an earlier copy of the request may have run there.
+        """
+        timeout_s = max(exchange.remaining_s(), 0.0) + ANSWER_MARGIN_S
+        try:
+            answer = self._loop.call(self._submit(address, exchange, timeout_s), timeout_s)
+            return parse_answer(answer)
+        except (OSError, GRPCError, StreamTerminatedError, TimeoutError, ValueError) as error:
+            exchange.note(f"the issuer at {address} can't be heard: {error!r}")
+            text = "The node that issued the token can't be heard."
+            unheard = RequestError(errorcodes.UNKNOWN_ISSUER, text, messages.REMEDY_UNKNOWN)
+            return Outcome.from_error(unheard)
+
+    def hand_over(self, address: str, batch: pb.RecordBatch) -> None:
+        """Hand records over; raise ControlError unless the successor took them all."""
+        try:
+            self._loop.call(self._hand_over(address, batch), HAND_OVER_TIMEOUT_S)
+        except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
+            raise ControlError(
+                errorcodes.AGENT_AWAY,
+                f"The proxy at {address} didn't take the records: {error!r}.",
+                "none needed: another successor is tried; otherwise outcomes become unknown",
+            ) from error
+
+    async def _submit(self, address: str, exchange: Exchange, timeout_s: float) -> pb.SubmitAnswer:
+        stub = IssuerLinkStub(self._channel(address))
+        return await stub.Submit(submit_message(exchange), timeout=timeout_s)
+
+    async def _hand_over(self, address: str, batch: pb.RecordBatch) -> None:
+        stub = IssuerLinkStub(self._channel(address))
+        await stub.HandOver(batch, timeout=HAND_OVER_TIMEOUT_S)
+
+    async def _close(self) -> None:
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            parsed = HostPort.parse(address)
+            channel = Channel(parsed.ip, parsed.port)
+            self._channels[address] = channel
+        return channel
--- /dev/null
+++ b/packages/toucanspindle-node/toucanspindle_node/listening.py
@@ -0,0 +1,28 @@
+"""Explains why a listening address can't be used."""
+
+import errno
+
+from toucanspindle_core import errorcodes
+from toucanspindle_core.errors import SettingsError
+from toucanspindle_core.hostport import HostPort
+
+
+def explain_bind_error(setting: str, address: HostPort, error: OSError) -> SettingsError:
+    """Return the error to report when `address` of a setting can't be bound."""
+    if error.errno == errno.EADDRNOTAVAIL:
+        return SettingsError(
+            errorcodes.ADDRESS_INVALID,
+            f"{setting} = {address} isn't an address of this host.",
+            f"set {setting} to an IP number of this host",
+        )
+    if error.errno == errno.EADDRINUSE or "in use" in str(error):
+        return SettingsError(
+            errorcodes.ADDRESS_IN_USE,
+            f"{setting} = {address} is in use by another process.",
+            f"end that process or set {setting} to a free port",
+        )
+    return SettingsError(
+        errorcodes.ADDRESS_INVALID,
+        f"{setting} = {address} can't be used: {error}.",
+        f"set {setting} to an IP number of this host and a free port",
+    )
