Add the fault-injecting TCP proxy

Integration tests need links that fail in one direction, lose answers and refuse connections while both processes are well. Rules may name the process that connects, since on loopback all connections come from one address.

--- a/packages/toucanspindle-standins/toucanspindle_standins/main.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/main.py
@@ -16,6 +16,7 @@
 from toucanspindle_core.policy import merge_policy
 from toucanspindle_core.processsettings import read_toml, validate_model
 
+from toucanspindle_standins.faultproxy import FaultProxy, Link
 from toucanspindle_standins.platformserver import PlatformServer
 from toucanspindle_standins.serving import serve_until_signal
 from toucanspindle_standins.targetserver import TargetServer, TargetSettings
@@ -158,6 +159,36 @@
     serve_until_signal([TargetServer(settings)], f"target {name} ready at {address}")
 
 
+@app.command
+def faultproxy(
+    *,
+    listen: Annotated[list[str], Parameter(negative=())],
+    to: Annotated[list[str], Parameter(negative=())],
+    admin: str,
+) -> None:
+    """Pass TCP connections on, with faults on demand.
+
+    Parameters
+    ----------
+    listen
+        IP:port to listen at; may be repeated, with one --to for each.
+    to
+        IP:port to connect to.
+    admin
+        IP:port of the admin calls: GET and PUT /faults, PUT /sources, GET /stats.
+    """
+    if len(listen) != len(to):
+        raise SettingsError(
+            errorcodes.STANDIN_USAGE,
+            f"{len(listen)} --listen don't pair with {len(to)} --to.",
+            "give one --to for each --listen",
+        )
+    pairs = zip(listen, to, strict=True)
+    links = [Link(parse_address(one), parse_address(other)) for one, other in pairs]
+    proxy = FaultProxy(links, parse_address(admin))
+    serve_until_signal([proxy], f"{len(links)} links ready, admin at {admin}")
+
+
 def parse_address(text: str) -> HostPort:
     """Parse an address of the command line; raise SettingsError."""
     try:
