--- a/packages/toucanspindle-core/toucanspindle_core/inheritedrecords.py
+++ b/packages/toucanspindle-core/toucanspindle_core/inheritedrecords.py
@@ -1,9 +1,12 @@
 """Records that a node took over from others that shut down gracefully.
 
 The successor answers from them and never dispatches.  Each predecessor sends its finished
-records in batches, the last one marked complete once nothing is in flight there and nothing more
-will be begun.  For a key that is absent from a complete hand-over the successor may say *not
-run*; while it is incomplete, or once the records have lapsed, the outcome is *unknown*.
+records in batches, then marks the hand-over complete, once nothing is in flight there and nothing
+more will be begun.  A complete hand-over names the tokens that it covers: those of which no
+record was evicted.  For a key that is absent under a covered token the successor may say *not
+run*; in every other case of absence the outcome is *unknown*.
+
+A covered token travels as a record whose account and key are empty, which no request has.
 """
 
 import threading
@@ -19,13 +22,19 @@
 
 @dataclass(frozen=True)
 class InheritedRecord:
-    """One finished request of a predecessor."""
+    """One finished request of a predecessor, or a token that its hand-over covers."""
 
     name: RequestName
     fingerprint: bytes
     outcome: Outcome
 
 
+def covered_token_record(token: str) -> InheritedRecord:
+    """Return the record that stands for a covered token."""
+    outcome = Outcome.from_error(never_begun_error())
+    return InheritedRecord(RequestName("", token, ""), b"", outcome)
+
+
 @dataclass
 class _Inheritance:
     complete: bool = False
@@ -38,12 +47,16 @@
         if known is None or known.outcome.kind is OutcomeKind.UNKNOWN:
             self.records[record.name] = record
 
+    def covers(self, token: str) -> bool:
+        """Return whether absence under `token` proves that nothing ran."""
+        return self.complete and RequestName("", token, "") in self.records
+
 
 class InheritedRecords:
     """What predecessors handed over; safe for use by several threads.
 
-    Invariant: "not run" is answered only for a complete hand-over that hasn't lapsed, and a
-    predecessor's records lapse together.
+    Invariant: "not run" is answered for an absent key only if the hand-over is complete, covers
+    the token and hasn't lapsed; a predecessor's records lapse together.
     """
 
     def __init__(self, clock: Clock, max_records: int) -> None:
@@ -67,9 +80,10 @@
         batch = list(records)
         with self._lock:
             self._evict()
-            if len(self) + len(batch) > self._max_records:
-                return False
             inheritance = self._by_incarnation.setdefault(incarnation, _Inheritance())
+            added = sum(record.name not in inheritance.records for record in batch)
+            if len(self) + added > self._max_records:
+                return False
             for record in batch:
                 inheritance.add(record)
             inheritance.complete = inheritance.complete or complete
@@ -88,14 +102,14 @@
             if inheritance is None:
                 return None
             record = inheritance.records.get(name)
-            complete = inheritance.complete
-        if record is not None:
-            if record.fingerprint != fingerprint:
-                raise key_reused_error()
-            return record.outcome
-        if complete:
-            raise _never_begun_error()
-        return None
+            never_begun = record is None and inheritance.covers(name.token)
+        if never_begun:
+            raise never_begun_error()
+        if record is None:
+            return None
+        if record.fingerprint != fingerprint:
+            raise key_reused_error()
+        return record.outcome
 
     def _evict(self) -> None:
         now = self._clock.now()
@@ -104,7 +118,8 @@
             del self._by_incarnation[incarnation]
 
 
-def _never_begun_error() -> RequestError:
+def never_begun_error() -> RequestError:
+    """Return the error for a request that its issuer never began and never will."""
     return RequestError(
         errorcodes.NODE_CLOSING,
         "The node that issued the token has closed, and the request was not run there.",
--- a/packages/toucanspindle-core/toucanspindle_core/records.py
+++ b/packages/toucanspindle-core/toucanspindle_core/records.py
@@ -258,6 +258,17 @@
             if record.outcome is not None:
                 yield record, record.outcome
 
+    def complete_tokens(self) -> list[str]:
+        """Return the tokens under which `finished` yields every request that was ever begun.
+
+        Empty unless the table is closed and nothing is in flight (step HandOver).  Older tokens
+        are left out: records under them may have been evicted.
+        """
+        with self._lock:
+            if not self._closed or len(self._records) > len(self._finished):
+                return []
+            return self._issuer.tokens_since(self._clock.now() - self._lifetime_s)
+
     def _check_new(self, token: str, minted_at: float, now: float) -> None:
         if now - minted_at >= self._lifetime_s:
             raise _forgotten_error()
--- a/packages/toucanspindle-core/toucanspindle_core/tokens.py
+++ b/packages/toucanspindle-core/toucanspindle_core/tokens.py
@@ -97,6 +97,12 @@
         with self._lock:
             return self._minted_at[window]
 
+    def tokens_since(self, earliest: float) -> list[str]:
+        """Return every token minted after `earliest`, in seconds of the issuer's clock."""
+        with self._lock:
+            minted_at = list(self._minted_at)
+        return [self._token_for(w) for w, at in enumerate(minted_at) if at > earliest]
+
     def check(self, token: str) -> None:
         """Raise RequestError TOKEN_INVALID or TOKEN_EXPIRED unless the token is valid now."""
         if self.is_expired(self.minted_at(token), self._clock.now()):
--- a/packages/toucanspindle-node/toucanspindle_node/handover.py
+++ b/packages/toucanspindle-node/toucanspindle_node/handover.py
@@ -16,7 +16,7 @@
 
 from toucanspindle_node.fleetstate import FleetState
 from toucanspindle_node.issuerlink import RECORDS_PER_BATCH, IssuerCaller
-from toucanspindle_node.outcomewire import record_message
+from toucanspindle_node.outcomewire import covered_token_message, record_message
 
 MAX_SUCCESSORS: Final = 3
 
@@ -28,6 +28,7 @@
 ) -> str:
     """Hand all finished records over; return the successor's incarnation, or "" without one."""
     messages = [record_message(record, outcome) for record, outcome in records.finished()]
+    messages += [covered_token_message(token) for token in records.complete_tokens()]
     keep_ms = int(records.lifetime_s * 1000)
     for successor in _successors(incarnation, state):
         try:
--- a/packages/toucanspindle-node/toucanspindle_node/outcomewire.py
+++ b/packages/toucanspindle-node/toucanspindle_node/outcomewire.py
@@ -4,7 +4,7 @@
 
 from toucanspindle_core import control_pb2 as pb
 from toucanspindle_core.errorcodes import UNKNOWN_BROKEN, lookup_code
-from toucanspindle_core.inheritedrecords import InheritedRecord
+from toucanspindle_core.inheritedrecords import InheritedRecord, covered_token_record
 from toucanspindle_core.outcome import Outcome, OutcomeKind
 from toucanspindle_core.records import Record, RequestName
 
@@ -75,6 +75,12 @@
     )
 
 
+def covered_token_message(token: str) -> pb.FinishedRecord:
+    """Return the message that says that a hand-over holds every request under a token."""
+    record = covered_token_record(token)
+    return pb.FinishedRecord(token=token, answer=answer_message(record.outcome))
+
+
 def parse_record(message: pb.FinishedRecord) -> InheritedRecord:
     """Return the record in a message; raise ValueError when it isn't one."""
     name = RequestName(message.account, message.token, message.key)
