Let a process bind another address than the one it advertises

Needed where addresses are translated, and by integration tests, whose fault proxy stands at the advertised address of each process. Without it one-way cuts between nodes couldn't be induced: on loopback nothing but the link tells nodes apart. The defaults change nothing.

--- a/packages/toucanspindle-node/toucanspindle_node/proxy.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxy.py
@@ -100,13 +100,13 @@
             HostPort.parse(settings.proxy_link_address), settings.report_interval_s, self
         )
         self._issuer_server = IssuerServer(
-            HostPort.parse(settings.proxy_control_address),
+            HostPort.parse(settings.proxy_control_bind_address),
             self._answer_relayed,
             self._inherited,
             self._traces.explain,
         )
         self._entry = EntryServer(
-            HostPort.parse(settings.entry_address), settings.proxy_threads, self._answer_caller
+            HostPort.parse(settings.entry_bind_address), settings.proxy_threads, self._answer_caller
         )
         self._metrics_server = MetricsServer(
             HostPort.parse(settings.metrics_address), self._metrics.text
