--- a/packages/toucanspindle-core/toucanspindle_core/processsettings.py
+++ b/packages/toucanspindle-core/toucanspindle_core/processsettings.py
@@ -25,21 +25,18 @@
     region: Name = Field("region-1", description="Region that the host is in.")
     entry_address: Address = Field(description="IP:port where callers connect.")
     proxy_control_address: Address = Field(description="IP:port where other proxies connect.")
-    agent_address: Address = Field(description="IP:port where other agents connect.")
-    agent_listen_address: Address | None = Field(
-        None, description="IP:port where the agent listens, if agent_address leads there."
-    )
-    proxy_link_address: Address = Field(description="IP:port where this host's proxy connects.")
-    metrics_address: Address = Field(description="IP:port of the proxy's metrics.")
     entry_listen_address: Address | None = Field(
-        None, description="IP:port to bind for callers, where addresses are translated."
+        None, description="IP:port where the proxy listens, if entry_address leads there."
     )
     proxy_control_listen_address: Address | None = Field(
-        None, description="IP:port to bind for other proxies, where addresses are translated."
+        None, description="IP:port where the proxy listens, if proxy_control_address leads there."
     )
+    agent_address: Address = Field(description="IP:port where other agents connect.")
     agent_listen_address: Address | None = Field(
-        None, description="IP:port to bind for other agents, where addresses are translated."
+        None, description="IP:port where the agent listens, if agent_address leads there."
     )
+    proxy_link_address: Address = Field(description="IP:port where this host's proxy connects.")
+    metrics_address: Address = Field(description="IP:port of the proxy's metrics.")
     platform_url: str = Field(pattern=r"^http://", description="Base URL of the platform.")
     seed_agents: list[Address] = Field(
         default_factory=list, description="Agents to join through when the platform is away."
@@ -66,11 +63,6 @@
         """Where the proxy listens for other proxies."""
         return self.proxy_control_listen_address or self.proxy_control_address
 
-    @property
-    def agent_bind_address(self) -> str:
-        """Where the agent listens for other agents."""
-        return self.agent_listen_address or self.agent_address
-
 
 def load_process_settings(path: Path) -> ProcessSettings:
     """Read and check a process settings file; raise SettingsError listing every fault."""
