End attempts at their deadline even when the target trickles bytes

Cause: urllib3 times out per read, so a target that sends a byte now and then held a request, and a thread, for ever; test_trickling_answer_ends_at_the_deadline hung before. Ruled out: reading in small pieces, which leaves headers and chunks that trickle. Now a watchdog thread shuts down the socket of an attempt past its deadline, and this module handles urllib3's connections itself, so that nothing else could resend (pinned at the sockets).

--- a/packages/toucanspindle-node/toucanspindle_node/targetclient.py
+++ b/packages/toucanspindle-node/toucanspindle_node/targetclient.py
@@ -1,6 +1,7 @@
 """Sends one attempt to one target through urllib3, and verifies its answer.
 
-urllib3 never repeats an attempt here: retries and redirects are off.  An attempt ends as
+One urllib3 connection serves one attempt at a time, without urllib3's pool, so that nothing but
+this module could ever repeat or redirect an attempt.  An attempt ends as
 
 - ANSWERED: a whole answer that echoes the attempt's id (or echoes none at all);
 - REFUSED: no connection came about, so no byte of the request was written;
@@ -15,31 +16,32 @@
 its connection, can't be told from a short one and counts as BROKEN.
 """
 
-import threading
+import json
 import time
 from dataclasses import dataclass
 from enum import Enum
+from http.client import HTTPException
 from typing import Final
 
-import urllib3
-from toucanspindle_core.hostport import HostPort
+from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.policy import Target
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    EmptyPoolError,
-    HTTPError,
-    NewConnectionError,
-    ProtocolError,
-    ReadTimeoutError,
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse
+
+from toucanspindle_node.targetconnections import (
+    AddressConnections,
+    DeadlineWatchdog,
+    NoConnectionError,
+    TargetConnections,
 )
 
 ID_HEADER: Final = "Request-Id"
 DRAINING_HEADER: Final = "Target-Draining"
 OUTCOME_HEADER: Final = "Target-Outcome"
-CONNECT_TIMEOUT_S: Final = 1.0
 CANCEL_TIMEOUT_S: Final = 0.25
 PROBE_TIMEOUT_S: Final = 1.0
-READ_BYTES: Final = 65_536
+CONTROL_CONNECTIONS: Final = 16
 CANCELLED: Final = "cancelled-before-run"
 NOT_FORWARDED: Final = frozenset(
     {
@@ -79,6 +81,9 @@
     FOREIGN = "answer to another request"
 
 
+REUSABLE_AFTER: Final = frozenset({AttemptKind.ANSWERED, AttemptKind.SHED})
+
+
 @dataclass(frozen=True)
 class Attempt:
     """What is sent to a target; `attempt_id` is unique to the attempt."""
@@ -104,89 +109,65 @@
 
 
 class TargetClient:
-    """Connections to targets, pooled by address; safe for use by several threads."""
+    """Sends attempts to targets; safe for use by several threads."""
 
     def __init__(self) -> None:
         """Create a client without connections."""
-        self._pools: dict[HostPort, urllib3.HTTPConnectionPool] = {}
-        self._lock = threading.Lock()
+        self._connections = TargetConnections()
+        self._watchdog = DeadlineWatchdog(MonotonicClock())
+        self._watchdog.start()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for pool in self._pools.values():
-            pool.close()
+        self._watchdog.close()
+        self._connections.close()
 
     def send(
         self, target: Target, attempt: Attempt, timeout_s: float, max_connections: int
     ) -> AttemptResult:
         """Send an attempt and return how it ended within `timeout_s` seconds."""
         started_at = time.monotonic()
-        pool = self._pool(target.address, max_connections)
+        connections = self._connections.to(target.address, max_connections)
         try:
-            response = pool.urlopen(
-                attempt.method,
-                attempt.path,
-                body=attempt.body or None,
-                headers=_forwarded(attempt, timeout_s),
-                retries=False,
-                redirect=False,
-                timeout=urllib3.Timeout(min(timeout_s, CONNECT_TIMEOUT_S), timeout_s),
-                pool_timeout=timeout_s,  # type: ignore[arg-type]  # any number will do
-                preload_content=False,
-                decode_content=False,
-                assert_same_host=False,
-            )
-        except (NewConnectionError, ConnectTimeoutError, EmptyPoolError):
+            connection = connections.acquire(timeout_s)
+        except NoConnectionError:
             return AttemptResult(AttemptKind.REFUSED, time.monotonic() - started_at)
-        except ReadTimeoutError:
-            return AttemptResult(AttemptKind.TIMED_OUT, time.monotonic() - started_at)
-        except HTTPError as error:
-            crashed = isinstance(error, ProtocolError)
-            return AttemptResult(AttemptKind.BROKEN, time.monotonic() - started_at, crashed=crashed)
-        return _read_answer(response, attempt, started_at, timeout_s)
+        return self._use(connections, connection, attempt, started_at + timeout_s)
 
     def cancel(self, target: Target, attempt_id: str) -> bool:
         """Cancel an attempt; return True only if the target says it never ran."""
-        pool = self._pool(target.address, 1)
+        path = f"/.target/requests/{attempt_id}"
+        result = self._control(target, "DELETE", path, CANCEL_TIMEOUT_S)
         try:
-            response = pool.request(
-                "DELETE",
-                f"/.target/requests/{attempt_id}",
-                retries=False,
-                timeout=CANCEL_TIMEOUT_S,
-                pool_timeout=CANCEL_TIMEOUT_S,
-            )
-            state = response.json().get("state")
-        except (HTTPError, ValueError, AttributeError):
+            return bool(json.loads(result.body)["state"] == CANCELLED)
+        except (ValueError, KeyError, TypeError):
             return False
-        return bool(state == CANCELLED)
 
     def is_draining(self, target: Target) -> bool | None:
         """Ask the target's health endpoint for the drain signal; None when it doesn't answer."""
-        pool = self._pool(target.address, 1)
+        result = self._control(target, "GET", "/.target/health", PROBE_TIMEOUT_S)
+        return result.draining if result.kind is AttemptKind.ANSWERED else None
+
+    def _control(self, target: Target, method: str, path: str, timeout_s: float) -> AttemptResult:
+        attempt = Attempt("control", method, path, {}, b"")
+        return self.send(target, attempt, timeout_s, CONTROL_CONNECTIONS)
+
+    def _use(
+        self,
+        connections: AddressConnections,
+        connection: HTTPConnection,
+        attempt: Attempt,
+        deadline: float,
+    ) -> AttemptResult:
+        started_at = time.monotonic()
+        self._watchdog.watch(connection, deadline)
         try:
-            response = pool.request(
-                "GET",
-                "/.target/health",
-                retries=False,
-                timeout=PROBE_TIMEOUT_S,
-                pool_timeout=PROBE_TIMEOUT_S,
-            )
-        except HTTPError:
-            return None
-        return response.headers.get(DRAINING_HEADER) == "1"
-
-    def _pool(self, address: HostPort, max_connections: int) -> urllib3.HTTPConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            with self._lock:
-                pool = self._pools.get(address)
-                if pool is None:
-                    pool = urllib3.HTTPConnectionPool(
-                        address.ip, address.port, maxsize=max_connections, block=True
-                    )
-                    self._pools[address] = pool
-        return pool
+            result = _exchange(connection, attempt, started_at, deadline)
+        finally:
+            self._watchdog.release(connection)
+            reusable = connection.sock is not None
+            connections.release(connection, reusable)
+        return result
 
 
 def _forwarded(attempt: Attempt, timeout_s: float) -> dict[str, str]:
@@ -198,28 +179,47 @@
     return headers
 
 
-def _read_answer(
-    response: urllib3.BaseHTTPResponse, attempt: Attempt, started_at: float, timeout_s: float
+def _exchange(
+    connection: HTTPConnection, attempt: Attempt, started_at: float, deadline: float
+) -> AttemptResult:
+    """Write the attempt and read its answer; the connection stays open only if it is reusable."""
+    answer_began = False
+    try:
+        connection.request(
+            attempt.method,
+            attempt.path,
+            body=attempt.body or None,
+            headers=_forwarded(attempt, deadline - started_at),
+            preload_content=False,
+            decode_content=False,
+        )
+        response = connection.getresponse()
+        answer_began = True
+        result = _read_answer(response, attempt, started_at)
+    except (HTTPError, HTTPException, OSError, ValueError) as error:
+        result = _failed(error, answer_began, started_at, deadline)
+    if result.kind not in REUSABLE_AFTER:
+        connection.close()
+    return result
+
+
+def _failed(
+    error: Exception, answer_began: bool, started_at: float, deadline: float
 ) -> AttemptResult:
+    now = time.monotonic()
+    if now >= deadline or isinstance(error, TimeoutError):
+        return AttemptResult(AttemptKind.TIMED_OUT, now - started_at)
+    return AttemptResult(AttemptKind.BROKEN, now - started_at, crashed=not answer_began)
+
+
+def _read_answer(response: HTTPResponse, attempt: Attempt, started_at: float) -> AttemptResult:
     headers = response.headers
     echoed_id = headers.get(ID_HEADER)
     if echoed_id is not None and echoed_id != attempt.attempt_id:
-        response.close()
         return AttemptResult(AttemptKind.FOREIGN, time.monotonic() - started_at)
     if not _has_length(attempt.method, response):
-        response.close()
-        return AttemptResult(AttemptKind.BROKEN, time.monotonic() - started_at)
-    try:
-        body = _read_body(response, started_at + timeout_s)
-    except ReadTimeoutError:
-        response.close()
-        return AttemptResult(AttemptKind.TIMED_OUT, time.monotonic() - started_at)
-    except (HTTPError, OSError):
-        response.close()
         return AttemptResult(AttemptKind.BROKEN, time.monotonic() - started_at)
-    if body is None:
-        response.close()
-        return AttemptResult(AttemptKind.TIMED_OUT, time.monotonic() - started_at)
+    body = response.read(decode_content=False)
     shed = response.status == 503 and headers.get(OUTCOME_HEADER) == "not-run"
     passed_on = [(k, v) for k, v in headers.items() if k.lower() not in NOT_FORWARDED]
     return AttemptResult(
@@ -232,19 +232,9 @@
     )
 
 
-def _has_length(method: str, response: urllib3.BaseHTTPResponse) -> bool:
+def _has_length(method: str, response: HTTPResponse) -> bool:
     if method == "HEAD" or response.status in {204, 304}:
         return True
     headers = response.headers
     chunked = headers.get("transfer-encoding", "").lower() == "chunked"
     return chunked or headers.get("content-length", "").isdigit()
-
-
-def _read_body(response: urllib3.BaseHTTPResponse, deadline: float) -> bytes | None:
-    """Return the whole body, or None when the deadline passed first."""
-    pieces = []
-    for piece in response.stream(READ_BYTES, decode_content=False):
-        pieces.append(piece)
-        if time.monotonic() > deadline:
-            return None
-    return b"".join(pieces)
--- /dev/null
+++ b/tests/test_targetclient.py
@@ -0,0 +1,189 @@
+"""Tests of attempts at targets, at the level of sockets.
+
+The target here is a script of byte strings, so that each test says exactly what the proxy's side
+reads, and counts exactly what it wrote.
+"""
+
+import socket
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from testtools import TestCase
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_core.policy import Target
+from toucanspindle_node.targetclient import Attempt, AttemptKind, AttemptResult, TargetClient
+
+TIMEOUT_S: Final = 5.0
+SHORT_S: Final = 0.2
+ECHO: Final = b"Request-Id: a1\r\n"
+WHOLE: Final = b"HTTP/1.1 200 OK\r\n" + ECHO + b"Content-Length: 2\r\n\r\nok"
+Script = Callable[[socket.socket], None]
+
+
+class ScriptedTarget:
+    """Accepts connections and answers each request by the next script; counts requests."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self._scripts = list(scripts)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.target = Target("t", HostPort(*self._listener.getsockname()), "d", False)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        while request := _read_request(connection):
+            self.requests.append(request)
+            script = self._scripts.pop(0) if self._scripts else answer(WHOLE)
+            try:
+                script(connection)
+            except OSError:
+                return
+
+
+def _read_request(connection: socket.socket) -> bytes:
+    data = b""
+    try:
+        while b"\r\n\r\n" not in data:
+            piece = connection.recv(65_536)
+            if not piece:
+                return b""
+            data += piece
+    except OSError:
+        return b""
+    return data
+
+
+def answer(data: bytes) -> Script:
+    """Return a script that writes bytes and keeps the connection open."""
+    return lambda connection: connection.sendall(data)
+
+
+def answer_and_close(data: bytes) -> Script:
+    """Return a script that writes bytes and closes the connection."""
+
+    def script(connection: socket.socket) -> None:
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_RDWR)
+        connection.close()
+
+    return script
+
+
+class AttemptTests(TestCase):
+    """What an attempt ends as, and how many requests the target sees."""
+
+    def attempt(
+        self, target: ScriptedTarget, method: str = "POST", timeout_s: float = TIMEOUT_S
+    ) -> AttemptResult:
+        attempt = Attempt("a1", method, "/lots", {"x-token": "1"}, b"")
+        return self.client.send(target.target, attempt, timeout_s, 4)
+
+    def scripted(self, *scripts: Script) -> ScriptedTarget:
+        target = ScriptedTarget(*scripts)
+        self.addCleanup(target.close)
+        return target
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.client = TargetClient()
+        self.addCleanup(self.client.close)
+
+    def test_whole_answer(self) -> None:
+        result = self.attempt(self.scripted(answer(WHOLE)))
+        self.assertEqual((AttemptKind.ANSWERED, b"ok"), (result.kind, result.body))
+
+    def test_cut_connection_is_never_retried(self) -> None:
+        for method in ("GET", "POST", "PUT", "DELETE"):
+            target = self.scripted(answer_and_close(b""))
+            result = self.attempt(target, method)
+            self.assertEqual(AttemptKind.BROKEN, result.kind)
+            self.assertTrue(result.crashed)
+            self.assertEqual(1, len(target.requests), method)
+
+    def test_stale_connection_is_not_used_and_nothing_is_sent_twice(self) -> None:
+        target = self.scripted(answer_and_close(WHOLE), answer(WHOLE))
+        self.attempt(target)
+        result = self.attempt(target)
+        self.assertEqual(AttemptKind.ANSWERED, result.kind)
+        self.assertEqual((2, 2), (len(target.requests), target.connections))
+
+    def test_connection_that_breaks_at_its_second_request_is_not_resent(self) -> None:
+        target = self.scripted(answer(WHOLE), answer_and_close(b""))
+        self.attempt(target)
+        self.assertEqual(AttemptKind.BROKEN, self.attempt(target).kind)
+        self.assertEqual((2, 1), (len(target.requests), target.connections))
+
+    def test_no_listener_is_refused(self) -> None:
+        target = ScriptedTarget()
+        target.close()
+        self.assertEqual(AttemptKind.REFUSED, self.attempt(target).kind)
+
+    def test_timeout_closes_the_connection(self) -> None:
+        late = threading.Event()
+        self.addCleanup(late.set)
+
+        def never(connection: socket.socket) -> None:
+            late.wait(TIMEOUT_S)
+            connection.sendall(WHOLE)
+
+        target = self.scripted(never, answer(WHOLE))
+        self.assertEqual(AttemptKind.TIMED_OUT, self.attempt(target, timeout_s=SHORT_S).kind)
+        self.assertEqual(AttemptKind.ANSWERED, self.attempt(target).kind)
+        self.assertEqual(2, target.connections)
+
+    def test_answer_with_another_id_is_dropped_with_its_connection(self) -> None:
+        foreign = WHOLE.replace(b"a1", b"b2")
+        target = self.scripted(answer(foreign), answer(WHOLE))
+        self.assertEqual(AttemptKind.FOREIGN, self.attempt(target).kind)
+        self.assertEqual(AttemptKind.ANSWERED, self.attempt(target).kind)
+        self.assertEqual(2, target.connections)
+
+    def test_damaged_answers_are_broken(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\n" + ECHO
+        damaged = {
+            "short body": head + b"Content-Length: 9\r\n\r\nok",
+            "no length": head + b"\r\nok",
+            "bad length": head + b"Content-Length: two\r\n\r\nok",
+            "unfinished chunks": head + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            "bad chunk": head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n",
+            "cut header": head,
+            "no HTTP": b"hello\r\n\r\n",
+        }
+        for name, data in damaged.items():
+            result = self.attempt(self.scripted(answer_and_close(data)))
+            self.assertEqual(AttemptKind.BROKEN, result.kind, name)
+            self.assertEqual(b"", result.body, name)
+
+    def test_shed_is_told_from_other_503(self) -> None:
+        head = b"HTTP/1.1 503 Busy\r\n" + ECHO + b"Content-Length: 0\r\n"
+        shed = self.scripted(answer(head + b"Target-Outcome: not-run\r\n\r\n"))
+        other = self.scripted(answer(head + b"\r\n"))
+        self.assertEqual(AttemptKind.SHED, self.attempt(shed).kind)
+        self.assertEqual(AttemptKind.ANSWERED, self.attempt(other).kind)
+
+    def test_trickling_answer_ends_at_the_deadline(self) -> None:
+        stop = threading.Event()
+        self.addCleanup(stop.set)
+
+        def trickle(connection: socket.socket) -> None:
+            connection.sendall(b"HTTP/1.1 200 OK\r\n" + ECHO + b"Content-Length: 9999\r\n\r\n")
+            while not stop.wait(SHORT_S / 4):
+                connection.sendall(b"x")
+
+        result = self.attempt(self.scripted(trickle), timeout_s=SHORT_S)
+        self.assertEqual(AttemptKind.TIMED_OUT, result.kind)
