--- a/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
+++ b/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
@@ -60,6 +60,10 @@
 CONFIG_PART_MISSING: Final = _register("TS207", 503, "A part of the configuration is missing.")
 CONFIG_PART_CORRUPT: Final = _register("TS208", 500, "A part doesn't match its digest or role.")
 CONFIG_HEAD_MALFORMED: Final = _register("TS209", 500, "The configuration head is malformed.")
+BASE_NOT_NAMED: Final = _register("TS210", 500, "A change doesn't name its base generation.")
+PLATFORM_BEHIND: Final = _register("TS211", 500, "Nodes hold a newer generation than the platform.")
+NOT_EVERYWHERE: Final = _register("TS212", 503, "Some nodes don't have a generation in force yet.")
+OPTION_INVALID: Final = _register("TS213", 500, "An option or argument has a wrong value.")
 
 # 3xx: outcomes of requests.
 ACCOUNT_MISSING: Final = _register("TS301", 400, "The request names no account.")
--- /dev/null
+++ b/packages/toucanspindle-core/toucanspindle_core/memberrecord.py
@@ -0,0 +1,88 @@
+"""Member records: their order, their checks at the border, and their compact form.
+
+A full record describes a member.  A compact one only names an incarnation, its version and its
+state; it can speak of a member that the receiver knows already, and of no other.
+"""
+
+from hashlib import blake2b
+from typing import Final
+
+from toucanspindle_core import errorcodes
+from toucanspindle_core.control_pb2 import DEAD, LEAVING, LEFT, LIVE, SUSPECT, Member, MemberState
+from toucanspindle_core.errors import ControlError
+from toucanspindle_core.hostport import HostPort
+
+DIGEST_BYTES: Final = 16
+MAX_TEXT_CHARS: Final = 256
+MAX_TOKEN_CHARS: Final = 1024
+MAX_VERSION: Final = 2**48
+GONE: Final = frozenset({DEAD, LEFT})
+
+_PRECEDENCE: Final = {LIVE: 1, LEAVING: 2, SUSPECT: 3, DEAD: 4, LEFT: 5}
+
+
+def supersedes(new: Member, old: Member) -> bool:
+    """Say whether a record replaces another of the same incarnation."""
+    if old.state == LEFT:
+        return False
+    if new.state == LEFT:
+        return True
+    new_rank = (new.version, _PRECEDENCE[new.state])
+    return new_rank > (old.version, _PRECEDENCE[old.state])
+
+
+def check_member(member: Member) -> None:
+    """Raise ControlError if a full record from a peer can't be right."""
+    try:
+        for address in (member.entry_address, member.proxy_control_address, member.agent_address):
+            HostPort.parse(address)
+    except ValueError as error:
+        raise _malformed(str(error)) from error
+    texts = (member.node, member.incarnation, member.failure_domain)
+    if not all(0 < len(text) <= MAX_TEXT_CHARS for text in texts):
+        raise _malformed("a member's name, incarnation or failure domain is empty or too long")
+    if len(member.token) > MAX_TOKEN_CHARS or len(member.successor) > MAX_TEXT_CHARS:
+        raise _malformed("a member's token or successor is too long")
+    if member.state not in _PRECEDENCE or member.version > MAX_VERSION:
+        raise _malformed(f"a member's state {member.state} or version is out of range")
+
+
+def is_compact(member: Member) -> bool:
+    """Say whether a record only names an incarnation, its version and its state."""
+    return not member.node
+
+
+def compact(member: Member) -> Member:
+    """Return the record without what a peer that knows the member knows already."""
+    return Member(incarnation=member.incarnation, version=member.version, state=member.state)
+
+
+def hash_of(member: Member) -> int:
+    """Return the share of a member in the digest of a table; 0 for members that are gone."""
+    if member.state in GONE:
+        return 0
+    data = f"{member.incarnation}\0{member.version}".encode()
+    return int.from_bytes(blake2b(data, digest_size=DIGEST_BYTES).digest(), "big")
+
+
+def with_state(member: Member, state: MemberState.ValueType, version: int) -> Member:
+    """Return a copy of a record with another state and version."""
+    changed = Member()
+    changed.CopyFrom(member)
+    changed.state = state
+    changed.version = version
+    return changed
+
+
+def same_facts(known: Member, told: Member) -> bool:
+    """Say whether two records agree on all but state and version."""
+    facts = ("entry_address", "proxy_control_address", "agent_address", "token", "successor")
+    return all(getattr(known, name) == getattr(told, name) for name in facts)
+
+
+def _malformed(text: str) -> ControlError:
+    return ControlError(
+        errorcodes.PEER_MALFORMED,
+        f"A peer sent a wrong member record: {text}.",
+        "check that all agents run the same release",
+    )
--- /dev/null
+++ b/packages/toucanspindle-node/toucanspindle_node/memberloop.py
@@ -0,0 +1,359 @@
+"""Runs the membership protocol of one agent: probes, indirect probes, anti-entropy, joining.
+
+Each probe interval one peer is pinged, in a shuffled order that visits every peer once a round.
+A peer that doesn't answer is pinged through a few others, and suspected if they fail too.  A
+ping's first record is a compact one: what the sender believes of the receiver's member; the
+receiver answers with the record that refutes it, if one does.
+
+Each reconnect interval, one address that isn't known as present (a seed, a host of the
+platform's list) is sent an exchange of tables, and one DEAD member is pinged, so that parts of
+the fleet that were cut apart find each other again.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, Final
+
+from logbook import Logger
+from toucanspindle_core import errorcodes
+from toucanspindle_core.control_pb2 import (
+    DEAD,
+    LEFT,
+    LIVE,
+    SUSPECT,
+    IndirectAnswer,
+    IndirectPing,
+    Member,
+    PingAnswer,
+    PingRequest,
+)
+from toucanspindle_core.errors import ControlError
+from toucanspindle_core.memberrecord import GONE, compact, is_compact
+
+from toucanspindle_node.agent_counters import AgentEvent
+from toucanspindle_node.agent_heard import HeardTracker, Hearing
+from toucanspindle_node.agent_parts import AgentParts
+
+INDIRECT_PEERS: Final = 3
+JOIN_PEERS: Final = 5
+FAREWELL_PEERS: Final = 4
+DIRECT_TIMEOUT_PROBES: Final = 0.8
+MIN_DIRECT_TIMEOUT_S: Final = 0.3
+RECONNECT_PROBES: Final = 5
+MIN_EXCHANGE_INTERVAL_S: Final = 2.0
+EXCHANGE_BYTES_PER_MEMBER: Final = 60
+EXCHANGE_BYTES_PER_S: Final = 1000
+GENERATION_UNKNOWN: Final = 0
+
+_log = Logger("agent.members")
+
+GenerationHeard = Callable[[int, str], None]
+
+
+class MemberLoop:
+    """Probes peers and answers their probes.
+
+    Invariant: every change of the table is followed by a call of `on_change`.
+    """
+
+    def __init__(self, parts: AgentParts) -> None:
+        settings = parts.settings
+        clock = parts.clock
+        self._settings = settings
+        self._members = parts.membership
+        self._clients = parts.clients
+        self._counters = parts.counters
+        self._clock = clock
+        self._random = random.Random()
+        self._heard = HeardTracker(settings.failure_domain, settings.probe_interval_s, clock)
+        self._hearing = Hearing.HEARD
+        self._round: list[str] = []
+        self._next_exchange = 0.0
+        self._next_reconnect = 0.0
+        self._candidates: set[str] = set(settings.seed_agents)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._changes_seen = 0
+        self.generation: Callable[[], int] = lambda: GENERATION_UNKNOWN
+        self.on_generation: GenerationHeard = lambda generation, address: None
+        self.on_change: Callable[[], None] = lambda: None
+
+    @property
+    def hearing(self) -> Hearing:
+        """How this node stands towards the rest of the fleet."""
+        return self._hearing
+
+    async def start(self) -> None:
+        """Join through the candidates known so far and begin to probe."""
+        self._spawn(self._probe_forever())
+
+    async def close(self) -> None:
+        """Tell a few peers what is still queued, then stop."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if len(self._members.queue):
+            await asyncio.gather(*(self._farewell(peer) for peer in self._sample(FAREWELL_PEERS)))
+
+    def add_candidates(self, addresses: Iterable[str]) -> None:
+        """Add addresses of agents that may be joined through."""
+        self._candidates.update(addresses)
+        self._candidates.discard(self._settings.agent_address)
+
+    def candidates(self) -> set[str]:
+        """Return addresses of agents known from any source, without this one's."""
+        known = self._candidates | {peer.agent_address for peer in self._members.peers()}
+        return known - {self._settings.agent_address}
+
+    def make_ping(self, target: Member | None) -> PingRequest:
+        """Return a ping for a member, or for an agent whose member isn't known."""
+        own = self._members.own
+        updates = [compact(target)] if target else []
+        if own is not None and (target is None or target.state in GONE):
+            updates.append(own)
+        updates += self._members.queue.take(len(self._members.peers()))
+        return PingRequest(
+            updates=updates,
+            members_digest=self._members.digest,
+            generation=self.generation(),
+            from_incarnation=own.incarnation if own else "",
+            from_agent_address=self._settings.agent_address,
+        )
+
+    async def ping(self, address: str, target: Member | None, timeout_s: float) -> PingAnswer:
+        """Ping an agent and take in its answer; raise ControlError when there is none."""
+        request = self.make_ping(target)
+        try:
+            answer = await self._clients.ping(address, request, timeout_s)
+        except ControlError as error:
+            own = self._members.own
+            if error.code is not errorcodes.INCARNATION_UNKNOWN or own is None:
+                raise
+            request.updates.append(own)
+            answer = await self._clients.ping(address, request, timeout_s)
+        self._take_answer(answer, address)
+        return answer
+
+    # What peers ask.
+
+    def answer_ping(self, request: PingRequest) -> PingAnswer:
+        """Answer a peer's ping; raise ControlError to refuse it."""
+        sender = self._check_sender(request)
+        if sender is not None:
+            self._heard.note_request(sender.failure_domain)
+        updates = []
+        for belief in request.updates:
+            refutation = self._members.hear_belief(belief) if is_compact(belief) else None
+            if refutation is not None:
+                updates.append(refutation)
+        self._members.merge(update for update in request.updates if not is_compact(update))
+        if sender is not None and sender.state in {SUSPECT, DEAD}:
+            updates.append(self._members.find(sender.incarnation) or sender)
+        updates += self._members.queue.take(len(self._members.peers()))
+        self.on_generation(request.generation, request.from_agent_address)
+        self._note_changes()
+        return PingAnswer(
+            updates=updates, members_digest=self._members.digest, generation=self.generation()
+        )
+
+    async def answer_indirect(self, request: IndirectPing) -> IndirectAnswer:
+        """Ping another agent on a peer's behalf."""
+        try:
+            answer = await self._clients.ping(
+                request.agent_address, request.ping, self._direct_timeout_s()
+            )
+        except ControlError:
+            return IndirectAnswer(reached=False)
+        return IndirectAnswer(reached=True, answer=answer)
+
+    def answer_exchange(self, members: list[Member]) -> list[Member]:
+        """Answer a peer's table: its compact entries are compared, its full ones merged."""
+        full = [member for member in members if not is_compact(member)]
+        self._members.merge(full)
+        listing = [member for member in members if is_compact(member)]
+        answered: list[Member] = []
+        if listing or not full:
+            answer = self._members.answer_exchange(listing)
+            answered = answer.full + answer.wanted
+        self._note_changes()
+        return answered
+
+    def _check_sender(self, request: PingRequest) -> Member | None:
+        incarnation = request.from_incarnation
+        if not incarnation:
+            return None
+        known = self._members.find(incarnation)
+        introduced = next((m for m in request.updates if m.incarnation == incarnation), None)
+        if known is None:
+            if introduced is None or is_compact(introduced):
+                self._counters.count(AgentEvent.REFUSED_UNKNOWN)
+                text = f"Incarnation {incarnation} at {request.from_agent_address} is unknown here."
+                remedy = "send the member's record along"
+                raise ControlError(errorcodes.INCARNATION_UNKNOWN, text, remedy)
+            return introduced
+        if known.state == LEFT or (known.state == DEAD and self._is_replaced(known)):
+            self._counters.count(AgentEvent.REFUSED_OUTDATED)
+            text = f"Incarnation {incarnation} at {request.from_agent_address} has ended."
+            remedy = "start the process anew; it gets a fresh incarnation"
+            raise ControlError(errorcodes.INCARNATION_OUTDATED, text, remedy)
+        return known
+
+    def _is_replaced(self, member: Member) -> bool:
+        return any(
+            other.agent_address == member.agent_address and other.incarnation != member.incarnation
+            for other in self._members.present_members()
+        )
+
+    # Probing.
+
+    async def _probe_forever(self) -> None:
+        await asyncio.gather(*(self._exchange(a) for a in self._pick_candidates(JOIN_PEERS)))
+        while True:
+            peer = self._next_peer()
+            if peer is not None:
+                self._spawn(self._probe(peer))
+            recheck = self._members.take_recheck()
+            if recheck is not None:
+                self._spawn(self._recheck(recheck))
+            if self._clock.now() >= self._next_reconnect:
+                self._reconnect()
+            self._members.expire()
+            self._judge_hearing()
+            self._note_changes()
+            await asyncio.sleep(self._settings.probe_interval_s * self._random.uniform(0.9, 1.1))
+
+    def _next_peer(self) -> Member | None:
+        present = {peer.incarnation: peer for peer in self._members.peers()}
+        while self._round:
+            peer = present.get(self._round.pop())
+            if peer is not None:
+                return peer
+        self._round = list(present)
+        self._random.shuffle(self._round)
+        return present[self._round.pop()] if self._round else None
+
+    async def _probe(self, peer: Member) -> None:
+        try:
+            answer = await self.ping(peer.agent_address, peer, self._direct_timeout_s())
+        except ControlError:
+            self._counters.count(AgentEvent.PING_FAILED)
+            await self._probe_indirectly(peer)
+        else:
+            self._heard.note_round_trip(peer.failure_domain)
+            self._members.confirm(peer.incarnation)
+            await self._exchange_if_differing(peer.agent_address, answer.members_digest)
+        self._judge_hearing()
+        self._note_changes()
+
+    async def _probe_indirectly(self, peer: Member) -> None:
+        helpers = [m for m in self._sample(INDIRECT_PEERS + 1) if m.incarnation != peer.incarnation]
+        request = IndirectPing(agent_address=peer.agent_address, ping=self.make_ping(peer))
+        asked = (self._ask_helper(helper, request) for helper in helpers[:INDIRECT_PEERS])
+        if any(await asyncio.gather(*asked)):
+            self._members.confirm(peer.incarnation)
+            return
+        self._heard.note_failure(peer.failure_domain)
+        domains = [member.failure_domain for member in self._members.peers()]
+        shared = self._heard.may_share_suspicion(peer.failure_domain, domains)
+        self._counters.count(AgentEvent.SUSPECTED)
+        self._members.suspect(peer.incarnation, shared=shared)
+
+    async def _ask_helper(self, helper: Member, request: IndirectPing) -> bool:
+        timeout_s = 2 * self._direct_timeout_s()
+        try:
+            answer = await self._clients.ping_indirect(helper.agent_address, request, timeout_s)
+        except ControlError:
+            return False
+        self._heard.note_round_trip(helper.failure_domain)
+        if answer.reached:
+            self._take_answer(answer.answer, request.agent_address)
+        return answer.reached
+
+    async def _recheck(self, dead: Member) -> None:
+        try:
+            await self.ping(dead.agent_address, dead, self._direct_timeout_s())
+        except ControlError:
+            return
+        self._heard.note_round_trip(dead.failure_domain)
+        self._note_changes()
+
+    async def _farewell(self, peer: Member) -> None:
+        try:
+            await self.ping(peer.agent_address, peer, self._direct_timeout_s())
+        except ControlError:
+            pass
+
+    # Joining and anti-entropy.
+
+    def _reconnect(self) -> None:
+        interval_s = RECONNECT_PROBES * self._settings.probe_interval_s
+        self._next_reconnect = self._clock.now() + interval_s
+        dead = self._members.dead_peers()
+        if dead:
+            self._spawn(self._recheck(self._random.choice(dead)))
+        for address in self._pick_candidates(1):
+            self._spawn(self._exchange(address))
+
+    def _pick_candidates(self, count: int) -> list[str]:
+        present = {member.agent_address for member in self._members.peers()}
+        absent = sorted(self._candidates - present - {self._settings.agent_address})
+        return self._random.sample(absent, min(count, len(absent)))
+
+    async def _exchange_if_differing(self, address: str, digest: bytes) -> None:
+        now = self._clock.now()
+        if digest == self._members.digest or now < self._next_exchange:
+            return
+        size = len(self._members.all_members()) * EXCHANGE_BYTES_PER_MEMBER
+        self._next_exchange = now + max(MIN_EXCHANGE_INTERVAL_S, size / EXCHANGE_BYTES_PER_S)
+        await self._exchange(address)
+
+    async def _exchange(self, address: str) -> None:
+        try:
+            listing = self._members.compact_table()
+            received = await self._clients.exchange_members(address, listing)
+            self._members.merge(m for m in received if not is_compact(m))
+            wanted = self._members.full_records(received)
+            if wanted:
+                await self._clients.exchange_members(address, wanted)
+        except ControlError as error:
+            if error.code is errorcodes.PEER_MALFORMED:
+                self._counters.count(AgentEvent.REFUSED_MALFORMED)
+        self._note_changes()
+
+    def _take_answer(self, answer: PingAnswer, address: str) -> None:
+        try:
+            self._members.merge(answer.updates)
+        except ControlError:
+            self._counters.count(AgentEvent.REFUSED_MALFORMED)
+        self.on_generation(answer.generation, address)
+
+    # The node's own standing.
+
+    def _judge_hearing(self) -> None:
+        domains = [member.failure_domain for member in self._members.peers()]
+        hearing = self._heard.hearing(domains)
+        if hearing is self._hearing:
+            return
+        _log.notice("this node is {} (was {})", hearing.value, self._hearing.value)
+        self._hearing = hearing
+        if hearing is not Hearing.HEARD:
+            self._counters.count(AgentEvent.UNHEARD)
+        self._members.changes += 1
+
+    def _note_changes(self) -> None:
+        if self._members.changes != self._changes_seen:
+            self._changes_seen = self._members.changes
+            self.on_change()
+
+    def _sample(self, count: int) -> list[Member]:
+        live = [m for m in self._members.peers() if m.state == LIVE]
+        return self._random.sample(live, min(count, len(live)))
+
+    def _direct_timeout_s(self) -> float:
+        wanted = DIRECT_TIMEOUT_PROBES * self._settings.probe_interval_s
+        return max(MIN_DIRECT_TIMEOUT_S, wanted)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
