--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -105,7 +105,8 @@
 
     async def start(self) -> None:
         """Listen and begin all work; raise SettingsError if an address can't be used."""
-        addresses = (self._settings.agent_bind_address, self._settings.proxy_link_address)
+        listen_address = self._settings.agent_listen_address or self._settings.agent_address
+        addresses = (listen_address, self._settings.proxy_link_address)
         for server, address in zip(self._servers, addresses, strict=True):
             await _listen(server, HostPort.parse(address))
         await self._hosts.start()
--- a/tests/agentfleet.py
+++ b/tests/agentfleet.py
@@ -175,7 +175,7 @@
 
     def status(self) -> NodeStatus:
         """Ask the agent for its status."""
-        address = HostPort.parse(self.settings.agent_bind_address)
+        address = listen_address(self.settings)
         return self.channel_loop.call(_status(address))
 
     def generation(self) -> int:
@@ -186,6 +186,11 @@
             return 0
 
 
+def listen_address(settings: ProcessSettings) -> HostPort:
+    """Return where an agent listens."""
+    return HostPort.parse(settings.agent_listen_address or settings.agent_address)
+
+
 async def _status(address: HostPort) -> NodeStatus:
     channel = Channel(address.ip, address.port)
     try:
@@ -249,7 +254,7 @@
         values = settings.model_dump(exclude_none=True)
         path.write_text(tomli_w.dumps(values), encoding="utf-8")
         argv = ("toucanspindle_node.main", "agent", "--settings", str(path))
-        return self.start_process(name, *argv, ready_at=HostPort.parse(settings.agent_bind_address))
+        return self.start_process(name, *argv, ready_at=listen_address(settings))
 
     def restart_agent(self, node: AgentNode, **overrides: Any) -> None:
         """Kill an agent and start it anew; its proxy follows again by itself."""
