Add toucanctl: validate, show, apply, roll back, exceptions, drain, status, explain, ask

Cause: operators steer the fleet by its defaults and exceptions and must see what a change does before and after it is accepted, and callers ask the directory. A file names the generation that it was made from: without that, applying a file kept elsewhere would undo a colleague's exception unseen. Ruled out: a three-way merge (an operator would get a configuration that nobody looked at), and applying without a base by default. The commands on nodes (status, wait, explain, ask) are not tested yet.

--- a/packages/toucanspindle-core/toucanspindle_core/configstore.py
+++ b/packages/toucanspindle-core/toucanspindle_core/configstore.py
@@ -100,7 +100,7 @@
             previous=previous,
         )
         if not Acceptance(self._objects, head, base, self._patience).run():
-            raise self._conflict(based_on_generation)
+            raise self.conflict(based_on_generation)
         return head
 
     def history(self, limit: int) -> Iterator[ConfigHead]:
@@ -119,25 +119,25 @@
         base = self.read_head()
         if (base.head.generation if base else 0) == based_on_generation:
             return base
-        raise self._conflict(based_on_generation)
+        raise self.conflict(based_on_generation)
 
-    def _conflict(self, based_on_generation: int) -> ConflictError:
+    def conflict(self, based_on_generation: int) -> ConflictError:
         """Return the error for a change made from a generation that isn't the current one."""
         stored = self.read_head()
-        if stored is None:
-            text = f"Generation {based_on_generation} isn't in the platform, which holds none."
-        elif stored.head.generation < based_on_generation:
+        current = stored.head.generation if stored else 0
+        if stored is not None and current > based_on_generation:
+            text = self._describe_other(stored.head, based_on_generation)
+        else:
             text = (
-                f"The platform holds generation {stored.head.generation}, older than"
-                f" {based_on_generation} that the change was made from."
+                f"The platform holds generation {current}, older than {based_on_generation} that"
+                " the change was made from.\n"
             )
-        else:
-            text = self._describe_other(stored.head, based_on_generation)
         return ConflictError(
             errorcodes.CONFIG_CONFLICT,
-            f"{text} Nothing of yours was accepted, and your file is unchanged.",
-            "look at `toucanctl config history` and `toucanctl config dry-run FILE`, take the"
-            " other change into your file if you want to keep it, and apply again",
+            f"{text}Nothing of yours was accepted, and your file is unchanged.",
+            "take what you want to keep of the other change into your file, look at `toucanctl"
+            f" config dry-run FILE`, and apply it again with --based-on {current}; a command"
+            " without a file can simply be repeated",
         )
 
     def _describe_other(self, current: ConfigHead, based_on_generation: int) -> str:
--- a/packages/toucanspindle-core/toucanspindle_core/fleetdiff.py
+++ b/packages/toucanspindle-core/toucanspindle_core/fleetdiff.py
@@ -6,11 +6,15 @@
 
 from dataclasses import dataclass
 from datetime import datetime
-from typing import Any
+from typing import Any, Final
 
 from toucanspindle_core.fleetconfig import FleetConfig
 from toucanspindle_core.policy import merge_policy
 
+NAMED_LISTS: Final = ("failure_domains", "exceptions", "account_classes", "services")
+LISTED: Final = "listed"  # Value of a name in a list of names.
+COUNTED_LISTS: Final = frozenset({"targets", "routes", "accounts"})
+
 
 @dataclass(frozen=True)
 class Change:
@@ -23,9 +27,9 @@
     def __str__(self) -> str:
         """Return the line that is shown to operators."""
         if self.before is None:
-            return f"+ {self.path} = {_shown(self.after)}"
+            return f"+ {self.path}{_with(' = ', self.after)}"
         if self.after is None:
-            return f"- {self.path} (was {_shown(self.before)})"
+            return f"- {self.path}{_with(', was ', self.before)}"
         return f"~ {self.path}: {_shown(self.before)} -> {_shown(self.after)}"
 
 
@@ -41,7 +45,7 @@
     before: FleetConfig | None, after: FleetConfig, now: datetime | None = None
 ) -> FleetDiff:
     """Compare two configurations; None stands for no configuration."""
-    old = _named_values(before) if before else {}
+    old = _named_values(before) if before else {key: {} for key in NAMED_LISTS}
     changes = list(_compare("", old, _named_values(after)))
     if before is not None:
         changes.extend(_compare_order(before, after))
@@ -91,10 +95,10 @@
         }
     classes = _by_key(values["account_classes"], "name")
     for group in classes.values():
-        group["accounts"] = dict.fromkeys(group["accounts"], "listed")
+        group["accounts"] = dict.fromkeys(group["accounts"], LISTED)
     return {
         **values,
-        "failure_domains": dict.fromkeys(values["failure_domains"], "declared"),
+        "failure_domains": dict.fromkeys(values["failure_domains"], LISTED),
         "exceptions": _by_key(values["exceptions"], "id"),
         "account_classes": classes,
         "services": services,
@@ -105,11 +109,15 @@
     return {item[key]: {k: v for k, v in item.items() if k != key} for item in items}
 
 
+def _with(separator: str, value: Any) -> str:
+    return "" if value is LISTED else f"{separator}{_shown(value)}"
+
+
 def _shown(value: Any) -> str:
     if not isinstance(value, dict):
         return repr(value)
     parts = []
     for key, item in value.items():
-        plural = isinstance(item, dict) and key in {"targets", "routes", "accounts"}
-        parts.append(f"{len(item)} {key}" if plural else f"{key} {_shown(item)}")
+        counted = isinstance(item, dict) and key in COUNTED_LISTS
+        parts.append(f"{len(item)} {key}" if counted else f"{key} {_shown(item)}")
     return "{" + ", ".join(parts) + "}"
--- /dev/null
+++ b/packages/toucanspindle-ctl/toucanctl/fleetview.py
@@ -0,0 +1,144 @@
+"""Collects what the nodes of the fleet say about themselves, from every node that can be heard.
+
+The first agents to ask are those that are named and those that the platform lists; the members
+that they know are asked too.  So a fleet can be asked while the platform is away, and a node
+that the lagging list still names, or names not yet, is found all the same.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from toucanspindle_core.control_pb2 import (
+    EjectionSet,
+    Member,
+    MemberState,
+    NodeStatus,
+    QuarantineEntry,
+)
+from toucanspindle_core.errors import ControlError
+from toucanspindle_core.platformclient import HostEntry
+
+from toucanctl.nodeclient import ask_all, fetch_status
+
+MAX_DISCOVERY_ROUNDS: Final = 3
+SERVING_STATES: Final = frozenset({MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING})
+
+
+@dataclass(frozen=True)
+class NodeView:
+    """A node: its name if known, its agent's address, and its status or why there is none."""
+
+    name: str
+    agent_address: str
+    status: NodeStatus | None
+    trouble: str = ""
+
+    def has_in_force(self, generation: int) -> bool:
+        """Return whether the node's agent and proxy have at least this generation."""
+        status = self.status
+        if status is None:
+            return False
+        return min(status.agent_generation, status.proxy_generation) >= generation
+
+    def shortfall(self) -> str:
+        """Return in words what the node has."""
+        if self.status is None:
+            return self.trouble
+        return (
+            f"agent at generation {self.status.agent_generation},"
+            f" proxy at {self.status.proxy_generation}"
+        )
+
+
+@dataclass(frozen=True)
+class FleetView:
+    """The nodes of the fleet, by name."""
+
+    nodes: tuple[NodeView, ...]
+
+    def heard(self) -> list[NodeStatus]:
+        """Return the status of every node that was heard."""
+        return [node.status for node in self.nodes if node.status is not None]
+
+    def members(self) -> list[Member]:
+        """Return the newest record of each member that any node knows, by node name."""
+        newest: dict[str, Member] = {}
+        for status in self.heard():
+            for member in [status.member, *status.members]:
+                known = newest.get(member.node)
+                if known is None or known.version < member.version:
+                    newest[member.node] = member
+        return [newest[name] for name in sorted(newest) if name]
+
+    def ejections(self) -> list[EjectionSet]:
+        """Return the newest set of ejections of each service and holder."""
+        newest: dict[tuple[str, str], EjectionSet] = {}
+        for status in self.heard():
+            for item in status.ejections:
+                known = newest.get((item.service, item.holder))
+                if known is None or known.epoch < item.epoch:
+                    newest[item.service, item.holder] = item
+        return [newest[key] for key in sorted(newest)]
+
+    def quarantine(self) -> list[QuarantineEntry]:
+        """Return the quarantined requests, the entry of the most crashes of each."""
+        entries: dict[tuple[str, str], QuarantineEntry] = {}
+        for status in self.heard():
+            for entry in status.quarantine:
+                known = entries.get((entry.service, entry.fingerprint))
+                if known is None or known.crashed_targets < entry.crashed_targets:
+                    entries[entry.service, entry.fingerprint] = entry
+        return [entries[key] for key in sorted(entries)]
+
+    def leaving_targets(self) -> list[str]:
+        """Return the targets that are leaving, as "service/target"."""
+        return sorted({name for status in self.heard() for name in status.leaving_targets})
+
+    def highest_generation(self) -> int:
+        """Return the highest generation that a node has; 0 when none was heard."""
+        return max((status.agent_generation for status in self.heard()), default=0)
+
+    def missing(self, generation: int) -> list[NodeView]:
+        """Return the nodes that don't have a generation in force."""
+        return [node for node in self.nodes if not node.has_in_force(generation)]
+
+
+async def collect_fleet(agents: Iterable[str], hosts: Iterable[HostEntry]) -> FleetView:
+    """Ask every node that can be found.
+
+    `agents` are addresses to begin with, `hosts` the platform's lagging list.
+    """
+    listed = {
+        host.agent_address: host.name
+        for host in hosts
+        if host.role == "entry" and host.state == "live" and host.agent_address
+    }
+    views: dict[str, NodeView] = {}
+    names = dict.fromkeys(agents, "") | listed
+    for _ in range(MAX_DISCOVERY_ROUNDS):
+        new = [address for address in names if address not in views]
+        if not new:
+            break
+        for address, answer in (await ask_all(new, fetch_status)).items():
+            views[address] = _view(address, names[address], answer)
+        for address, name in _serving_members(views.values()).items():
+            names.setdefault(address, name)
+    ordered = sorted(views.values(), key=lambda view: (view.name, view.agent_address))
+    return FleetView(tuple(ordered))
+
+
+def _serving_members(views: Iterable[NodeView]) -> dict[str, str]:
+    return {
+        member.agent_address: member.node
+        for view in views
+        if view.status is not None
+        for member in view.status.members
+        if member.state in SERVING_STATES and member.agent_address
+    }
+
+
+def _view(address: str, name: str, answer: NodeStatus | ControlError) -> NodeView:
+    if isinstance(answer, ControlError):
+        return NodeView(name or address, address, None, answer.text)
+    return NodeView(answer.member.node or name or address, address, answer)
--- /dev/null
+++ b/packages/toucanspindle-ctl/toucanctl/historycommands.py
@@ -0,0 +1,48 @@
+"""Commands on accepted changes: `toucanctl config history` and `toucanctl config find`."""
+
+from toucanctl.changes import head_json
+from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions
+from toucanctl.exitcodes import ExitCode
+from toucanctl.output import table
+from toucanctl.session import Session
+
+
+def history(*, limit: int = 20, options: CommonOptions = NO_OPTIONS) -> None:
+    """List the accepted changes, newest first: generation, when, who, why, change id.
+
+    Parameters
+    ----------
+    limit
+        Changes to list.
+    """
+    with Session(options) as session:
+        heads = list(session.store.history(limit))
+        rows = [
+            (head.generation, head.when.strftime("%Y-%m-%d %H:%M:%SZ"), head.who, head.why)
+            + (head.change_id,)
+            for head in heads
+        ]
+        lines = table(("generation", "when", "who", "why", "change id"), rows)
+        session.output.result(lines, {"history": [head_json(head) for head in heads]})
+
+
+def find(change_id: str, *, options: CommonOptions = NO_OPTIONS) -> ExitCode:
+    """Tell whether a change whose outcome wasn't known was accepted; exit code 1 if not.
+
+    Parameters
+    ----------
+    change_id
+        The id in the message of exit code 3.
+    """
+    with Session(options) as session:
+        head = session.store.find_change(change_id)
+        if head is None:
+            line = (
+                f"change {change_id} isn't accepted; applying again is safe, as only one of both"
+                " can be accepted"
+            )
+            session.output.result([line], {"accepted": False, "change_id": change_id})
+            return ExitCode.REFUSED
+        line = f"change {change_id} was accepted as generation {head.generation}"
+        session.output.result([line], {"accepted": True, **head_json(head)})
+        return ExitCode.OK
--- /dev/null
+++ b/packages/toucanspindle-ctl/toucanctl/main.py
@@ -0,0 +1,89 @@
+"""The binary `toucanctl`: commands of operators and callers.
+
+Errors are printed to stderr with their code and remedy, never as a traceback, and each kind has
+its own exit code (`exitcodes.py`).
+"""
+
+import sys
+from collections.abc import Sequence
+
+from cyclopts import App, CycloptsError
+from toucanspindle_core import errorcodes
+from toucanspindle_core.errors import SettingsError, ToucanError
+
+from toucanctl.askcommand import ask
+from toucanctl.configapp import config_app
+from toucanctl.exceptioncommands import exception_app
+from toucanctl.exitcodes import MEANINGS, ExitCode, exit_code_of
+from toucanctl.explaincommands import explain_app
+from toucanctl.output import Output
+from toucanctl.statuscommand import status, wait
+from toucanctl.targetcommands import drain, undrain
+from toucanctl.validatecommand import validate
+
+HELP = """Steer and understand a toucanspindle fleet.
+
+First steps: `toucanctl validate fleet.toml` checks a file offline. Name your platform once
+(`export TOUCANCTL_PLATFORM=http://10.0.0.1:7000`), then `toucanctl status` shows the fleet,
+`toucanctl config show` its configuration, and `toucanctl explain service NAME` which settings a
+service has and why. Every change needs a reason and is kept in `toucanctl config history`; `--wait`
+follows it until every node has it.
+"""
+
+
+def _epilogue() -> str:
+    codes = "\n".join(f"- {int(code)}: {text}" for code, text in MEANINGS.items())
+    return f"Exit codes:\n\n{codes}\n"
+
+
+app = App(
+    name="toucanctl",
+    help=HELP,
+    help_epilogue=_epilogue(),
+    help_format="markdown",
+    version="0.1.0",
+    result_action="return_value",
+    suppress_keyboard_interrupt=False,
+)
+app.command(validate)
+app.command(config_app)
+app.command(exception_app)
+app.command(drain)
+app.command(undrain)
+app.command(status)
+app.command(wait)
+app.command(explain_app)
+app.command(ask)
+
+
+def execute(arguments: Sequence[str]) -> ExitCode:
+    """Run one command line and return its exit code."""
+    output = Output("--json" in arguments)
+    try:
+        result = app(arguments, exit_on_error=False, print_error=False)
+    except CycloptsError as error:
+        output.error(_usage_error(error))
+        return ExitCode.USAGE
+    except ToucanError as error:
+        output.error(error)
+        return exit_code_of(error)
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+    except BrokenPipeError:
+        return ExitCode.OK
+    return result if isinstance(result, ExitCode) else ExitCode.OK
+
+
+def _usage_error(error: CycloptsError) -> SettingsError:
+    chain = " ".join(error.command_chain or ("toucanctl",))
+    remedy = f"see `{chain} --help`"
+    return SettingsError(errorcodes.OPTION_INVALID, str(error).strip(), remedy)
+
+
+def run() -> None:
+    """Run the command line of this process."""
+    sys.exit(execute(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/toucanspindle-ctl/toucanctl/statuscommand.py
@@ -0,0 +1,194 @@
+"""The commands `toucanctl status` and `toucanctl wait`: the fleet, and the spread of a change."""
+
+from toucanspindle_core.control_pb2 import Member, MemberState
+from toucanspindle_core.errors import PlatformError
+from toucanspindle_core.fleetconfig import FleetConfig
+
+from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions
+from toucanctl.fleetview import FleetView, NodeView
+from toucanctl.output import indent, table
+from toucanctl.progress import require_everywhere
+from toucanctl.serviceview import ServiceView, TargetView, view_services
+from toucanctl.session import Session
+
+
+def status(service: str | None = None, *, options: CommonOptions = NO_OPTIONS) -> None:
+    """Show nodes, generations, services, targets, ejections and quarantined requests.
+
+    Also works while the platform is away, if an agent is named with --agent.
+
+    Parameters
+    ----------
+    service
+        Show the targets of this service only.
+    """
+    with Session(options) as session:
+        generation = _platform_generation(session)
+        view = session.fleet()
+        head, config = session.config_in_force(view)
+        services = view_services(config, head.generation, view, service)
+        lines = [
+            f"fleet {config.fleet}: generation {head.generation} by {head.who}: {head.why}",
+            f"platform: {_platform_text(generation)}",
+            "",
+            *_node_lines(view),
+        ]
+        for item in services:
+            lines.extend(["", *_service_lines(item)])
+        lines.extend(["", *_quarantine_lines(view, service)])
+        session.output.result(lines, _status_json(generation, view, services, config))
+
+
+def wait(
+    *,
+    generation: int | None = None,
+    wait_s: float | None = None,
+    options: CommonOptions = NO_OPTIONS,
+) -> None:
+    """Follow a generation until every node has it in force, or name the nodes that don't.
+
+    Parameters
+    ----------
+    generation
+        Generation to wait for; by default the platform's current one.
+    wait_s
+        Time to wait, in seconds; by default wait_s of the settings (30).
+    """
+    with Session(options) as session:
+        if generation is None:
+            generation = session.require_head().head.generation
+        limit_s = wait_s or session.settings.wait_s
+        spread = session.follower.follow(generation, limit_s)
+        lines = [f"in force on all {spread.nodes} nodes"] if not spread.missing else []
+        session.output.result(lines, spread.as_json())
+        require_everywhere(spread)
+
+
+def _platform_generation(session: Session) -> int | None:
+    """Return the generation in the platform, 0 for none, None while it can't be asked."""
+    if session.settings.platform_url is None:
+        return None
+    try:
+        stored = session.store.read_head()
+    except PlatformError:
+        return None
+    return stored.head.generation if stored else 0
+
+
+def _platform_text(generation: int | None) -> str:
+    if generation is None:
+        return "away or not named; the fleet keeps its state"
+    return f"holds generation {generation}"
+
+
+def _node_lines(view: FleetView) -> list[str]:
+    rows = [_node_row(node) for node in view.nodes]
+    titles = ("node", "domain", "state", "agent gen", "proxy gen", "platform", "entry address")
+    return [f"nodes: {len(view.heard())} of {len(view.nodes)} heard", *indent(table(titles, rows))]
+
+
+def _node_row(node: NodeView) -> tuple[str, ...]:
+    found = node.status
+    if found is None:
+        return (node.name, "?", "not heard", "?", "?", "?", node.trouble)
+    platform = "reached" if found.platform_reachable else "away"
+    return (
+        node.name,
+        found.member.failure_domain,
+        member_state(found.member),
+        str(found.agent_generation),
+        str(found.proxy_generation),
+        f"{platform}, watches" if found.watcher else platform,
+        found.member.entry_address,
+    )
+
+
+def member_state(member: Member) -> str:
+    """Return the state of a member in words."""
+    if member.state == MemberState.MEMBER_STATE_UNSPECIFIED:
+        return "no proxy"
+    return MemberState.Name(member.state).lower()
+
+
+def _service_lines(item: ServiceView) -> list[str]:
+    policy = item.policy
+    lines = [
+        f"service {policy.name}: {item.count('serving')} of {len(policy.targets)} targets serving,"
+        f" floor {policy.floor_count()}"
+    ]
+    rows = [(t.name, t.failure_domain, str(t.address), t.state, t.detail) for t in item.targets]
+    return [*lines, *indent(table(("target", "domain", "address", "state", "why"), rows))]
+
+
+def _quarantine_lines(view: FleetView, service: str | None) -> list[str]:
+    entries = [entry for entry in view.quarantine() if service in {None, entry.service}]
+    if not entries:
+        return ["quarantined requests: none"]
+    rows = [
+        (
+            e.service,
+            e.fingerprint,
+            e.crashed_targets,
+            e.last_target,
+            f"{e.expires_in_ms / 1000:g} s",
+        )
+        for e in entries
+    ]
+    titles = ("service", "fingerprint", "crashed", "last target", "expires in")
+    return [f"quarantined requests: {len(entries)}", *indent(table(titles, rows))]
+
+
+def _status_json(
+    generation: int | None, view: FleetView, services: list[ServiceView], config: FleetConfig
+) -> dict[str, object]:
+    return {
+        "fleet": config.fleet,
+        "platform_generation": generation,
+        "nodes": [_node_json(node) for node in view.nodes],
+        "services": [_service_json(item) for item in services],
+        "quarantine": [
+            {
+                "service": entry.service,
+                "fingerprint": entry.fingerprint,
+                "crashed_targets": entry.crashed_targets,
+                "last_target": entry.last_target,
+                "expires_in_s": entry.expires_in_ms / 1000,
+            }
+            for entry in view.quarantine()
+        ],
+    }
+
+
+def _node_json(node: NodeView) -> dict[str, object]:
+    value: dict[str, object] = {"node": node.name, "agent_address": node.agent_address}
+    if node.status is None:
+        return {**value, "heard": False, "trouble": node.trouble}
+    return {
+        **value,
+        "heard": True,
+        "failure_domain": node.status.member.failure_domain,
+        "state": member_state(node.status.member),
+        "entry_address": node.status.member.entry_address,
+        "agent_generation": node.status.agent_generation,
+        "proxy_generation": node.status.proxy_generation,
+        "platform_reachable": node.status.platform_reachable,
+        "watcher": node.status.watcher,
+    }
+
+
+def _service_json(item: ServiceView) -> dict[str, object]:
+    return {
+        "service": item.policy.name,
+        "floor": item.policy.floor_count(),
+        "targets": [_target_json(target) for target in item.targets],
+    }
+
+
+def _target_json(target: TargetView) -> dict[str, object]:
+    return {
+        "target": target.name,
+        "address": str(target.address),
+        "failure_domain": target.failure_domain,
+        "state": target.state,
+        "detail": target.detail,
+    }
--- /dev/null
+++ b/packages/toucanspindle-ctl/toucanctl/validatecommand.py
@@ -0,0 +1,31 @@
+"""The command `toucanctl validate`: checks a fleet file offline."""
+
+from pathlib import Path
+
+from toucanspindle_core.fleetfile import load_fleet_file
+
+from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions
+from toucanctl.session import Session
+
+
+def validate(file: Path, *, options: CommonOptions = NO_OPTIONS) -> None:
+    """Check a fleet file offline and list every fault: path, value, what is allowed, remedy.
+
+    Needs neither the platform nor a node.
+
+    Parameters
+    ----------
+    file
+        Fleet file (TOML).
+    """
+    with Session(options) as session:
+        config = load_fleet_file(file).config
+        targets = sum(len(service.targets) for service in config.services)
+        counts = {
+            "services": len(config.services),
+            "targets": targets,
+            "exceptions": len(config.exceptions),
+        }
+        text = ", ".join(f"{number} {name}" for name, number in counts.items())
+        line = f"{file} is valid: fleet {config.fleet}, {text}"
+        session.output.result([line], {"valid": True, "fleet": config.fleet, **counts})
--- /dev/null
+++ b/tests/ctlfakes.py
@@ -0,0 +1,213 @@
+"""What the tests of toucanctl run against: a stand-in platform and fake nodes in one loop."""
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import threading
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+from grpclib.const import Handler
+from grpclib.server import Server, Stream
+from toucanctl.exitcodes import ExitCode
+from toucanctl.main import execute
+from toucanspindle_core.configchain import HeadChain
+from toucanspindle_core.control_grpc import IssuerLinkBase, PeerLinkBase
+from toucanspindle_core.control_pb2 import (
+    BundleRequest,
+    ConfigBundle,
+    ExplainRequest,
+    Explanation,
+    Member,
+    MemberState,
+    NodeStatus,
+    StatusRequest,
+)
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_core.objects import PART_KIND, canonical_json
+from toucanspindle_core.platformclient import HostEntry, HostList, PlatformClient
+from toucanspindle_standins.platformserver import PlatformServer
+
+from tests.harness import ADDRESSES, ProcessTestCase
+
+T = TypeVar("T")
+
+
+class FakeNode:
+    """A node whose agent answers what the test has set.
+
+    Invariant: without a generation of its own it has what it last fetched from the platform.
+    """
+
+    def __init__(self, name: str, failure_domain: str) -> None:
+        self.agent_address = ADDRESSES.take()
+        self.control_address = ADDRESSES.take()
+        self.bundle = ConfigBundle()
+        self.explanations: dict[str, list[str]] = {}
+        member = Member(
+            node=name,
+            incarnation=f"{name}-incarnation",
+            failure_domain=failure_domain,
+            entry_address=str(ADDRESSES.take()),
+            agent_address=str(self.agent_address),
+            proxy_control_address=str(self.control_address),
+            state=MemberState.LIVE,
+            version=1,
+        )
+        self.status = NodeStatus(member=member, platform_reachable=True)
+        self._server = Server([_FakeAgent(self), _FakeIssuer(self)])
+
+    def fetch(self, client: PlatformClient) -> None:
+        """Take the configuration that the platform holds."""
+        stored = HeadChain(client).read_head()
+        assert stored is not None
+        generation = stored.head.generation
+        self.bundle = ConfigBundle(
+            generation=generation, head=stored.head.model_dump_json().encode()
+        )
+        for digest in stored.head.parts.values():
+            part = client.read(PART_KIND, digest)
+            assert part is not None
+            self.bundle.parts[digest] = canonical_json(part.value)
+        self.status.agent_generation = generation
+        self.status.proxy_generation = generation
+
+    def host(self) -> HostEntry:
+        """Return the entry of the platform's list."""
+        member = self.status.member
+        return HostEntry(
+            name=member.node,
+            role="entry",
+            address=member.entry_address,
+            failure_domain=member.failure_domain,
+            state="live",
+            agent_address=member.agent_address,
+        )
+
+    async def start(self) -> None:
+        await self._server.start(self.agent_address.ip, self.agent_address.port)
+
+    async def close(self) -> None:
+        self._server.close()
+        await self._server.wait_closed()
+
+
+class _FakeAgent(PeerLinkBase):
+    def __init__(self, node: FakeNode) -> None:
+        self._node = node
+
+    async def Status(self, stream: "Stream[StatusRequest, NodeStatus]") -> None:  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(self._node.status)
+
+    async def FetchBundle(  # noqa: N802
+        self, stream: "Stream[BundleRequest, ConfigBundle]"
+    ) -> None:
+        await stream.recv_message()
+        await stream.send_message(self._node.bundle)
+
+    async def Ping(self, stream: Any) -> None:  # noqa: N802
+        raise NotImplementedError
+
+    PingIndirect = ExchangeMembers = NotifyGeneration = Ping
+    SendEvidence = FetchEjections = Ping
+
+
+class _FakeIssuer(IssuerLinkBase):
+    def __init__(self, node: FakeNode) -> None:
+        self._node = node
+
+    async def Explain(self, stream: "Stream[ExplainRequest, Explanation]") -> None:  # noqa: N802
+        request = await stream.recv_message()
+        assert request is not None
+        lines = self._node.explanations.get(request.request_id, [])
+        await stream.send_message(Explanation(lines=lines))
+
+    async def Submit(self, stream: Any) -> None:  # noqa: N802
+        raise NotImplementedError
+
+    HandOver = Submit
+
+    def __mapping__(self) -> dict[str, Handler]:
+        return dict(super().__mapping__())
+
+
+@dataclass(frozen=True)
+class Ran:
+    """What a command line printed and ended with."""
+
+    code: ExitCode
+    out: str
+    err: str
+
+    def json(self) -> Any:
+        """Return the JSON object on stdout."""
+        return json.loads(self.out)
+
+
+class CtlTestCase(ProcessTestCase):
+    """A test case with a stand-in platform and fake nodes, all in one thread."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self._loop = asyncio.new_event_loop()
+        thread = threading.Thread(target=self._loop.run_forever)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self._loop.call_soon_threadsafe, self._loop.stop)
+        self.address = ADDRESSES.take()
+        self.server = PlatformServer(self.address, HostList(hosts=[]))
+        self.in_loop(self.server.start())
+        self.addCleanup(self.close_platform)
+        self.client = PlatformClient(f"http://{self.address}")
+        self.addCleanup(self.client.close)
+        self._set_environment("HOME", str(self.folder))
+        self._set_environment("TOUCANCTL_PLATFORM", f"http://{self.address}")
+
+    def in_loop(self, work: Coroutine[Any, Any, T]) -> T:
+        """Run a coroutine in the thread of the fakes."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
+
+    def close_platform(self) -> None:
+        """Take the platform away."""
+        self.in_loop(self.server.close())
+
+    def start_nodes(self, *domains: str) -> list[FakeNode]:
+        """Start a fake node per failure domain and list them in the platform."""
+        nodes = []
+        for domain in domains:
+            node = FakeNode(f"{domain}-1", domain)
+            self.in_loop(node.start())
+            self.addCleanup(lambda gone=node: self.in_loop(gone.close()))
+            nodes.append(node)
+        self.server.set_hosts(HostList(hosts=[node.host() for node in nodes]))
+        return nodes
+
+    def ctl(self, *arguments: str) -> Ran:
+        """Run a command line in this process."""
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = execute(arguments)
+        return Ran(code, out.getvalue(), err.getvalue())
+
+    def write_file(self, text: str, name: str = "fleet.toml") -> Path:
+        """Write a file into the test's folder."""
+        path = self.folder / name
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    def dead_address(self) -> HostPort:
+        """Return an address at which nothing listens."""
+        return ADDRESSES.take()
+
+    def _set_environment(self, name: str, value: str) -> None:
+        old = os.environ.get(name)
+        os.environ[name] = value
+        if old is None:
+            self.addCleanup(os.environ.pop, name, None)
+        else:
+            self.addCleanup(os.environ.__setitem__, name, old)
--- a/tests/test_config_fleetfile.py
+++ b/tests/test_config_fleetfile.py
@@ -195,7 +195,7 @@
         diff = compare_configs(before, FleetConfig.model_validate(values))
         lines = "\n".join(str(change) for change in diff.changes)
         self.assertIn("~ services.lotbook.targets.lotbook-0.drained: False -> True", lines)
-        self.assertIn("- services.yardslots.targets.yardslots-3 (was", lines)
+        self.assertIn("- services.yardslots.targets.yardslots-3, was {address", lines)
         self.assertIn("+ exceptions.slow-yard = {service 'lotbook'", lines)
         self.assertEqual(("lotbook", "yardslots"), diff.services)
 
--- /dev/null
+++ b/tests/test_ctl_config.py
@@ -0,0 +1,188 @@
+"""Tests of the commands that show and change the configuration."""
+
+from toucanctl.exitcodes import ExitCode
+from toucanspindle_core.fleetfile import dump_fleet, load_fleet_file
+
+from tests.configfakes import fleet_config
+from tests.ctlfakes import CtlTestCase, Ran
+
+
+class ChangeTestCase(CtlTestCase):
+    """A test case whose platform holds a first configuration."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        path = self.write_file(dump_fleet(fleet_config()), "first.toml")
+        self.done(self.ctl("config", "apply", str(path), "--why", "first file", "--who", "ann"))
+
+    def done(self, ran: Ran) -> Ran:
+        """Check that a command succeeded."""
+        self.assertEqual((ExitCode.OK, ""), (ran.code, ran.err))
+        return ran
+
+    def refused(self, code: str, *arguments: str, exit_code: ExitCode = ExitCode.REFUSED) -> Ran:
+        """Check that a command is refused with a code and a remedy, and prints no traceback."""
+        ran = self.ctl(*arguments)
+        self.assertEqual(exit_code, ran.code, ran.err)
+        self.assertIn(f"error {code}: ", ran.err)
+        self.assertIn("\nremedy: ", ran.err)
+        self.assertNotIn("Traceback", ran.err + ran.out)
+        return ran
+
+
+class ApplyTests(ChangeTestCase):
+    """Showing, editing and applying files."""
+
+    def test_shown_file_is_edited_and_applied(self) -> None:
+        path = self.folder / "edit.toml"
+        self.done(self.ctl("config", "show", "--output", str(path)))
+        text = path.read_text(encoding="utf-8").replace("deadline_ms = 2000", "deadline_ms = 900")
+        path.write_text(text, encoding="utf-8")
+        dry = self.done(self.ctl("config", "dry-run", str(path), "--json")).json()
+        self.assertEqual(["lotbook", "yardslots"], dry["services"])
+        self.assertEqual("defaults.deadline_ms", dry["changes"][0]["path"])
+        self.done(self.ctl("config", "apply", str(path), "--why", "be faster", "--update-file"))
+        shown = self.done(self.ctl("config", "show", "--json")).json()
+        self.assertEqual(900, shown["config"]["defaults"]["deadline_ms"])
+        self.assertEqual(2, load_fleet_file(path).based_on_generation)
+
+    def test_applying_the_same_changes_nothing(self) -> None:
+        path = str(self.folder / "first.toml")
+        ran = self.done(self.ctl("config", "apply", path, "--why", "once more", "--based-on", "1"))
+        self.assertIn("nothing to change", ran.out)
+        history = self.done(self.ctl("config", "history", "--json")).json()["history"]
+        self.assertEqual([1], [head["generation"] for head in history])
+
+    def test_file_without_a_base_is_refused(self) -> None:
+        path = self.write_file(dump_fleet(fleet_config(deadline_ms=900)))
+        ran = self.refused("TS210", "config", "apply", str(path), "--why", "be faster")
+        self.assertIn("generation 1 by ann: first file", ran.err)
+        self.done(self.ctl("config", "apply", str(path), "--why", "be faster", "--overwrite"))
+
+    def test_loser_of_a_race_sees_the_change_of_the_other(self) -> None:
+        path = self.write_file(dump_fleet(fleet_config(queue_limit=5), 1))
+        self.done(
+            self.ctl("config", "set", "deadline_ms", "900", "--why", "be faster", "--who", "bob")
+        )
+        text = path.read_text(encoding="utf-8")
+        arguments = ("config", "apply", str(path), "--why", "shorter queues")
+        ran = self.refused("TS202", *arguments, exit_code=ExitCode.CONFLICT)
+        for word in ("bob", "be faster", "defaults.deadline_ms: 2000 -> 900", "--based-on 2"):
+            self.assertIn(word, ran.err)
+        self.assertEqual(text, path.read_text(encoding="utf-8"))
+
+    def test_lost_answer_of_the_platform_is_asked_after(self) -> None:
+        self.server.set_faults(self.server.faults.model_copy(update={"lose_write_answers": 3}))
+        self.done(self.ctl("config", "set", "deadline_ms", "900", "--why", "be faster"))
+        history = self.done(self.ctl("config", "history", "--json")).json()["history"]
+        self.assertEqual([2, 1], [head["generation"] for head in history])
+        found = self.done(self.ctl("config", "find", history[0]["change_id"], "--json")).json()
+        self.assertEqual((True, 2), (found["accepted"], found["generation"]))
+
+    def test_change_that_was_never_accepted_is_told(self) -> None:
+        self.assertEqual(ExitCode.REFUSED, self.ctl("config", "find", "0123456789").code)
+
+    def test_rollback_makes_a_new_generation(self) -> None:
+        self.done(self.ctl("config", "set", "deadline_ms", "900", "--why", "be faster"))
+        self.done(self.ctl("config", "rollback", "--why", "yards complain"))
+        shown = self.done(self.ctl("config", "show", "--json")).json()
+        self.assertEqual((3, 2000), _generation_and_deadline(shown))
+        self.refused("TS205", "config", "rollback", "--to", "9", "--why", "there is none")
+        old = self.done(self.ctl("config", "show", "--generation", "2", "--json")).json()
+        self.assertEqual((2, 900), _generation_and_deadline(old))
+
+
+def _generation_and_deadline(shown: dict[str, dict[str, dict[str, int]]]) -> tuple[object, int]:
+    return shown["head"]["generation"], shown["config"]["defaults"]["deadline_ms"]
+
+
+class ExceptionTests(ChangeTestCase):
+    """Adding, listing and removing exceptions; draining targets."""
+
+    def test_exception_is_added_listed_and_removed(self) -> None:
+        add = ("exception", "add", "lotbook", "deadline_ms=5000", "queue_limit=1")
+        self.done(self.ctl(*add, "--reason", "the yard link is slow", "--expires-in", "2h"))
+        ran = self.done(self.ctl("exception", "list", "--json"))
+        item = ran.json()["exceptions"][0]
+        self.assertEqual({"deadline_ms": 5000, "queue_limit": 1}, item["settings"])
+        self.assertIn("the yard link is slow", self.ctl("exception", "list", "lotbook").out)
+        self.refused("TS213", *add, "--reason", "the yard link is slow")
+        self.done(self.ctl("exception", "remove", item["id"], "--why", "link is mended"))
+        self.assertEqual([], self.ctl("exception", "list", "--json").json()["exceptions"])
+
+    def test_wrong_exceptions_are_refused(self) -> None:
+        reason = ("--reason", "the yard link is slow")
+        add = ("exception", "add", "lotbook")
+        self.refused("TS205", "exception", "add", "ledger", "deadline_ms=5000", *reason)
+        self.refused("TS205", *add, "deadline=5000", *reason)
+        self.refused("TS101", *add, "deadline_ms=x", *reason)
+        self.refused("TS213", *add, "deadline_ms", *reason)
+        self.refused("TS101", *add, "deadline_ms=5000", "--reason", "slow")
+        past = ("--expires", "2020-01-01T00:00:00Z")
+        self.refused("TS213", *add, "deadline_ms=5000", *reason, *past)
+        self.refused("TS201", *add, "max_attempts=1", "hedge_after_ms=9", *reason)
+        self.refused("TS213", *add, "deadline_ms=5000", exit_code=ExitCode.USAGE)
+        self.refused("TS205", "exception", "remove", "nothing", "--why", "not needed")
+
+    def test_target_is_drained_and_undrained(self) -> None:
+        ran = self.ctl("drain", "lotbook/lotbook-0", "--why", "new disk for it")
+        self.assertEqual((ExitCode.OK, ""), (ran.code, ran.err))
+        ran = self.ctl("drain", "lotbook-1", "--why", "new disk for it")
+        self.assertIn("2 target(s) that aren't drained, below its floor of 3", ran.err)
+        targets = self.ctl("config", "show", "--json").json()["config"]["services"][0]["targets"]
+        self.assertEqual([True, True, False, False], [target["drained"] for target in targets])
+        self.done(self.ctl("undrain", "lotbook-1", "--why", "disk is in it"))
+        self.refused("TS205", "drain", "lotbook-9", "--why", "new disk for it")
+        self.refused("TS205", "drain", "yardslots/lotbook-1", "--why", "new disk for it")
+
+
+class ErrorTests(ChangeTestCase):
+    """Errors that an operator may run into."""
+
+    def test_malformed_file(self) -> None:
+        path = str(self.write_file("fleet = ["))
+        for command in (
+            ["validate"],
+            ["config", "dry-run"],
+            ["config", "apply", "--why", "a b c d e"],
+        ):
+            self.refused("TS102", *command, path)
+        path = str(self.write_file('fleet = "x"\ntypo = 1\n'))
+        self.assertIn("typo = 1", self.refused("TS201", "validate", path).err)
+        self.refused("TS102", "validate", str(self.folder / "absent.toml"))
+
+    def test_platform_away(self) -> None:
+        self.close_platform()
+        for command in (["show"], ["history"], ["set", "deadline_ms", "9", "--why", "be faster"]):
+            self.refused("TS401", "config", *command, exit_code=ExitCode.AWAY)
+        self.refused("TS401", "status", exit_code=ExitCode.AWAY)
+
+    def test_wrong_addresses(self) -> None:
+        self.refused("TS101", "status", "--platform", "127.0.0.1:7000")
+        self.refused("TS101", "status", "--platform", "http://127.0.0.1:99999")
+        self.refused("TS101", "status", "--agent", "localhost:1")
+        dead = str(self.dead_address())
+        self.refused("TS401", "status", "--platform", f"http://{dead}", exit_code=ExitCode.AWAY)
+        self.refused("TS213", "ask", "lotbook", "--entry", "x:y")
+        self.refused("TS501", "ask", "lotbook", "--entry", dead, exit_code=ExitCode.AWAY)
+        self.refused("TS213", "ask", "lotbook", "--entry", str(self.address))
+
+    def test_wrong_command_lines(self) -> None:
+        for line in (["frobnicate"], ["config", "apply"], ["status", "--nonsense"]):
+            self.refused("TS213", *line, exit_code=ExitCode.USAGE)
+
+    def test_settings_file(self) -> None:
+        path = self.write_file("platform_url = 'x'\nnonsense = 1\nwait_s = 0\n", "ctl.toml")
+        text = self.refused("TS101", "status", "--settings", str(path)).err
+        self.assertIn("nonsense: unknown key", text)
+        self.assertIn("wait_s = 0", text)
+        good = self.write_file('who = "cleo"\n', ".toucanctl.toml")
+        self.assertTrue(good.exists())
+        self.done(self.ctl("config", "set", "deadline_ms", "900", "--why", "be faster"))
+        history = self.ctl("config", "history", "--json").json()["history"]
+        self.assertEqual("cleo", history[0]["who"])
+
+    def test_errors_as_json(self) -> None:
+        ran = self.ctl("exception", "remove", "nothing", "--why", "not needed", "--json")
+        self.assertIn('"code": "TS205"', ran.err)
+        self.assertEqual("", ran.out)
