--- /dev/null
+++ b/packages/toucanspindle-core/toucanspindle_core/baselines.py
@@ -0,0 +1,170 @@
+"""Customary ways to detect sick targets, for comparison with the sequential tests.
+
+- `ConsecutiveFailures`: k failures in a row.
+- `IntervalOutlier`: per interval, an error rate or mean latency beyond a multiple of the mean.
+- `HealthEndpoint`: trusts what the target says of itself.
+- `NoDetector`: ejects nobody.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from typing import Final
+
+from toucanspindle_core.detection import ALL_DOMAINS, STEP_S, EjectedFrom, FaultKind, Verdict
+from toucanspindle_core.evidence import TargetOutcomes
+from toucanspindle_core.latencybins import bin_middle_s
+
+UNHEALTHY_PROBES: Final = 3
+MIN_INTERVAL_REQUESTS: Final = 20
+MIN_ERROR_RATE: Final = 0.02
+
+
+class NoDetector:
+    """Ejects nobody; the other baselines start from it."""
+
+    def __init__(self) -> None:
+        """Create a detector without targets."""
+        self._targets: frozenset[str] = frozenset()
+
+    def set_targets(self, targets: Collection[str]) -> None:
+        """Name the targets of the service."""
+        self._targets = frozenset(targets)
+
+    def set_ejected(self, ejected: Collection[EjectedFrom]) -> None:
+        """Do nothing."""
+
+    def excuse(self, target: str, until_s: float) -> None:
+        """Do nothing."""
+
+    def forget(self, target: str) -> None:
+        """Do nothing."""
+
+    def observe(self, domain: str, counts: TargetOutcomes) -> None:
+        """Do nothing."""
+
+    def observe_health(self, target: str, healthy: bool) -> None:
+        """Do nothing."""
+
+    def step(self) -> list[Verdict]:
+        """Return nothing."""
+        return []
+
+    def suspicion(self, target: str) -> float:
+        """Return 0."""
+        return 0.0
+
+
+class ConsecutiveFailures(NoDetector):
+    """k failures in a row; within one count the failures are taken to come last."""
+
+    def __init__(self, failures: int) -> None:
+        """Create a detector for `failures` in a row."""
+        super().__init__()
+        self._limit = failures
+        self._in_a_row: dict[str, int] = {}
+        self._found: set[str] = set()
+
+    def forget(self, target: str) -> None:
+        """Start anew on a target."""
+        self._in_a_row.pop(target, None)
+        self._found.discard(target)
+
+    def observe(self, domain: str, counts: TargetOutcomes) -> None:
+        """Count failures since the last success."""
+        before = 0 if counts.succeeded else self._in_a_row.get(counts.target, 0)
+        in_a_row = before + counts.failed
+        self._in_a_row[counts.target] = in_a_row
+        if in_a_row >= self._limit:
+            self._found.add(counts.target)
+
+    def step(self) -> list[Verdict]:
+        """Return the targets that reached the limit."""
+        found, self._found = self._found, set()
+        text = f"{self._limit} failures in a row"
+        return [Verdict(t, ALL_DOMAINS, FaultKind.WRONG, f"{t}: {text}") for t in sorted(found)]
+
+    def suspicion(self, target: str) -> float:
+        """Return the share of the limit that was reached."""
+        return min(1.0, self._in_a_row.get(target, 0) / self._limit)
+
+
+@dataclass(slots=True)
+class _IntervalCounts:
+    requests: int = 0
+    failures: int = 0
+    answers: int = 0
+    latency_s: float = 0.0
+
+    def error_rate(self) -> float:
+        return self.failures / self.requests
+
+    def mean_latency_s(self) -> float:
+        return self.latency_s / max(1, self.answers)
+
+
+class IntervalOutlier(NoDetector):
+    """Error rate or mean latency beyond `multiple` of the service's mean in one interval."""
+
+    def __init__(self, multiple: float, interval_s: float = 10.0) -> None:
+        """Create a detector that decides once per interval."""
+        super().__init__()
+        self._multiple = multiple
+        self._steps_per_interval = round(interval_s / STEP_S)
+        self._step = 0
+        self._counts: dict[str, _IntervalCounts] = {}
+
+    def forget(self, target: str) -> None:
+        """Start anew on a target."""
+        self._counts.pop(target, None)
+
+    def observe(self, domain: str, counts: TargetOutcomes) -> None:
+        """Add counts to the interval."""
+        own = self._counts.setdefault(counts.target, _IntervalCounts())
+        own.requests += counts.succeeded + counts.failed
+        own.failures += counts.failed
+        own.answers += counts.succeeded
+        own.latency_s += sum(bin_middle_s(i) * n for i, n in counts.latency.items())
+
+    def step(self) -> list[Verdict]:
+        """Return the outliers when an interval ends."""
+        self._step += 1
+        if self._step % self._steps_per_interval:
+            return []
+        counts, self._counts = self._counts, {}
+        rated = {t: c for t, c in counts.items() if c.requests >= MIN_INTERVAL_REQUESTS}
+        if not rated:
+            return []
+        mean_errors = sum(c.error_rate() for c in rated.values()) / len(rated)
+        mean_latency_s = sum(c.mean_latency_s() for c in rated.values()) / len(rated)
+        found = []
+        for target, own in rated.items():
+            if own.error_rate() > max(MIN_ERROR_RATE, self._multiple * mean_errors):
+                text = f"{target}: error rate {own.error_rate():.3f}, mean {mean_errors:.3f}"
+                found.append(Verdict(target, ALL_DOMAINS, FaultKind.WRONG, text))
+            elif own.mean_latency_s() > self._multiple * mean_latency_s:
+                text = f"{target}: {own.mean_latency_s():.3f} s, mean {mean_latency_s:.3f} s"
+                found.append(Verdict(target, ALL_DOMAINS, FaultKind.SLOW, text))
+        return found
+
+
+class HealthEndpoint(NoDetector):
+    """Trusts the health endpoint: UNHEALTHY_PROBES bad answers in a row eject."""
+
+    def __init__(self) -> None:
+        """Create a detector without answers."""
+        super().__init__()
+        self._bad: dict[str, int] = {}
+
+    def forget(self, target: str) -> None:
+        """Start anew on a target."""
+        self._bad.pop(target, None)
+
+    def observe_health(self, target: str, healthy: bool) -> None:
+        """Take in what a target's health endpoint says."""
+        self._bad[target] = 0 if healthy else self._bad.get(target, 0) + 1
+
+    def step(self) -> list[Verdict]:
+        """Return the targets that call themselves unhealthy."""
+        found = [t for t, bad in self._bad.items() if bad >= UNHEALTHY_PROBES]
+        text = f"{UNHEALTHY_PROBES} bad health answers in a row"
+        return [Verdict(t, ALL_DOMAINS, FaultKind.UNHEALTHY, f"{t}: {text}") for t in found]
