--- /dev/null
+++ b/tests/fleetcase.py
@@ -0,0 +1,144 @@
+"""Base of the integration tests: a fleet of real processes, and callers that keep records."""
+
+import threading
+import uuid
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_core.outcome import OutcomeKind
+from toucanspindle_standins.entrynode import EntryNode
+from toucanspindle_standins.fleet import Fleet, FleetOptions
+from toucanspindle_standins.httpcall import BrokenAnswerError, HttpResult, http_call
+from toucanspindle_standins.runlog import Run
+from toucanspindle_standins.smallfleet import small_fleet
+
+from tests.harness import ADDRESSES, ProcessTestCase
+
+ACCOUNT: Final = "acme"
+SERVICE: Final = "lotbook"
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """A request that must run at most once, with the names that every resend repeats."""
+
+    key: str
+    token: str
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Told:
+    """What the caller was told; `kind` is None when the connection gave no whole answer."""
+
+    kind: OutcomeKind | None
+    status: int = 0
+    code: str = ""
+    body: bytes = b""
+
+
+class FleetTestCase(ProcessTestCase):
+    """A test case with a small fleet."""
+
+    def start_lotbook(
+        self, targets: int = 4, options: FleetOptions | None = None, **defaults: Any
+    ) -> Fleet:
+        """Start a fleet of one service `lotbook`; `defaults` are settings of the service."""
+        config = small_fleet(ADDRESSES, {SERVICE: targets}, **defaults)
+        fleet = Fleet(config, Path(self.folder), ADDRESSES, options or FleetOptions())
+        self.addCleanup(self._show_logs_on_failure, fleet)
+        self.addCleanup(fleet.close)
+        fleet.start()
+        return fleet
+
+    def reservation(self, fleet: Fleet, issuer: EntryNode) -> Reservation:
+        """Return a fresh reservation under a token of `issuer`."""
+        entries = fleet.directory(issuer, SERVICE).json()["entries"]
+        token = next(e["token"] for e in entries if e["node"] == issuer.name)
+        return Reservation(uuid.uuid4().hex, token, uuid.uuid4().bytes)
+
+    def _show_logs_on_failure(self, fleet: Fleet) -> None:
+        if not self._outcome_is_failure():
+            return
+        for node in fleet.nodes:
+            for process in (node.proxy, node.agent):
+                self.addDetail(process.name, _text_content(process.stderr()))
+
+    def _outcome_is_failure(self) -> bool:
+        return "traceback" in self.getDetails()
+
+
+def _text_content(text: str) -> Any:
+    from testtools.content import text_content  # noqa: PLC0415
+
+    return text_content(text)
+
+
+def reserve(
+    address: HostPort, reservation: Reservation, timeout_s: float = 10.0, deadline_ms: int = 0
+) -> Told:
+    """Send a reservation to an entry address once, with one connection."""
+    headers = {
+        "Toucan-Account": ACCOUNT,
+        "Idempotency-Key": reservation.key,
+        "Toucan-Token": reservation.token,
+    }
+    if deadline_ms:
+        headers["Toucan-Deadline-Ms"] = str(deadline_ms)
+    return _call(address, "POST", headers, reservation.body, timeout_s)
+
+
+def look_up(address: HostPort, timeout_s: float = 10.0, path: str = f"/{SERVICE}/1") -> Told:
+    """Send a lookup to an entry address once."""
+    return _call(address, "GET", {"Toucan-Account": ACCOUNT}, b"", timeout_s, path)
+
+
+def _call(
+    address: HostPort,
+    method: str,
+    headers: dict[str, str],
+    body: bytes,
+    timeout_s: float,
+    path: str = f"/{SERVICE}",
+) -> Told:
+    try:
+        answer = http_call(address, method, path, headers, body or None, timeout_s=timeout_s)
+    except BrokenAnswerError:
+        return Told(None)
+    return told_by(answer)
+
+
+def told_by(answer: HttpResult) -> Told:
+    """Return what an answer of a proxy tells its caller."""
+    kind = OutcomeKind(answer.headers["toucan-outcome"])
+    code = answer.headers.get("toucan-error", "")
+    return Told(kind, answer.status, code, answer.body)
+
+
+def runs_of(fleet: Fleet, key: str) -> list[Run]:
+    """Return the runs of a key in all targets' logs together."""
+    return [run for run in fleet.all_runs() if run.key == key]
+
+
+class Sending(threading.Thread):
+    """Sends a reservation in the background; `told` is set when it has ended."""
+
+    def __init__(
+        self, address: HostPort, reservation: Reservation, timeout_s: float = 10.0
+    ) -> None:
+        super().__init__(daemon=True)
+        self.told: Told | None = None
+        self._arguments = (address, reservation, timeout_s)
+        self.start()
+
+    def run(self) -> None:
+        """Send once."""
+        self.told = reserve(*self._arguments)
+
+    def result(self) -> Told:
+        """Wait for the end and return what the caller was told."""
+        self.join()
+        assert self.told is not None
+        return self.told
