--- a/tests/ctlfakes.py
+++ b/tests/ctlfakes.py
@@ -11,7 +11,6 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from grpclib.const import Handler
 from grpclib.server import Server, Stream
 from toucanctl.exitcodes import ExitCode
 from toucanctl.main import execute
@@ -59,7 +58,7 @@
             version=1,
         )
         self.status = NodeStatus(member=member, platform_reachable=True)
-        self._server = Server([_FakeAgent(self), _FakeIssuer(self)])
+        self._servers: list[Server] = []
 
     def fetch(self, client: PlatformClient) -> None:
         """Take the configuration that the platform holds."""
@@ -89,11 +88,19 @@
         )
 
     async def start(self) -> None:
-        await self._server.start(self.agent_address.ip, self.agent_address.port)
+        for handler, address in (
+            (_FakeAgent(self), self.agent_address),
+            (_FakeIssuer(self), self.control_address),
+        ):
+            server = Server([handler])
+            await server.start(address.ip, address.port)
+            self._servers.append(server)
 
     async def close(self) -> None:
-        self._server.close()
-        await self._server.wait_closed()
+        for server in self._servers:
+            server.close()
+            await server.wait_closed()
+        self._servers.clear()
 
 
 class _FakeAgent(PeerLinkBase):
@@ -132,9 +139,6 @@
 
     HandOver = Submit
 
-    def __mapping__(self) -> dict[str, Handler]:
-        return dict(super().__mapping__())
-
 
 @dataclass(frozen=True)
 class Ran:
--- /dev/null
+++ b/tests/test_ctl_nodes.py
@@ -0,0 +1,151 @@
+"""Tests of the commands that ask nodes: status, wait, explain and ask."""
+
+from toucanctl.exitcodes import ExitCode
+from toucanspindle_core.control_pb2 import Ejection, EjectionSet, QuarantineEntry
+from toucanspindle_core.fleetconfig import FleetConfig
+from toucanspindle_core.fleetfile import dump_fleet
+
+from tests.configfakes import fleet_values
+from tests.ctlfakes import CtlTestCase, FakeNode
+
+SLOW_YARD = {
+    "id": "slow-yard",
+    "service": "lotbook",
+    "reason": "the yard link is slow",
+    "settings": {"false_ejections_per_target_day": 0.5},
+}
+GRAY = Ejection(target="lotbook-1", reason="slow", evidence="p90 410 ms against 40 ms of peers")
+NEAR = Ejection(target="lotbook-2", from_domain="graaff", reason="resets", evidence="9 of 10")
+
+
+class NodesTestCase(CtlTestCase):
+    """A test case with two nodes that have generation 1 in force."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.nodes = self.start_nodes("beaufort", "graaff")
+        values = {**fleet_values(), "exceptions": [SLOW_YARD]}
+        path = self.write_file(dump_fleet(FleetConfig.model_validate(values)))
+        ran = self.ctl("config", "apply", str(path), "--why", "first file", "--who", "ann")
+        self.assertEqual((ExitCode.OK, ""), (ran.code, ran.err))
+        for node in self.nodes:
+            node.fetch(self.client)
+
+    def node(self, name: str) -> FakeNode:
+        """Return a node by its name."""
+        return next(node for node in self.nodes if node.status.member.node == name)
+
+
+class StatusTests(NodesTestCase):
+    """Showing the fleet."""
+
+    def test_nodes_targets_ejections_and_quarantine(self) -> None:
+        status = self.node("beaufort-1").status
+        holder = status.member.incarnation
+        old = EjectionSet(service="lotbook", holder=holder, epoch=1)
+        new = EjectionSet(service="lotbook", holder=holder, epoch=2, ejections=[GRAY, NEAR])
+        status.ejections.append(new)
+        self.node("graaff-1").status.ejections.append(old)
+        status.leaving_targets.append("lotbook/lotbook-3")
+        status.quarantine.append(
+            QuarantineEntry(service="lotbook", fingerprint="f00d", crashed_targets=2)
+        )
+        value = self.ctl("status", "--json").json()
+        states = {t["target"]: t["state"] for t in value["services"][0]["targets"]}
+        self.assertEqual(
+            {
+                "lotbook-0": "serving",
+                "lotbook-1": "ejected",
+                "lotbook-2": "avoided",
+                "lotbook-3": "leaving",
+            },
+            states,
+        )
+        self.assertEqual([1, 1], [node["proxy_generation"] for node in value["nodes"]])
+        self.assertEqual("f00d", value["quarantine"][0]["fingerprint"])
+        text = self.ctl("status", "lotbook").out
+        for part in ("nodes: 2 of 2 heard", "1 of 4 targets serving, floor 3", "f00d", "slow"):
+            self.assertIn(part, text)
+        self.assertNotIn("yardslots", text)
+
+    def test_works_from_one_agent_while_the_platform_is_away(self) -> None:
+        first, second = self.nodes
+        first.status.members.append(second.status.member)
+        self.close_platform()
+        ran = self.ctl("status", "--agent", str(first.agent_address), "--json")
+        self.assertEqual(ExitCode.OK, ran.code, ran.err)
+        self.assertEqual((None, 2), (ran.json()["platform_generation"], len(ran.json()["nodes"])))
+        self.assertIn("list of hosts is missing", ran.err)
+        shown = self.ctl("config", "show", "--from-nodes", "--agent", str(first.agent_address))
+        self.assertIn("based_on_generation = 1\n", shown.out)
+
+    def test_unknown_service(self) -> None:
+        ran = self.ctl("status", "ledger")
+        self.assertEqual(ExitCode.REFUSED, ran.code)
+        self.assertIn("error TS205", ran.err)
+        self.assertIn("choose one of: lotbook, yardslots", ran.err)
+
+
+class WaitTests(NodesTestCase):
+    """Following a change."""
+
+    def test_change_in_force_everywhere(self) -> None:
+        ran = self.ctl("wait", "--json")
+        self.assertEqual((ExitCode.OK, 2), (ran.code, ran.json()["in_force"]))
+
+    def test_nodes_that_lack_it_are_named(self) -> None:
+        gone = self.node("graaff-1")
+        self.in_loop(gone.close())
+        arguments = ("set", "deadline_ms", "900", "--why", "be faster")
+        ran = self.ctl("config", *arguments, "--wait", "--wait-s", "0.1")
+        self.assertEqual(ExitCode.NOT_EVERYWHERE, ran.code)
+        self.assertIn("generation 2: in force on 0 of 2 nodes", ran.out)
+        self.assertIn("beaufort-1: agent at generation 1, proxy at 1", ran.err)
+        self.assertIn(f"graaff-1: The agent at {gone.agent_address} wasn't heard", ran.err)
+
+    def test_platform_that_lost_its_newest_head_is_noticed(self) -> None:
+        for node in self.nodes:
+            node.status.agent_generation = 7
+        arguments = ("config", "set", "deadline_ms", "900", "--why", "be faster")
+        ran = self.ctl(*arguments)
+        self.assertEqual(ExitCode.REFUSED, ran.code)
+        self.assertIn("error TS211", ran.err)
+        ran = self.ctl(*arguments, "--above-generation", "7", "--json")
+        self.assertEqual(8, ran.json()["generation"])
+
+
+class ExplainTests(NodesTestCase):
+    """Explaining decisions."""
+
+    def test_service_names_the_origin_of_each_setting(self) -> None:
+        value = self.ctl("explain", "service", "lotbook", "--json").json()
+        setting = value["settings"]["false_ejections_per_target_day"]
+        self.assertEqual({"value": 0.5, "exception": "slow-yard"}, setting)
+        self.assertIsNone(value["settings"]["deadline_ms"]["exception"])
+        self.assertEqual({"beaufort-1", "graaff-1"}, set(value["nodes"]))
+        text = self.ctl("explain", "service", "lotbook").out
+        self.assertIn("exception slow-yard (the yard link is slow)", text)
+
+    def test_target_names_evidence_and_settings(self) -> None:
+        status = self.node("beaufort-1").status
+        holder = status.member.incarnation
+        status.ejections.append(EjectionSet(service="lotbook", holder=holder, ejections=[GRAY]))
+        text = self.ctl("explain", "target", "lotbook-1").out
+        for part in (
+            "lotbook-1 of service lotbook",
+            "ejected for all nodes by beaufort-1: slow",
+            "evidence: p90 410 ms against 40 ms of peers",
+            "false_ejections_per_target_day  0.5    exception slow-yard",
+        ):
+            self.assertIn(part, text)
+        healthy = self.ctl("explain", "target", "yardslots/yardslots-0")
+        self.assertIn("no node has evidence against it", healthy.out)
+        self.assertEqual(ExitCode.REFUSED, self.ctl("explain", "target", "lotbook-9").code)
+
+    def test_request_is_found_on_the_node_that_ran_it(self) -> None:
+        self.node("graaff-1").explanations["r-1"] = ["GET /lots", "dispatched to lotbook-0"]
+        text = self.ctl("explain", "request", "r-1").out
+        self.assertIn("node graaff-1:\n  GET /lots\n  dispatched to lotbook-0\n", text)
+        ran = self.ctl("explain", "request", "r-2")
+        self.assertEqual(ExitCode.REFUSED, ran.code)
+        self.assertIn("error TS205", ran.err)
