--- a/packages/toucanspindle-ctl/toucanctl/nodeclient.py
+++ b/packages/toucanspindle-ctl/toucanctl/nodeclient.py
@@ -19,6 +19,7 @@
     NodeStatus,
     StatusRequest,
 )
+from toucanspindle_core.controlchannel import ControlChannel
 from toucanspindle_core.errors import ControlError
 from toucanspindle_core.hostport import HostPort
 
@@ -76,7 +77,7 @@
 
 async def _call(address: str, role: str, ask: Callable[[Channel], Awaitable[T]]) -> T:
     place = HostPort.parse(address)
-    channel = Channel(place.ip, place.port)
+    channel = ControlChannel(place.ip, place.port)
     try:
         async with asyncio.timeout(CALL_TIMEOUT_S):
             return await ask(channel)
