Report a connection lost at once as lost, not as AttributeError

grpclib hands out a connection that its peer closed right after accepting it, and the call then raises AttributeError. No user of the channels expects that: an agent's join task ended silently and the node never served (seen with three nodes behind the fault proxy, which resets connections to a process that isn't up yet). Catching AttributeError at each call was ruled out: it would hide faults of our own.

--- a/packages/toucanspindle-node/toucanspindle_node/agentlink.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agentlink.py
@@ -14,6 +14,7 @@
 from logbook import Logger
 from toucanspindle_core import control_pb2 as pb
 from toucanspindle_core.control_grpc import ProxyLinkStub
+from toucanspindle_core.controlchannel import ControlChannel
 from toucanspindle_core.hostport import HostPort
 
 RECONNECT_S: Final = 0.25
@@ -61,7 +62,7 @@
 
     async def start(self) -> None:
         """Start following and reporting."""
-        self._channel = Channel(self._address.ip, self._address.port)
+        self._channel = ControlChannel(self._address.ip, self._address.port)
         self._tasks = [
             asyncio.create_task(self._follow_forever()),
             asyncio.create_task(self._report_forever()),
--- a/packages/toucanspindle-node/toucanspindle_node/issuerlink.py
+++ b/packages/toucanspindle-node/toucanspindle_node/issuerlink.py
@@ -16,6 +16,7 @@
 from toucanspindle_core import control_pb2 as pb
 from toucanspindle_core import errorcodes
 from toucanspindle_core.control_grpc import IssuerLinkBase, IssuerLinkStub
+from toucanspindle_core.controlchannel import ControlChannel
 from toucanspindle_core.errors import ControlError, RequestError
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_core.inheritedrecords import InheritedRecord, InheritedRecords
@@ -164,6 +165,6 @@
         channel = self._channels.get(address)
         if channel is None:
             parsed = HostPort.parse(address)
-            channel = Channel(parsed.ip, parsed.port)
+            channel = ControlChannel(parsed.ip, parsed.port)
             self._channels[address] = channel
         return channel
--- a/packages/toucanspindle-node/toucanspindle_node/peerclients.py
+++ b/packages/toucanspindle-node/toucanspindle_node/peerclients.py
@@ -28,6 +28,7 @@
     PingRequest,
     PullEjections,
 )
+from toucanspindle_core.controlchannel import ControlChannel
 from toucanspindle_core.errors import ControlError
 from toucanspindle_core.hostport import HostPort
 
@@ -134,7 +135,7 @@
         peer = self._peers.get(address)
         if peer is None:
             place = HostPort.parse(address)
-            channel = Channel(place.ip, place.port)
+            channel = ControlChannel(place.ip, place.port)
             peer = self._peers[address] = _Peer(channel, PeerLinkStub(channel))
             self._counters.count(AgentEvent.CONNECTED)
             self._close_idle()
