Start whole fleets of processes from tests, behind the fault proxy

A fleet is the platform, targets in processes of their own with run logs that outlive a kill, and entry nodes in failure domains in turn. With links, one-way cuts between named nodes are rules of one fault proxy process.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -9,7 +9,9 @@
 from typing import Any, Final
 
 from testtools import TestCase
+from toucanspindle_core.fleetconfig import FleetConfig
 from toucanspindle_core.hostport import HostPort
+from toucanspindle_standins.fleet import Fleet, FleetOptions
 from toucanspindle_standins.httpcall import (
     BrokenAnswerError,
     HttpResult,
@@ -24,10 +26,13 @@
     listens,
     wait_until,
 )
+from toucanspindle_standins.smallfleet import small_fleet
 
 __all__ = [
     "ADDRESSES",
     "BrokenAnswerError",
+    "Fleet",
+    "FleetOptions",
     "HttpResult",
     "ManagedProcess",
     "ProcessTestCase",
@@ -36,6 +41,7 @@
     "http_call",
     "listens",
     "put_json",
+    "small_fleet",
     "wait_until",
 ]
 
@@ -79,3 +85,10 @@
         for option, value in options.items():
             argv += [f"--{option.replace('_', '-')}", str(value)]
         return self.start_process(name, *argv, ready_at=address), address
+
+    def start_fleet(self, config: FleetConfig, options: FleetOptions | None = None) -> Fleet:
+        """Start a fleet and wait until it serves; it ends with the test."""
+        fleet = Fleet(config, self.folder, ADDRESSES, options or FleetOptions())
+        self.addCleanup(fleet.close)
+        fleet.start()
+        return fleet
