--- a/packages/toucanspindle-core/toucanspindle_core/memberrecord.py
+++ b/packages/toucanspindle-core/toucanspindle_core/memberrecord.py
@@ -23,28 +23,33 @@
 
 def supersedes(new: Member, old: Member) -> bool:
     """Say whether a record replaces another of the same incarnation."""
-    if old.state == LEFT:
-        return False
-    if new.state == LEFT:
-        return True
-    new_rank = (new.version, _PRECEDENCE[new.state])
-    return new_rank > (old.version, _PRECEDENCE[old.state])
+    return _order(new) > _order(old)
+
+
+def _order(member: Member) -> tuple[bool, int, int]:
+    return (member.state == LEFT, member.version, _PRECEDENCE[member.state])
 
 
 def check_member(member: Member) -> None:
-    """Raise ControlError if a full record from a peer can't be right."""
+    """Raise ControlError if a record from a peer can't be right."""
+    if not 0 < len(member.incarnation) <= MAX_TEXT_CHARS:
+        raise _malformed("a member's incarnation is empty or too long")
+    if member.state not in _PRECEDENCE or member.version > MAX_VERSION:
+        raise _malformed(f"a member's state {member.state} or version is out of range")
+    if not is_compact(member):
+        _check_full(member)
+
+
+def _check_full(member: Member) -> None:
     try:
         for address in (member.entry_address, member.proxy_control_address, member.agent_address):
             HostPort.parse(address)
     except ValueError as error:
         raise _malformed(str(error)) from error
-    texts = (member.node, member.incarnation, member.failure_domain)
-    if not all(0 < len(text) <= MAX_TEXT_CHARS for text in texts):
-        raise _malformed("a member's name, incarnation or failure domain is empty or too long")
+    if not all(0 < len(t) <= MAX_TEXT_CHARS for t in (member.node, member.failure_domain)):
+        raise _malformed("a member's name or failure domain is empty or too long")
     if len(member.token) > MAX_TOKEN_CHARS or len(member.successor) > MAX_TEXT_CHARS:
         raise _malformed("a member's token or successor is too long")
-    if member.state not in _PRECEDENCE or member.version > MAX_VERSION:
-        raise _malformed(f"a member's state {member.state} or version is out of range")
 
 
 def is_compact(member: Member) -> bool:
--- a/packages/toucanspindle-core/toucanspindle_core/membership.py
+++ b/packages/toucanspindle-core/toucanspindle_core/membership.py
@@ -10,8 +10,7 @@
   process that reuses an address is another incarnation.  It waits `disown_grace_s` after its
   own start, because its proxy may have outlived its predecessor.
 
-A suspicion that may be this node's own fault is *unshared*: it isn't spread, and any peer's
-record of the same version overrides it.  A member that this node holds DEAD and a peer holds
+A member that this node holds DEAD and a peer holds
 alive is rechecked by a direct ping, never taken over unasked in either direction; so two halves
 that were cut apart join again without declaring each other's members dead.
 
@@ -62,7 +61,6 @@
 
     member: Member
     changed_at: float
-    shared: bool = True
 
 
 @dataclass
@@ -76,9 +74,8 @@
 class Membership:
     """The members that one agent knows.
 
-    Invariants: a record is only replaced by one that supersedes it, or an unshared one by a
-    record of the same version; `_digest` is the XOR of the hashes of all members not gone; the
-    own member's record is never replaced by a peer's.
+    Invariants: a record is only replaced by one that supersedes it; `_digest` is the XOR of
+    the hashes of all members not gone; the own member's record is never replaced by a peer's.
     """
 
     def __init__(self, settings: MembershipSettings, clock: Clock) -> None:
@@ -185,8 +182,7 @@
         """Take in full records from a peer; raise ControlError if one is malformed."""
         received = list(updates)
         for update in received:
-            if not is_compact(update):
-                check_member(update)
+            check_member(update)
         for update in received:
             if is_compact(update):
                 self._merge_compact(update)
@@ -194,7 +190,11 @@
                 self._merge_one(update)
 
     def hear_belief(self, belief: Member) -> Member | None:
-        """Take in what a peer believes of a member at this address; return what refutes it."""
+        """Take in what a peer believes of a member at this address; return what refutes it.
+
+        Raises ControlError if the belief is malformed.
+        """
+        check_member(belief)
         own = self.own
         if own is None and self._clock.now() < self._disown_from:
             return None
@@ -204,18 +204,12 @@
         refuted = self.own
         return refuted if refuted is not None and supersedes(refuted, belief) else None
 
-    def suspect(self, incarnation: str, *, shared: bool) -> None:
-        """Suspect a member that didn't answer; share the suspicion unless it may be our fault."""
+    def suspect(self, incarnation: str) -> None:
+        """Suspect a member that didn't answer."""
         member = self.find(incarnation)
         if member is None or incarnation == self._own or member.state not in {LIVE, LEAVING}:
             return
-        self._store(with_state(member, SUSPECT, member.version), shared=shared)
-
-    def confirm(self, incarnation: str) -> None:
-        """Note that a member answered; an unshared suspicion of it ends."""
-        record = self._records.get(incarnation)
-        if record is not None and not record.shared:
-            self._store(with_state(record.member, LIVE, record.member.version))
+        self._store(with_state(member, SUSPECT, member.version))
 
     def expire(self) -> None:
         """Declare lapsed suspects DEAD, and forget lapsed tombstones and what is over the bound."""
@@ -225,8 +219,7 @@
         for incarnation, record in list(self._records.items()):
             state = record.member.state
             if state == SUSPECT and incarnation != self._own and record.changed_at <= limit:
-                dead = with_state(record.member, DEAD, record.member.version)
-                self._store(dead, shared=record.shared)
+                self._store(with_state(record.member, DEAD, record.member.version))
             elif state in GONE and record.changed_at <= now - self._settings.tombstone_s:
                 self._forget(incarnation)
         self._evict()
@@ -248,9 +241,11 @@
         return [compact(m) for m in self.all_members() if m.state != DEAD]
 
     def answer_exchange(self, entries: Iterable[Member]) -> ExchangeAnswer:
-        """Compare a peer's compact table with this one."""
+        """Compare a peer's compact table with this one; raise ControlError if it is malformed."""
         answer = ExchangeAnswer()
         listed: dict[str, Member] = {entry.incarnation: entry for entry in entries}
+        for entry in listed.values():
+            check_member(entry)
         for entry in listed.values():
             known = self.find(entry.incarnation)
             if known is None or supersedes(entry, known):
@@ -286,8 +281,6 @@
             copied = Member()
             copied.CopyFrom(update)
             self._store(copied)
-        elif not record.shared and update.version == record.member.version:
-            self._store(with_state(record.member, update.state, update.version))
         self._note_claim(update, record.member if record else None)
 
     def _merge_compact(self, update: Member) -> None:
@@ -334,17 +327,14 @@
         if claim.version == known.version:
             self._rechecks[claim.incarnation] = None
 
-    def _store(self, member: Member, *, shared: bool = True) -> None:
+    def _store(self, member: Member) -> None:
         old = self._records.get(member.incarnation)
         if old is not None:
             self._digest ^= hash_of(old.member)
-        self._records[member.incarnation] = MemberRecord(member, self._clock.now(), shared)
+        self._records[member.incarnation] = MemberRecord(member, self._clock.now())
         self._digest ^= hash_of(member)
         self.changes += 1
-        if shared:
-            self.queue.push(member)
-        else:
-            self.queue.drop(member.incarnation)
+        self.queue.push(member)
 
     def _forget(self, incarnation: str) -> None:
         record = self._records.pop(incarnation)
--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -186,13 +186,14 @@
         members = self._membership.all_members()
         if self.members.hearing is not Hearing.DETACHED:
             return members
-        return [self._shown_detached(member) for member in members]
-
-    def _shown_detached(self, member: Member) -> Member:
-        is_near = member.failure_domain == self._settings.failure_domain
-        if is_near or member.state in GONE:
-            return member
-        return with_state(member, SUSPECT, member.version)
+        own_domain = self._settings.failure_domain
+        present = [m for m in members if m.state not in GONE]
+        far = [m for m in present if m.failure_domain != own_domain]
+        unreached = far or [m for m in present if m.incarnation != self.incarnation()]
+        hidden = {m.incarnation for m in unreached}
+        return [
+            with_state(m, SUSPECT, m.version) if m.incarnation in hidden else m for m in members
+        ]
 
     # What the judge sees: AgentView.
 
--- a/packages/toucanspindle-node/toucanspindle_node/agent_heard.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_heard.py
@@ -6,8 +6,8 @@
 if requests from the scope still reach it, DETACHED if nothing does.
 
 An UNHEARD node leaves the directory and goes on naming the others.  A DETACHED node may be the
-one that is deaf, or the others may be gone: it names only what it reaches.  Neither shares its
-suspicions, since they may be its own fault.
+one that is deaf, or the others may be gone: it names only the members of its own domain, or
+itself where that is the scope.
 """
 
 from collections.abc import Iterable
@@ -64,12 +64,6 @@
             return Hearing.UNHEARD
         return Hearing.DETACHED
 
-    def may_share_suspicion(self, domain: str, peer_domains: Iterable[str]) -> bool:
-        """Say whether a failed probe into a domain speaks against the peer, not this node."""
-        if self._any_recent(self._round_trip_at, {domain}):
-            return True
-        return self.hearing(peer_domains) is Hearing.HEARD
-
     def _any_recent(self, times: dict[str, float], domains: set[str]) -> bool:
         limit = self._clock.now() - self._window_s
         return any(times.get(domain, float("-inf")) >= limit for domain in domains)
--- a/packages/toucanspindle-node/toucanspindle_node/memberloop.py
+++ b/packages/toucanspindle-node/toucanspindle_node/memberloop.py
@@ -1,8 +1,11 @@
 """Runs the membership protocol of one agent: probes, indirect probes, anti-entropy, joining.
 
 Each probe interval one peer is pinged, in a shuffled order that visits every peer once a round.
-A peer that doesn't answer is pinged through a few others, and suspected if they fail too.  A
-ping's first record is a compact one: what the sender believes of the receiver's member; the
+A peer that doesn't answer is pinged through a few others.  It is suspected only if one of them
+answered that it failed too, and that one must be in another failure domain than ours if the peer
+is; otherwise it may be this node, or its domain, that is cut off (`agent_heard.py`).
+
+A ping's first record is a compact one: what the sender believes of the receiver's member; the
 receiver answers with the record that refutes it, if one does.
 
 Each reconnect interval, one address that isn't known as present (a seed, a host of the
@@ -240,30 +243,38 @@
             await self._probe_indirectly(peer)
         else:
             self._heard.note_round_trip(peer.failure_domain)
-            self._members.confirm(peer.incarnation)
             await self._exchange_if_differing(peer.agent_address, answer.members_digest)
         self._judge_hearing()
         self._note_changes()
 
     async def _probe_indirectly(self, peer: Member) -> None:
-        helpers = [m for m in self._sample(INDIRECT_PEERS + 1) if m.incarnation != peer.incarnation]
+        helpers = self._pick_helpers(peer)
         request = IndirectPing(agent_address=peer.agent_address, ping=self.make_ping(peer))
-        asked = (self._ask_helper(helper, request) for helper in helpers[:INDIRECT_PEERS])
-        if any(await asyncio.gather(*asked)):
-            self._members.confirm(peer.incarnation)
+        answers = await asyncio.gather(*(self._ask_helper(h, request) for h in helpers))
+        if any(answers):
             return
         self._heard.note_failure(peer.failure_domain)
-        domains = [member.failure_domain for member in self._members.peers()]
-        shared = self._heard.may_share_suspicion(peer.failure_domain, domains)
-        self._counters.count(AgentEvent.SUSPECTED)
-        self._members.suspect(peer.incarnation, shared=shared)
-
-    async def _ask_helper(self, helper: Member, request: IndirectPing) -> bool:
+        for helper, reached in zip(helpers, answers, strict=True):
+            if reached is False and (self._is_near(peer) or not self._is_near(helper)):
+                self._counters.count(AgentEvent.SUSPECTED)
+                self._members.suspect(peer.incarnation)
+                return
+
+    def _pick_helpers(self, peer: Member) -> list[Member]:
+        """Return a few random peers, those of other failure domains than ours first."""
+        live = [m for m in self._sample(None) if m.incarnation != peer.incarnation]
+        return sorted(live, key=self._is_near)[:INDIRECT_PEERS]
+
+    def _is_near(self, member: Member) -> bool:
+        return member.failure_domain == self._settings.failure_domain
+
+    async def _ask_helper(self, helper: Member, request: IndirectPing) -> bool | None:
+        """Return whether the helper reached the agent, or None when the helper didn't answer."""
         timeout_s = 2 * self._direct_timeout_s()
         try:
             answer = await self._clients.ping_indirect(helper.agent_address, request, timeout_s)
         except ControlError:
-            return False
+            return None
         self._heard.note_round_trip(helper.failure_domain)
         if answer.reached:
             self._take_answer(answer.answer, request.agent_address)
@@ -345,9 +356,11 @@
             self._changes_seen = self._members.changes
             self.on_change()
 
-    def _sample(self, count: int) -> list[Member]:
+    def _sample(self, count: int | None) -> list[Member]:
+        """Return up to `count` random live peers; all of them, shuffled, for None."""
         live = [m for m in self._members.peers() if m.state == LIVE]
-        return self._random.sample(live, min(count, len(live)))
+        size = len(live) if count is None else min(count, len(live))
+        return self._random.sample(live, size)
 
     def _direct_timeout_s(self) -> float:
         wanted = DIRECT_TIMEOUT_PROBES * self._settings.probe_interval_s
