--- a/tests/test_standin_fleet.py
+++ b/tests/test_standin_fleet.py
@@ -17,7 +17,7 @@
     """Three nodes behind the fault proxy."""
 
     def test_fleet_serves_and_a_cut_entry_is_silent(self) -> None:
-        config = small_fleet(ADDRESSES, {"lotbook": 2})
+        config = small_fleet(ADDRESSES, {"lotbook": 4})
         fleet = self.start_fleet(config, FleetOptions(behind_faults=True))
         domains = {node.settings.failure_domain for node in fleet.nodes}
         self.assertEqual(3, len(domains))
