--- a/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
+++ b/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
@@ -105,5 +105,8 @@
 PART_MISSING: Final = _register("TS506", 503, "A configuration lacks a part, or one is altered.")
 HEAD_BEHIND: Final = _register("TS507", 500, "The platform holds an older configuration.")
 
+# 6xx: decisions.
+PERMITS_INVALID: Final = _register("TS601", 500, "A permits object can't be understood.")
+
 # 7xx: the stand-ins.
 STANDIN_USAGE: Final = _register("TS701", 400, "A stand-in was asked for something it can't do.")
--- a/packages/toucanspindle-core/toucanspindle_core/quarantine.py
+++ b/packages/toucanspindle-core/toucanspindle_core/quarantine.py
@@ -5,9 +5,13 @@
 spread between nodes; since clocks of two hosts are never compared, an entry carries the time
 it has left.  Two nodes that each saw one crash at different targets quarantine the request when
 they learn of each other's entry.
+
+A request that was answered lately isn't charged: sick targets that reset connections would
+otherwise quarantine a popular lookup, which crashes nothing.
 """
 
 import threading
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import Final
 
@@ -52,10 +56,13 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._entries: dict[tuple[str, str], _Entry] = {}
+        self._answered: OrderedDict[tuple[str, str], float] = OrderedDict()
 
     def record_crash(self, service: str, fingerprint: str, target: str) -> bool:
         """Charge a crash to a request; return whether the request is quarantined now."""
         with self._lock:
+            if self._answered_lately(service, fingerprint):
+                return False
             entry = self._obtain(service, fingerprint)
             is_new = target not in entry.targets and target != entry.last_target
             entry.targets.add(target)
@@ -64,6 +71,15 @@
             entry.last_target = target
             return self._refresh(entry)
 
+    def record_answer(self, service: str, fingerprint: str) -> None:
+        """Note that a target answered the request, so that it isn't what crashes targets."""
+        key = (service, fingerprint)
+        with self._lock:
+            self._answered.pop(key, None)
+            self._answered[key] = self._clock.now()
+            if len(self._answered) > MAX_FINGERPRINTS:
+                self._answered.popitem(last=False)
+
     def is_quarantined(self, service: str, fingerprint: str) -> bool:
         """Return whether the request must not be dispatched."""
         entry = self._entries.get((service, fingerprint))
@@ -71,6 +87,11 @@
             return False
         return entry.count() >= POISON_TARGETS
 
+    def crashed_targets(self, service: str, fingerprint: str) -> frozenset[str]:
+        """Return the targets that a request is known to have crashed."""
+        entry = self._entries.get((service, fingerprint))
+        return frozenset(entry.targets) if entry else frozenset()
+
     def merge(self, records: list[QuarantineRecord]) -> None:
         """Take over what other nodes saw."""
         with self._lock:
@@ -87,6 +108,10 @@
                 if e.expires_at > now and service in {None, name}
             ]
 
+    def _answered_lately(self, service: str, fingerprint: str) -> bool:
+        answered_at = self._answered.get((service, fingerprint))
+        return answered_at is not None and self._clock.now() - answered_at < CRASH_MEMORY_S
+
     def _merge_one(self, record: QuarantineRecord) -> None:
         entry = self._obtain(record.service, record.fingerprint)
         both_partial = max(entry.count(), record.crashed_targets) < POISON_TARGETS
