--- a/spec/checking.py
+++ b/spec/checking.py
@@ -21,13 +21,20 @@
     """A state machine with what must hold in each reachable state.
 
     `successors` yields pairs of a step's name and the state after it; `properties` maps a name
-    to a predicate over states.
+    to a predicate over states.  `bounds` says how far the search goes, and `left_out` what the
+    abstraction doesn't have.
     """
 
     name: str
     initial: Any
     successors: Callable[[Any], Iterable[tuple[str, Any]]]
     properties: dict[str, Callable[[Any], bool]]
+    bounds: str = ""
+    left_out: str = ""
+
+    def describe(self) -> str:
+        """Return the bounds and what is left out, for the reader of a run."""
+        return f"{self.name}: bounds: {self.bounds}; left out: {self.left_out}"
 
 
 @dataclass(frozen=True)
--- a/spec/configuration.py
+++ b/spec/configuration.py
@@ -31,6 +31,16 @@
 NODES: Final = 3
 
 
+BOUNDS: Final = (
+    f"{len(CHANGES)} operators with one change each, {NODES} nodes of which one restarts at a time,"
+    " the store returns an older head once"
+)
+LEFT_OUT: Final = (
+    "what the changes say, missing or damaged parts, versions that the store reuses, an accepted"
+    " head lost before every node had it, restarts of all nodes at once, time"
+)
+
+
 class Guard(Enum):
     """A condition of the protocol; removing it must break a property."""
 
@@ -120,6 +130,8 @@
                     node.torn for node in state.nodes
                 ),
             },
+            BOUNDS,
+            LEFT_OUT,
         )
 
     def successors(self, state: State) -> Iterable[Step]:
--- a/spec/dispatch.py
+++ b/spec/dispatch.py
@@ -39,7 +39,25 @@
 from typing import Final
 
 from spec.checking import Specification
-from spec.dispatchstate import Age, Inherited, Issuer, Record, Reply, State
+from spec.dispatchstate import (
+    MAX_COPIES,
+    MAX_DISPATCHES,
+    Age,
+    Inherited,
+    Issuer,
+    Record,
+    Reply,
+    State,
+)
+
+BOUNDS: Final = (
+    f"one request name, {MAX_COPIES} copies, {MAX_DISPATCHES} dispatches, an issuer and its"
+    " restart, one other node that is also the successor"
+)
+LEFT_OUT: Final = (
+    "bodies and fingerprints, several accounts and keys, a forged token, two successors, a target"
+    " that breaks its contract (says that it ran nothing though it did), threads inside one step"
+)
 
 
 class Guard(Enum):
@@ -102,6 +120,8 @@
                 "runs at most once": lambda state: state.runs <= 1,
                 "not run is true": lambda state: not (state.told_not_run and state.runs),
             },
+            BOUNDS,
+            LEFT_OUT,
         )
 
     def successors(self, state: State) -> Iterable[Step]:
--- a/spec/permits.py
+++ b/spec/permits.py
@@ -36,6 +36,16 @@
 BUDGET: Final = 1
 
 
+BOUNDS: Final = (
+    f"2 holders, {TARGETS} targets that may be ejected and one that leaves, a budget of {BUDGET},"
+    f" leases of {LEASE_TICKS} ticks"
+)
+LEFT_OUT: Final = (
+    "budgets above one, clocks of different rates, several services, a holder that restarts (it"
+    " comes back as another holder), a floor that changes other than by a leaving target"
+)
+
+
 class Guard(Enum):
     """A condition of the protocol; removing it must break a property."""
 
@@ -125,6 +135,8 @@
                     state.known_for < LEASE_TICKS or not _left_out(state)
                 ),
             },
+            BOUNDS,
+            LEFT_OUT,
         )
 
     def successors(self, state: State) -> Iterable[Step]:
--- a/tests/test_spec_dispatch.py
+++ b/tests/test_spec_dispatch.py
@@ -13,7 +13,9 @@
     """The protocol holds, and each of its guards is needed."""
 
     def test_every_property_holds_in_every_reachable_state(self) -> None:
-        result = check(DispatchSpec().specification())
+        specification = DispatchSpec().specification()
+        result = check(specification)
+        print(specification.describe())
         print(result)
         self.assertTrue(result.exhaustive)
         self.assertEqual((), result.violations)
--- a/tests/test_spec_permits.py
+++ b/tests/test_spec_permits.py
@@ -13,7 +13,9 @@
     """The protocol holds, and each of its guards is needed."""
 
     def test_every_property_holds_in_every_reachable_state(self) -> None:
-        result = check(PermitSpec().specification())
+        specification = PermitSpec().specification()
+        result = check(specification)
+        print(specification.describe())
         print(result)
         self.assertTrue(result.exhaustive)
         self.assertEqual((), result.violations)
