Say that no platform is named, and keep status short

Cause, found by trying as a new user: without a platform and an agent, status and ask said that the platform lists no live host.

--- a/packages/toucanspindle-ctl/toucanctl/session.py
+++ b/packages/toucanspindle-ctl/toucanctl/session.py
@@ -78,7 +78,7 @@
 
     def hosts(self) -> list[HostEntry]:
         """Return the platform's list of hosts, empty while the platform is away."""
-        if self.settings.platform_url is None:
+        if self.settings.platform_url is None and self.settings.agents:
             return []
         try:
             return self.platform.hosts()
--- a/packages/toucanspindle-ctl/toucanctl/statuscommand.py
+++ b/packages/toucanspindle-ctl/toucanctl/statuscommand.py
@@ -15,12 +15,13 @@
 def status(service: str | None = None, *, options: CommonOptions = NO_OPTIONS) -> None:
     """Show nodes, generations, services, targets, ejections and quarantined requests.
 
-    Also works while the platform is away, if an agent is named with --agent.
+    Of all services together it lists the targets that aren't serving; name a service to see all of
+    its targets. Also works while the platform is away, if an agent is named with --agent.
 
     Parameters
     ----------
     service
-        Show the targets of this service only.
+        Show this service only, with all of its targets.
     """
     with Session(options) as session:
         generation = _platform_generation(session)
@@ -32,9 +33,10 @@
             f"platform: {_platform_text(generation)}",
             "",
             *_node_lines(view),
+            "",
         ]
         for item in services:
-            lines.extend(["", *_service_lines(item)])
+            lines.extend(_service_lines(item, all_targets=service is not None))
         lines.extend(["", *_quarantine_lines(view, service)])
         session.output.result(lines, _status_json(generation, view, services, config))
 
@@ -110,14 +112,17 @@
     return MemberState.Name(member.state).lower()
 
 
-def _service_lines(item: ServiceView) -> list[str]:
+def _service_lines(item: ServiceView, all_targets: bool) -> list[str]:
     policy = item.policy
-    lines = [
+    line = (
         f"service {policy.name}: {item.count('serving')} of {len(policy.targets)} targets serving,"
         f" floor {policy.floor_count()}"
-    ]
-    rows = [(t.name, t.failure_domain, str(t.address), t.state, t.detail) for t in item.targets]
-    return [*lines, *indent(table(("target", "domain", "address", "state", "why"), rows))]
+    )
+    shown = [target for target in item.targets if all_targets or target.state != "serving"]
+    if not shown:
+        return [line]
+    rows = [(t.name, t.failure_domain, str(t.address), t.state, t.detail) for t in shown]
+    return [line, *indent(table(("target", "domain", "address", "state", "why"), rows))]
 
 
 def _quarantine_lines(view: FleetView, service: str | None) -> list[str]:
--- a/tests/test_ctl_config.py
+++ b/tests/test_ctl_config.py
@@ -1,5 +1,7 @@
 """Tests of the commands that show and change the configuration."""
 
+import os
+
 from toucanctl.exitcodes import ExitCode
 from toucanspindle_core.fleetfile import dump_fleet, load_fleet_file
 
@@ -167,6 +169,11 @@
         self.refused("TS501", "ask", "lotbook", "--entry", dead, exit_code=ExitCode.AWAY)
         self.refused("TS213", "ask", "lotbook", "--entry", str(self.address))
 
+    def test_nothing_named_to_ask(self) -> None:
+        del os.environ["TOUCANCTL_PLATFORM"]
+        for command in (["status"], ["ask", "lotbook"], ["config", "show"]):
+            self.assertIn("No platform is named", self.refused("TS213", *command).err)
+
     def test_wrong_command_lines(self) -> None:
         for line in (["frobnicate"], ["config", "apply"], ["status", "--nonsense"]):
             self.refused("TS213", *line, exit_code=ExitCode.USAGE)
