--- a/packages/toucanspindle-core/toucanspindle_core/choice.py
+++ b/packages/toucanspindle-core/toucanspindle_core/choice.py
@@ -1,10 +1,9 @@
 """Chooses the target that takes a request.
 
 Of `sample_size` candidates drawn at random the one with the lowest relative load wins, the load
-being this node's outstanding requests over the target's slots.  Candidates that still have a
-free slot go before full ones and, among those with a free slot, targets in the node's own
-failure domain go first: the nodes of a service stand in different failure domains, so each
-mostly uses its own share of the targets and the local counts tell more about the true load.
+being this node's outstanding requests over the target's slots.  Ties go to targets in the node's
+own failure domain: the nodes of a service stand in different failure domains, so each leans
+towards its own share of the targets, and its own counts tell more about their true load.
 
 A candidate of weight w < 1 (slow start, trickle after an ejection) takes part in a share w of
 the draws only; one of weight 0 never takes part.
@@ -59,7 +58,6 @@
         sample = self._random.sample(pool, min(self._sample_size, len(pool)))
         return min(sample, key=self._rank)
 
-    def _rank(self, candidate: Candidate) -> tuple[bool, bool, float]:
-        full = candidate.outstanding >= candidate.slots
-        foreign = self._prefer_own_domain and not full and not candidate.same_domain
-        return full, foreign, candidate.outstanding / candidate.slots
+    def _rank(self, candidate: Candidate) -> tuple[float, bool]:
+        load = candidate.outstanding / candidate.slots
+        return load, self._prefer_own_domain and not candidate.same_domain
