Stop a crashing request after its second target, through whichever nodes it is resent

Cause: notices of crashes went with the regular reports, through the judges, and took up to 2 s; a request resent at once through another node met a third target. Now the node that sees a crash tells the proxies of the service before it goes on, and they answer with what they know. A request that was answered lately isn't charged: sick targets that reset connections would else quarantine popular lookups. Ruled out: waiting for the regular reports before each retry (up to 2 s added to every retry). Limit: notices are limited to 5 a second, and copies in flight at several nodes at once can each reach a target before the first crash is known.

--- a/packages/toucanspindle-core/toucanspindle_core/control_grpc.py
+++ b/packages/toucanspindle-core/toucanspindle_core/control_grpc.py
@@ -198,6 +198,10 @@
 
 class IssuerLinkBase(abc.ABC):
 
+    @abc.abstractmethod
+    async def NoteCrash(self, stream: 'grpclib.server.Stream[toucanspindle_core.control_pb2.CrashNotice, toucanspindle_core.control_pb2.CrashEntries]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Submit(self, stream: 'grpclib.server.Stream[toucanspindle_core.control_pb2.SubmitRequest, toucanspindle_core.control_pb2.SubmitAnswer]') -> None:
         pass
@@ -212,6 +216,12 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
+            '/toucanspindle.IssuerLink/NoteCrash': grpclib.const.Handler(
+                self.NoteCrash,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                toucanspindle_core.control_pb2.CrashNotice,
+                toucanspindle_core.control_pb2.CrashEntries,
+            ),
             '/toucanspindle.IssuerLink/Submit': grpclib.const.Handler(
                 self.Submit,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -236,6 +246,12 @@
 class IssuerLinkStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.NoteCrash = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/toucanspindle.IssuerLink/NoteCrash',
+            toucanspindle_core.control_pb2.CrashNotice,
+            toucanspindle_core.control_pb2.CrashEntries,
+        )
         self.Submit = grpclib.client.UnaryUnaryMethod(
             channel,
             '/toucanspindle.IssuerLink/Submit',
--- a/packages/toucanspindle-node/toucanspindle_node/agent_drains.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_drains.py
@@ -9,7 +9,7 @@
 
 from toucanspindle_core.clock import Clock
 
-HOLD_S: Final = 30.0
+HOLD_S: Final = 10.0
 MAX_NAMES: Final = 10_000
 
 
--- a/packages/toucanspindle-node/toucanspindle_node/dispatch.py
+++ b/packages/toucanspindle-node/toucanspindle_node/dispatch.py
@@ -64,8 +64,11 @@
         """Take note of a target's new drain signal."""
         ...
 
-    def note_crash(self, service: str, target: str) -> None:
-        """Take note of a request that broke its connection to a target."""
+    def note_crash(self, service: str, fingerprint: str) -> None:
+        """Tell the other nodes of a request that broke its connection to a target.
+
+        Returns once they know, or after a short time.
+        """
         ...
 
 
@@ -187,10 +190,13 @@
             self._evidence.record(
                 service.name, target.name, operation, exchange.account, evidence, result.elapsed_s
             )
+        fingerprint = exchange.fingerprint.hex()
+        if result.kind is AttemptKind.ANSWERED:
+            self._quarantine.record_answer(service.name, fingerprint)
         if result.crashed:
-            fingerprint = exchange.fingerprint.hex()
+            exchange.note(f"the request broke its connection to {target.name}")
             self._quarantine.record_crash(service.name, fingerprint, target.name)
-            self._events.note_crash(service.name, target.name)
+            self._events.note_crash(service.name, fingerprint)
 
     def _goes_on(self, exchange: Exchange, result: AttemptResult) -> bool:
         if result.kind in NEVER_RAN:
--- a/packages/toucanspindle-node/toucanspindle_node/issuerlink.py
+++ b/packages/toucanspindle-node/toucanspindle_node/issuerlink.py
@@ -1,13 +1,12 @@
-"""Traffic between proxies: requests sent to their issuer, and records handed over at shutdown.
+"""Traffic between proxies: requests sent to their issuer, records handed over, crash notices.
 
 `IssuerServer` answers for this incarnation; the work itself runs on a small pool of threads,
 since the request path blocks.  `IssuerCaller` is the other side.  Channels are kept per address.
 """
 
 import asyncio
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Final
+from typing import Final, Protocol
 
 from grpclib.client import Channel
 from grpclib.const import Status
@@ -38,23 +37,33 @@
 HAND_OVER_TIMEOUT_S: Final = 5.0
 RECORDS_PER_BATCH: Final = 200
 ANSWER_MARGIN_S: Final = 0.25
+CRASH_NOTICE_S: Final = 0.25
+
+
+class IssuerEnd(Protocol):
+    """What the server asks of the proxy."""
+
+    def answer_relayed(self, request: CallerRequest) -> Outcome:
+        """Run or answer a request that another node sent here; blocks."""
+        ...
+
+    def explain(self, request_id: str) -> list[str]:
+        """Return what is known of a request, a line per step."""
+        ...
+
+    def take_crash_notice(self, entry: pb.QuarantineEntry) -> list[pb.QuarantineEntry]:
+        """Take note of a crash; return what this node knows of the same request."""
+        ...
 
 
 class IssuerServer(IssuerLinkBase):
     """Answers other proxies and `toucanctl explain`."""
 
-    def __init__(
-        self,
-        address: HostPort,
-        handle: Callable[[CallerRequest], Outcome],
-        inherited: InheritedRecords,
-        explain: Callable[[str], list[str]],
-    ) -> None:
-        """Create a server: `handle` runs relayed requests, `explain` tells about a request id."""
+    def __init__(self, address: HostPort, proxy: IssuerEnd, inherited: InheritedRecords) -> None:
+        """Create a server at `address`."""
         self._address = address
-        self._handle = handle
+        self._proxy = proxy
         self._inherited = inherited
-        self._explain = explain
         self._executor = ThreadPoolExecutor(SUBMIT_THREADS, thread_name_prefix="issuer")
         self._server: Server | None = None
 
@@ -81,7 +90,9 @@
         if message is None:
             return
         loop = asyncio.get_running_loop()
-        outcome = await loop.run_in_executor(self._executor, self._handle, parse_submit(message))
+        outcome = await loop.run_in_executor(
+            self._executor, self._proxy.answer_relayed, parse_submit(message)
+        )
         await stream.send_message(answer_message(outcome))
 
     async def HandOver(self, stream: "Stream[pb.RecordBatch, pb.Empty]") -> None:  # noqa: N802
@@ -106,7 +117,16 @@
         """Tell what is known of a request id."""
         message = await stream.recv_message()
         if message is not None:
-            await stream.send_message(pb.Explanation(lines=self._explain(message.request_id)))
+            await stream.send_message(pb.Explanation(lines=self._proxy.explain(message.request_id)))
+
+    async def NoteCrash(  # noqa: N802
+        self, stream: "Stream[pb.CrashNotice, pb.CrashEntries]"
+    ) -> None:
+        """Take note of a request that crashed a target elsewhere."""
+        message = await stream.recv_message()
+        if message is not None:
+            entries = self._proxy.take_crash_notice(message.entry)
+            await stream.send_message(pb.CrashEntries(entries=entries))
 
 
 class IssuerCaller:
@@ -148,6 +168,28 @@
                 "none needed: another successor is tried; otherwise outcomes become unknown",
             ) from error
 
+    def tell_crash(
+        self, addresses: list[str], entry: pb.QuarantineEntry
+    ) -> list[pb.QuarantineEntry]:
+        """Tell proxies of a crash; return what those that answered in time know of it."""
+        try:
+            return self._loop.call(self._tell_crash(addresses, entry), 2 * CRASH_NOTICE_S)
+        except TimeoutError:
+            return []
+
+    async def _tell_crash(
+        self, addresses: list[str], entry: pb.QuarantineEntry
+    ) -> list[pb.QuarantineEntry]:
+        answers = await asyncio.gather(
+            *(self._tell_one(address, entry) for address in addresses), return_exceptions=True
+        )
+        known = [a for a in answers if isinstance(a, pb.CrashEntries)]
+        return [item for answer in known for item in answer.entries]
+
+    async def _tell_one(self, address: str, entry: pb.QuarantineEntry) -> pb.CrashEntries:
+        stub = IssuerLinkStub(self._channel(address))
+        return await stub.NoteCrash(pb.CrashNotice(entry=entry), timeout=CRASH_NOTICE_S)
+
     async def _submit(self, address: str, exchange: Exchange, timeout_s: float) -> pb.SubmitAnswer:
         stub = IssuerLinkStub(self._channel(address))
         return await stub.Submit(submit_message(exchange), timeout=timeout_s)
--- a/packages/toucanspindle-node/toucanspindle_node/proxy.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxy.py
@@ -14,6 +14,7 @@
 from logbook import Logger
 from toucanspindle_core import control_pb2 as pb
 from toucanspindle_core import errorcodes
+from toucanspindle_core.assignment import assign
 from toucanspindle_core.choice import TargetChooser
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.configparts import ConfigPartError, join_encoded
@@ -26,6 +27,7 @@
 from toucanspindle_core.policy import merge_policy
 from toucanspindle_core.processsettings import ProcessSettings
 from toucanspindle_core.quarantine import QuarantineTable
+from toucanspindle_core.ratelimit import AccountLimiter
 from toucanspindle_core.records import RecordTable
 from toucanspindle_core.tokens import TokenIssuer
 
@@ -58,6 +60,8 @@
 START_TIMEOUT_S: Final = 5.0
 IDLE_CHECK_S: Final = 1.0
 QUIET_BEFORE_CLOSE_S: Final = 0.2
+MAX_CRASH_PEERS: Final = 48
+CRASH_NOTICES_PER_S: Final = 5
 TOKEN_CODES: Final = frozenset(
     {errorcodes.TOKEN_MISSING, errorcodes.TOKEN_INVALID, errorcodes.TOKEN_EXPIRED}
 )
@@ -91,6 +95,7 @@
         self._metrics = ProxyMetrics()
         self._traces = TraceLog()
         self._book = AdmissionBook(clock)
+        self._crash_notices = AccountLimiter(CRASH_NOTICES_PER_S, 1, clock)
         self._targets = TargetClient()
         self._registry = TargetRegistry(settings.failure_domain)
         self._drain_watch = DrainWatch(self._registry, self._targets)
@@ -100,10 +105,7 @@
             HostPort.parse(settings.proxy_link_address), settings.report_interval_s, self
         )
         self._issuer_server = IssuerServer(
-            HostPort.parse(settings.proxy_control_bind_address),
-            self._answer_relayed,
-            self._inherited,
-            self._traces.explain,
+            HostPort.parse(settings.proxy_control_bind_address), self, self._inherited
         )
         self._entry = EntryServer(
             HostPort.parse(settings.entry_bind_address), settings.proxy_threads, self._answer_caller
@@ -214,11 +216,40 @@
         self._metrics.count_event("target_draining")
         self._loop.submit(self._report_soon())
 
-    def note_crash(self, service: str, target: str) -> None:
-        """Report at once that a request broke its connection to a target."""
+    def note_crash(self, service: str, fingerprint: str) -> None:
+        """Tell the other nodes of the service that a request broke a connection.
+
+        The next attempt waits for this, so that a request that crashes targets can't reach a
+        third one through another node.  When crashes are frequent, a target is sick rather than
+        a request, and only the regular reports spread them.
+        """
         self._metrics.count_event("target_crashed")
-        log.warning("a request broke its connection to target {} of {}", target, service)
-        self._loop.submit(self._report_soon())
+        if not self._crash_notices.try_take(service):
+            return
+        entries = [e for e in self._quarantine.entries(service) if e.fingerprint == fingerprint]
+        addresses = self._crash_peers(service)
+        for entry in entries:
+            known = self._caller.tell_crash(addresses, quarantine_message(entry))
+            self._quarantine.merge([parse_quarantine(item) for item in known])
+
+    def take_crash_notice(self, entry: pb.QuarantineEntry) -> list[pb.QuarantineEntry]:
+        """Take note of a crash at another node; return what is known of the same request."""
+        own = [
+            quarantine_message(known)
+            for known in self._quarantine.entries(entry.service)
+            if known.fingerprint == entry.fingerprint
+        ]
+        self._quarantine.merge([parse_quarantine(entry)])
+        return own
+
+    def explain(self, request_id: str) -> list[str]:
+        """Return what is known of a request, a line per step."""
+        return self._traces.explain(request_id)
+
+    def answer_relayed(self, request: CallerRequest) -> Outcome:
+        """Run or answer a request that another node sent here."""
+        exchange = Exchange(request, self._state.state, relayed=True)
+        return self._run_path(exchange)
 
     def _dispatch_parts(self) -> DispatchParts:
         return DispatchParts(
@@ -255,10 +286,6 @@
             return self._decorate(Exchange(request, self._state.state), Outcome.from_error(error))
         return self._serve(Exchange(request, self._state.state))
 
-    def _answer_relayed(self, request: CallerRequest) -> Outcome:
-        exchange = Exchange(request, self._state.state, relayed=True)
-        return self._run_path(exchange)
-
     def _serve(self, exchange: Exchange) -> Outcome:
         outcome = self._run_path(exchange)
         self._metrics.count(exchange, outcome, time.monotonic() - exchange.received_at)
@@ -304,6 +331,15 @@
         )
         return Outcome(outcome.kind, outcome.status, tuple(headers), body, code)
 
+    def _crash_peers(self, service: str) -> list[str]:
+        members = [m for m in self._state.state.members if m.state in {pb.LIVE, pb.LEAVING}]
+        if len(members) > MAX_CRASH_PEERS:
+            policy = self._state.state.policy
+            fan_in = policy.services[service].settings.fan_in if policy else MAX_CRASH_PEERS
+            members = assign(service, members, fan_in)
+        own = self._incarnation
+        return [m.proxy_control_address for m in members if m.incarnation != own]
+
     async def _report_soon(self) -> None:
         self._agent.report_soon()
 
--- a/tests/ctlfakes.py
+++ b/tests/ctlfakes.py
@@ -137,7 +137,7 @@
     async def Submit(self, stream: Any) -> None:  # noqa: N802
         raise NotImplementedError
 
-    HandOver = Submit
+    HandOver = NoteCrash = Submit
 
 
 @dataclass(frozen=True)
