Tell until when a merged policy holds

Cause: nodes merge defaults and exceptions when a generation arrives and not again, so an exception with an expiry stays in force until the next change. Seen on three real nodes: an exception of 6 s still gave its deadline (9999 ms) to a request after its expiry. This adds FleetPolicy.valid_until and is_current; the node has to merge again at that moment, which is not done here (files of the node package). Test: one new in tests/test_policy.py, passes.

--- a/packages/toucanspindle-core/toucanspindle_core/configrules.py
+++ b/packages/toucanspindle-core/toucanspindle_core/configrules.py
@@ -14,7 +14,12 @@
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import SettingsError
 from toucanspindle_core.fleetconfig import FleetConfig
-from toucanspindle_core.policy import DEFAULT_ACCOUNT_CLASS, ServicePolicy, merge_policy
+from toucanspindle_core.policy import (
+    DEFAULT_ACCOUNT_CLASS,
+    ServicePolicy,
+    expiries_after,
+    merge_policy,
+)
 
 MAX_ACCOUNT_CLASSES: Final = 32  # Each class is a label of the latency histograms.
 CONNECTIONS_OF_TARGET: Final = 360
@@ -157,7 +162,7 @@
     if left_out.all_merged:
         return
     seen: set[Fault] = set()
-    for moment in _moments(config, now):
+    for moment in [now, *expiries_after(config, now)]:
         for service in merge_policy(config, 0, moment).services.values():
             if service.name in left_out.merged_of:
                 continue
@@ -166,17 +171,6 @@
             yield from faults
 
 
-def _moments(config: FleetConfig, now: datetime) -> list[datetime]:
-    """Return now and each later expiry: the moments at which merged settings change."""
-    expiries = {utc(item.expires) for item in config.exceptions if item.expires is not None}
-    return [now, *sorted(moment for moment in expiries if moment > now)]
-
-
-def utc(moment: datetime) -> datetime:
-    """Return a moment with its zone; one without a zone is taken as UTC."""
-    return moment if moment.tzinfo else moment.replace(tzinfo=UTC)
-
-
 def _service_faults(service: ServicePolicy) -> Iterator[Fault]:
     settings = service.settings
     floor = service.floor_count()
--- a/packages/toucanspindle-core/toucanspindle_core/policy.py
+++ b/packages/toucanspindle-core/toucanspindle_core/policy.py
@@ -65,12 +65,21 @@
 
 @dataclass(frozen=True)
 class FleetPolicy:
-    """The merged configuration of one generation."""
+    """The merged configuration of one generation.
+
+    It holds until `valid_until` (UTC), when the next exception expires; then the configuration
+    has to be merged anew.  None: no exception expires.
+    """
 
     generation: int
     fleet: str
     services: dict[str, ServicePolicy]
     account_class_by_account: dict[str, AccountClass]
+    valid_until: datetime | None = None
+
+    def is_current(self, now: datetime) -> bool:
+        """Return whether no exception has expired since the merge."""
+        return self.valid_until is None or now < self.valid_until
 
     def account_class(self, account: str) -> AccountClass:
         """Return the class of an account; accounts that aren't listed share one class."""
@@ -88,7 +97,19 @@
         for group in config.account_classes
         for account in group.accounts
     }
-    return FleetPolicy(generation, config.fleet, services, classes)
+    valid_until = min(expiries_after(config, moment), default=None)
+    return FleetPolicy(generation, config.fleet, services, classes, valid_until)
+
+
+def expiries_after(config: FleetConfig, now: datetime) -> list[datetime]:
+    """Return the moments (UTC) after `now` at which an exception expires, earliest first."""
+    expiries = {utc(item.expires) for item in config.exceptions if item.expires is not None}
+    return sorted(expiry for expiry in expiries if expiry > now)
+
+
+def utc(moment: datetime) -> datetime:
+    """Return a moment with its zone; one without a zone is taken as UTC."""
+    return moment if moment.tzinfo else moment.replace(tzinfo=UTC)
 
 
 def _merge_service(config: FleetConfig, service: ServiceModel, now: datetime) -> ServicePolicy:
@@ -113,8 +134,4 @@
 
 
 def _expired(expires: datetime | None, now: datetime) -> bool:
-    if expires is None:
-        return False
-    if expires.tzinfo is None:
-        expires = expires.replace(tzinfo=UTC)
-    return expires <= now
+    return expires is not None and utc(expires) <= now
--- a/packages/toucanspindle-ctl/toucanctl/exceptioncommands.py
+++ b/packages/toucanspindle-ctl/toucanctl/exceptioncommands.py
@@ -5,9 +5,9 @@
 
 from cyclopts import App
 from toucanspindle_core import errorcodes
-from toucanspindle_core.configrules import utc
 from toucanspindle_core.errors import SettingsError
 from toucanspindle_core.fleetconfig import ExceptionModel, FleetConfig
+from toucanspindle_core.policy import utc
 from toucanspindle_core.processsettings import validate_model
 
 from toucanctl.changes import NO_FOLLOW, FollowOptions, Why, make_change
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -51,3 +51,16 @@
         )
         policy = merge_policy(config, 3, datetime(2026, 1, 2, tzinfo=UTC)).services["lotbook"]
         self.assertEqual(config.defaults.deadline_ms, policy.settings.deadline_ms)
+
+    def test_policy_holds_until_the_next_exception_expires(self) -> None:
+        values: dict[str, Any] = {"service": "lotbook", "reason": "yard link is slow"}
+        first = {**values, "id": "first", "expires": "2026-01-01T00:00:00Z"}
+        second = {**values, "id": "second", "expires": "2026-01-03T02:00:00+02:00"}
+        forever = {**values, "id": "forever"}
+        items = [{**item, "settings": {"deadline_ms": 5000}} for item in (first, second, forever)]
+        policy = merge_policy(config_with(*items), 3, datetime(2026, 1, 2, tzinfo=UTC))
+        self.assertEqual(datetime(2026, 1, 3, tzinfo=UTC), policy.valid_until)
+        self.assertTrue(policy.is_current(datetime(2026, 1, 2, 23, 59, tzinfo=UTC)))
+        self.assertFalse(policy.is_current(datetime(2026, 1, 3, tzinfo=UTC)))
+        later = merge_policy(config_with(*items), 3, datetime(2026, 1, 3, tzinfo=UTC))
+        self.assertIsNone(later.valid_until)
