Show the nodes in status before a first configuration

Cause, found by trying: status of a fleet that was just started ended with an error and showed no node, when an operator wants to see just that.

--- a/packages/toucanspindle-ctl/toucanctl/statuscommand.py
+++ b/packages/toucanspindle-ctl/toucanctl/statuscommand.py
@@ -2,7 +2,6 @@
 
 from toucanspindle_core.control_pb2 import Member, MemberState
 from toucanspindle_core.errors import PlatformError
-from toucanspindle_core.fleetconfig import FleetConfig
 
 from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions
 from toucanctl.fleetview import FleetView, NodeView
@@ -26,19 +25,25 @@
     with Session(options) as session:
         generation = _platform_generation(session)
         view = session.fleet()
-        head, config = session.config_in_force(view)
-        services = view_services(config, head.generation, view, service)
-        lines = [
-            f"fleet {config.fleet}: generation {head.generation} by {head.who}: {head.why}",
-            f"platform: {_platform_text(generation)}",
-            "",
-            *_node_lines(view),
-            "",
-        ]
-        for item in services:
-            lines.extend(_service_lines(item, all_targets=service is not None))
-        lines.extend(["", *_quarantine_lines(view, service)])
-        session.output.result(lines, _status_json(generation, view, services, config))
+        services, lines = _services_in_force(session, view, service)
+        quarantine = _quarantine_lines(view, service)
+        text = [f"platform: {_platform_text(generation)}", "", *_node_lines(view), ""]
+        value = _status_json(generation, view, services)
+        session.output.result([*text, *lines, "", *quarantine], value)
+
+
+def _services_in_force(
+    session: Session, view: FleetView, only: str | None
+) -> tuple[list[ServiceView], list[str]]:
+    """Return the services with the lines that show them; none before a first configuration."""
+    if only is None and view.highest_generation() == 0:
+        return [], ["no configuration yet: apply one with `toucanctl config apply FILE --why WHY`"]
+    head, config = session.config_in_force(view)
+    services = view_services(config, head.generation, view, only)
+    lines = [f"fleet {config.fleet}: generation {head.generation} by {head.who}: {head.why}"]
+    for item in services:
+        lines.extend(_service_lines(item, all_targets=only is not None))
+    return services, lines
 
 
 def wait(
@@ -144,11 +149,11 @@
 
 
 def _status_json(
-    generation: int | None, view: FleetView, services: list[ServiceView], config: FleetConfig
+    generation: int | None, view: FleetView, services: list[ServiceView]
 ) -> dict[str, object]:
     return {
-        "fleet": config.fleet,
         "platform_generation": generation,
+        "generation": view.highest_generation() or None,
         "nodes": [_node_json(node) for node in view.nodes],
         "services": [_service_json(item) for item in services],
         "quarantine": [
--- a/tests/test_ctl_nodes.py
+++ b/tests/test_ctl_nodes.py
@@ -86,6 +86,25 @@
         self.assertIn("choose one of: lotbook, yardslots", ran.err)
 
 
+class FirstStartTests(CtlTestCase):
+    """A fleet that has no configuration yet."""
+
+    def test_status_shows_the_nodes(self) -> None:
+        self.start_nodes("beaufort", "graaff")
+        ran = self.ctl("status")
+        self.assertEqual((ExitCode.OK, ""), (ran.code, ran.err))
+        self.assertIn("no configuration yet", ran.out)
+        self.assertIn("nodes: 2 of 2 heard", ran.out)
+        self.assertIsNone(self.ctl("status", "--json").json()["generation"])
+
+    def test_service_can_not_be_explained(self) -> None:
+        self.start_nodes("beaufort")
+        for line in (["status", "lotbook"], ["explain", "service", "lotbook"]):
+            ran = self.ctl(*line)
+            self.assertEqual(ExitCode.AWAY, ran.code)
+            self.assertIn("No node that was heard has a configuration", ran.err)
+
+
 class WaitTests(NodesTestCase):
     """Following a change."""
 
