Test the demonstration, and have it stop the node's agent too

It failed first: after step 7 the stopped node's agent ran on without its proxy, so toucanctl rightly named that node as one that doesn't have the next generation (exit code 6). The step now stops both processes and takes the host off the platform's list, as the platform itself would do.

--- a/packages/toucanspindle-standins/toucanspindle_standins/demofleet.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/demofleet.py
@@ -60,8 +60,7 @@
         """Start everything and wait until it listens."""
         self.targets.start()
         self.platform.start(self.places.platform)
-        hosts = [entry.model_dump() for entry in self._host_list()]
-        put_json(self.places.platform, "/admin/hosts", {"hosts": hosts})
+        self.publish_hosts(self.nodes)
         for node in self.nodes:
             node.start()
         for node in self.nodes:
@@ -70,6 +69,11 @@
         address = HostPort.parse(last.address)
         wait_until(lambda: get_json(address, "/admin/faults"), what="the targets answer")
 
+    def publish_hosts(self, nodes: list[EntryNode]) -> None:
+        """Make the platform list these nodes, and all targets."""
+        hosts = [entry.model_dump() for entry in self._host_list(nodes)]
+        put_json(self.places.platform, "/admin/hosts", {"hosts": hosts})
+
     def close(self) -> None:
         """End everything that still runs."""
         for node in self.nodes:
@@ -119,7 +123,7 @@
             return []
         return sorted(entry["node"] for entry in answer.json()["entries"])
 
-    def _host_list(self) -> list[HostEntry]:
+    def _host_list(self, nodes: list[EntryNode]) -> list[HostEntry]:
         entries = [
             HostEntry(
                 name=node.name,
@@ -129,7 +133,7 @@
                 state="live",
                 agent_address=node.settings.agent_address,
             )
-            for node in self.nodes
+            for node in nodes
         ]
         targets = [
             HostEntry(
--- a/packages/toucanspindle-standins/toucanspindle_standins/demosteps.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/demosteps.py
@@ -192,8 +192,12 @@
         self._say(f"7. Stop {leaving.name} with SIGTERM, while callers go on")
         leaving.proxy.terminate()
         code = leaving.proxy.wait(STOP_TIMEOUT_S)
-        self._check(code == 0, f"{leaving.name} finished what it had and ended with code {code}")
+        self._check(code == 0, f"its proxy finished what it had and ended with code {code}")
+        leaving.agent.terminate()
+        code = leaving.agent.wait(STOP_TIMEOUT_S)
+        self._check(code == 0, f"its agent, stopped after it, ended with code {code}")
         others = self._fleet.nodes[:-1]
+        self._fleet.publish_hosts(others)
         wanted = sorted(node.name for node in others)
         for node in others:
             named = self._fleet.named_by(node, self._story.lookup_service)
