--- a/tests/fleetcase.py
+++ b/tests/fleetcase.py
@@ -1,11 +1,13 @@
 """Base of the integration tests: a fleet of real processes, and callers that keep records."""
 
+import asyncio
 import threading
 import uuid
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
 
+from toucanctl.nodeclient import fetch_status
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_core.outcome import OutcomeKind
 from toucanspindle_standins.entrynode import EntryNode
@@ -117,6 +119,12 @@
     return Told(kind, answer.status, code, answer.body)
 
 
+def ejected_targets(node: EntryNode) -> set[str]:
+    """Return the targets that a node's agent tells its proxy to eject."""
+    status = asyncio.run(fetch_status(node.settings.agent_address))
+    return {ejection.target for one in status.ejections for ejection in one.ejections}
+
+
 def runs_of(fleet: Fleet, key: str) -> list[Run]:
     """Return the runs of a key in all targets' logs together."""
     return [run for run in fleet.all_runs() if run.key == key]
