Add an open-loop load generator with paired direct requests

Added latency has to be measured from the planned send time and as a paired difference in one run, from a process of its own. asyncio timers wake up to a millisecond late, as much as what is to be measured, so the last 1.5 ms before each send are polled.

--- a/packages/toucanspindle-standins/toucanspindle_standins/main.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/main.py
@@ -17,6 +17,7 @@
 from toucanspindle_core.processsettings import read_toml, validate_model
 
 from toucanspindle_standins.faultproxy import FaultProxy, Link
+from toucanspindle_standins.loadcommand import load
 from toucanspindle_standins.platformserver import PlatformServer
 from toucanspindle_standins.serving import serve_until_signal
 from toucanspindle_standins.targetserver import TargetServer, TargetSettings
@@ -189,6 +190,9 @@
     serve_until_signal([proxy], f"{len(links)} links ready, admin at {admin}")
 
 
+app.command(load)
+
+
 def parse_address(text: str) -> HostPort:
     """Parse an address of the command line; raise SettingsError."""
     try:
