--- a/packages/toucanspindle-core/toucanspindle_core/fleetfile.py
+++ b/packages/toucanspindle-core/toucanspindle_core/fleetfile.py
@@ -24,9 +24,10 @@
 BASE_KEY: Final = "based_on_generation"
 PLACEHOLDER: Final = "placeholder"
 MAX_PRUNE_ROUNDS: Final = 4
-MODEL_FAULT_REMEDIES: Final = {
-    "extra_forbidden": "remove the key or correct its name",
-    "missing": "add it",
+# What is allowed and the remedy, for kinds of model faults whose own message says too little.
+MODEL_FAULT_TEXTS: Final = {
+    "extra_forbidden": ("unknown key", "remove it or correct its name"),
+    "missing": ("missing", "add it"),
 }
 
 
@@ -99,9 +100,10 @@
 
 def _model_fault(error: Any) -> Fault:
     """Return the fault for one error of a model."""
-    remedy = MODEL_FAULT_REMEDIES.get(error["type"], "change it to what is allowed")
+    default = (error["msg"], "change it to what is allowed")
+    allowed, remedy = MODEL_FAULT_TEXTS.get(error["type"], default)
     value = None if error["type"] == "missing" else error["input"]
-    return Fault(tuple(error["loc"]), _shortened(value), error["msg"], remedy)
+    return Fault(tuple(error["loc"]), _shortened(value), allowed, remedy)
 
 
 def _shortened(value: Any) -> Any:
--- a/packages/toucanspindle-ctl/toucanctl/serviceview.py
+++ b/packages/toucanspindle-ctl/toucanctl/serviceview.py
@@ -85,9 +85,10 @@
 def _ejections_of(target: str, sets: list[EjectionSet], view: FleetView) -> Iterator[EjectedTarget]:
     names = {member.incarnation: member.node for member in view.members()}
     for item in sets:
+        holder = item.holder.partition("/")[0]  # Node and incarnation, or one of them alone.
         for ejection in item.ejections:
             if ejection.target == target:
-                yield EjectedTarget(names.get(item.holder, item.holder), ejection)
+                yield EjectedTarget(names.get(holder, holder), ejection)
 
 
 def _view_target(
--- a/packages/toucanspindle-ctl/toucanctl/validatecommand.py
+++ b/packages/toucanspindle-ctl/toucanctl/validatecommand.py
@@ -26,6 +26,6 @@
             "targets": targets,
             "exceptions": len(config.exceptions),
         }
-        text = ", ".join(f"{number} {name}" for name, number in counts.items())
-        line = f"{file} is valid: fleet {config.fleet}, {text}"
+        text = ", ".join(f"{name}: {number}" for name, number in counts.items())
+        line = f"{file} is valid: fleet {config.fleet} ({text})"
         session.output.result([line], {"valid": True, "fleet": config.fleet, **counts})
