--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,260 @@
+"""Measures what control costs per node, and how fast a configuration spreads.
+
+    python -m bench.control_cost [--sizes 10 20 40] [--window-s 20] [--changes 5]
+
+Starts a stand-in platform and n metered agents, each with a stand-in of its proxy in this
+process that reports evidence as a proxy does; waits until all know all; measures over a window;
+then accepts changes and notes when each proxy was given them.  Writes JSON and a table into
+bench/results/.
+"""
+
+import argparse
+import json
+import os
+import platform
+import signal
+import statistics
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import tomli_w
+from toucanspindle_core.configstore import ConfigStore
+from toucanspindle_core.control_pb2 import LIVE, EvidenceReport, LatencyBin, TargetEvidence
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_core.platformclient import PlatformClient
+from toucanspindle_core.processsettings import ProcessSettings
+from toucanspindle_standins.httpcall import get_json
+from toucanspindle_standins.processes import AddressPool, ManagedProcess, wait_until
+
+from tests.agentfleet import DOMAINS, FakeProxy, LoopThread
+from tests.configfakes import fleet_config
+
+RESULTS: Final = Path(__file__).parent / "results"
+JOIN_LIMIT_S: Final = 120.0
+SPREAD_LIMIT_S: Final = 30.0
+SETTLE_S: Final = 5.0
+LATENCY_BINS: Final = 8
+KILOBYTE: Final = 1000
+
+
+class MeteredNode:
+    """One metered agent and the stand-in of its proxy."""
+
+    def __init__(self, settings: ProcessSettings, folder: Path, loop: LoopThread) -> None:
+        """Describe a node."""
+        self.snapshot_path = folder / f"{settings.node}.json"
+        path = folder / f"{settings.node}.toml"
+        path.write_text(tomli_w.dumps(settings.model_dump(exclude_none=True)), encoding="utf-8")
+        argv = ["bench.agentmeter", str(path), str(self.snapshot_path)]
+        self.process = ManagedProcess(settings.node, argv, folder)
+        self.proxy = FakeProxy(settings, loop)
+        self._address = HostPort.parse(settings.agent_address)
+
+    def start(self) -> None:
+        """Start the agent, and its proxy once the agent listens."""
+        self.process.start(self._address)
+        self.proxy.start()
+
+    def live(self) -> int:
+        """Return how many members the proxy was told are live."""
+        return sum(state == LIVE for state in self.proxy.member_states().values())
+
+    def snapshot(self) -> dict[str, float]:
+        """Return the agent's counters of now."""
+        self.snapshot_path.unlink(missing_ok=True)
+        os.kill(self.process.pid, signal.SIGUSR1)
+        wait_until(self.snapshot_path.exists, what="the snapshot is written")
+        values: dict[str, float] = json.loads(self.snapshot_path.read_text(encoding="ascii"))
+        return values
+
+
+def evidence_of(proxy: FakeProxy) -> list[EvidenceReport]:
+    """Return a report such as a proxy sends: each target of each service, one stratum."""
+    bins = [LatencyBin(index=i, count=i + 1) for i in range(LATENCY_BINS)]
+    return [
+        EvidenceReport(
+            service=service.name,
+            observer=proxy.member.incarnation,
+            failure_domain=proxy.member.failure_domain,
+            targets=[
+                TargetEvidence(target=t.name, operation="lookup", succeeded=36, latency=bins)
+                for t in service.targets
+            ],
+        )
+        for service in fleet_config().services
+    ]
+
+
+def measure(size: int, window_s: float, changes: int) -> dict[str, Any]:
+    """Run a fleet of one size and return its figures."""
+    with tempfile.TemporaryDirectory(prefix="toucanspindle-bench-") as name:
+        folder = Path(name)
+        addresses = AddressPool()
+        loop = LoopThread()
+        address = addresses.take()
+        argv = ["toucanspindle_standins.main", "platform", "--address", str(address)]
+        store = ManagedProcess("platform", argv, folder)
+        nodes: list[MeteredNode] = []
+        try:
+            store.start(address)
+            return _measure_fleet(
+                size, window_s, changes, nodes, _Place(folder, addresses, loop, address)
+            )
+        finally:
+            for node in nodes:
+                node.proxy.close()
+                node.process.close()
+            store.close()
+            loop.close()
+
+
+class _Place:
+    """Where a fleet runs."""
+
+    def __init__(
+        self, folder: Path, addresses: AddressPool, loop: LoopThread, platform_at: HostPort
+    ) -> None:
+        self.folder = folder
+        self.addresses = addresses
+        self.loop = loop
+        self.platform_at = platform_at
+
+
+def _measure_fleet(
+    size: int, window_s: float, changes: int, nodes: list[MeteredNode], place: _Place
+) -> dict[str, Any]:
+    client = PlatformClient(f"http://{place.platform_at}")
+    store = ConfigStore(client)
+    store.accept(fleet_config(deadline_ms=2000), "bench", "the first configuration", 0)
+    seeds: list[str] = []
+    for index in range(size):
+        settings = _make_settings(index, seeds, place)
+        seeds = [*seeds, settings.agent_address][:4]
+        node = MeteredNode(settings, place.folder, place.loop)
+        nodes.append(node)
+        node.start()
+        node.proxy.report.evidence.extend(evidence_of(node.proxy))
+    for node in nodes:
+        wait_until(lambda n=node: n.live() >= size, JOIN_LIMIT_S, "all know all")  # type: ignore[misc]
+    time.sleep(SETTLE_S)
+    figures = _measure_window(nodes, window_s, place)
+    spreads = [_measure_spread(store, nodes, g) for g in range(2, 2 + changes)]
+    all_times = [t for times in spreads for t in times]
+    figures |= {
+        "size": size,
+        "spread_p50_s": statistics.median(all_times),
+        "spread_max_s": max(all_times),
+        "spread_max_by_change_s": [max(times) for times in spreads],
+    }
+    client.close()
+    return figures
+
+
+def _make_settings(index: int, seeds: list[str], place: _Place) -> ProcessSettings:
+    names = ("entry", "proxy_control", "agent", "proxy_link", "metrics")
+    values: dict[str, Any] = {f"{n}_address": str(place.addresses.take()) for n in names}
+    values |= {
+        "node": f"entry-{index}",
+        "failure_domain": DOMAINS[index % len(DOMAINS)],
+        "platform_url": f"http://{place.platform_at}",
+        "seed_agents": seeds,
+    }
+    return ProcessSettings.model_validate(values)
+
+
+def _measure_window(nodes: list[MeteredNode], window_s: float, place: _Place) -> dict[str, Any]:
+    calls_before = get_json(place.platform_at, "/admin/calls")
+    before = [node.snapshot() for node in nodes]
+    time.sleep(window_s)
+    after = [node.snapshot() for node in nodes]
+    calls_after = get_json(place.platform_at, "/admin/calls")
+    rates = [_rates(*pair) for pair in zip(before, after, strict=True)]
+    figures: dict[str, Any] = {
+        "window_s": window_s,
+        "platform_reads_per_s": (calls_after["reads"] - calls_before["reads"]) / window_s,
+        "waiting_watches": calls_after["waiting_watches"],
+    }
+    for key in rates[0]:
+        values = [rate[key] for rate in rates]
+        figures[f"{key}_mean"] = statistics.fmean(values)
+        figures[f"{key}_max"] = max(values)
+    return figures
+
+
+def _rates(before: dict[str, float], after: dict[str, float]) -> dict[str, float]:
+    elapsed_s = after["at_s"] - before["at_s"]
+
+    def per_s(key: str) -> float:
+        return (after[key] - before[key]) / elapsed_s
+
+    return {
+        "cpu_percent": 100 * per_s("cpu_s"),
+        "rss_mb": after["rss_bytes"] / 1e6,
+        "sent_kb_per_s": per_s("peer_sent") / KILOBYTE,
+        "received_kb_per_s": per_s("peer_received") / KILOBYTE,
+        "platform_kb_per_s": per_s("platform_received") / KILOBYTE,
+        "proxy_kb_per_s": per_s("proxy_sent") / KILOBYTE,
+        "connections_per_s": per_s("connections"),
+    }
+
+
+def _measure_spread(store: ConfigStore, nodes: list[MeteredNode], generation: int) -> list[float]:
+    config = fleet_config(deadline_ms=2000 + generation)
+    store.accept(config, "bench", "a change to be spread", generation - 1)
+    accepted_at = time.monotonic()
+    for node in nodes:
+        wait_until(
+            lambda n=node: generation in n.proxy.generation_at,  # type: ignore[misc]
+            SPREAD_LIMIT_S,
+            f"generation {generation} everywhere",
+        )
+    return [max(0.0, n.proxy.generation_at[generation] - accepted_at) for n in nodes]
+
+
+COLUMNS: Final = {
+    "size": "nodes",
+    "cpu_percent_mean": "CPU % of a core, mean",
+    "cpu_percent_max": "max",
+    "rss_mb_max": "RSS MB, max",
+    "sent_kb_per_s_mean": "sent KB/s, mean",
+    "sent_kb_per_s_max": "max",
+    "received_kb_per_s_mean": "received KB/s, mean",
+    "platform_kb_per_s_max": "platform KB/s, max",
+    "platform_reads_per_s": "platform reads/s, fleet",
+    "spread_p50_s": "spread p50 s",
+    "spread_max_s": "spread max s",
+}
+
+
+def format_table(results: list[dict[str, Any]]) -> str:
+    """Return the figures as a Markdown table."""
+    lines = ["| " + " | ".join(COLUMNS.values()) + " |", "|---" * len(COLUMNS) + "|"]
+    for result in results:
+        cells = [f"{result[key]:.2f}" if key != "size" else str(result[key]) for key in COLUMNS]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines) + "\n"
+
+
+def main() -> None:
+    """Measure each size and write the results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[10, 20, 40])
+    parser.add_argument("--window-s", type=float, default=20.0)
+    parser.add_argument("--changes", type=int, default=5)
+    parser.add_argument("--name", default="control_cost")
+    options = parser.parse_args()
+    results = [measure(size, options.window_s, options.changes) for size in options.sizes]
+    RESULTS.mkdir(exist_ok=True)
+    machine = {"cores": os.cpu_count(), "python": platform.python_version()}
+    values = {"machine": machine, "results": results}
+    path = RESULTS / f"{options.name}.json"
+    path.write_text(json.dumps(values, indent=2) + "\n", encoding="utf-8")
+    table = format_table(results)
+    path.with_suffix(".md").write_text(table, encoding="utf-8")
+    print(table)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -38,12 +38,13 @@
 from toucanspindle_node.agent_evidence import EvidenceRouter
 from toucanspindle_node.agent_feed import StateFeed
 from toucanspindle_node.agent_heard import Hearing
-from toucanspindle_node.agent_hooks import IdleJudge, Judge
+from toucanspindle_node.agent_hooks import Judge
 from toucanspindle_node.agent_join import ConfigJoin
 from toucanspindle_node.agent_parts import AgentParts
 from toucanspindle_node.agent_platform import AgentPlatform
 from toucanspindle_node.configcache import ConfigCache
 from toucanspindle_node.configspread import ConfigSpread
+from toucanspindle_node.judge import EvidenceJudge
 from toucanspindle_node.leavinghosts import LeavingHosts, agent_addresses, leaving_names
 from toucanspindle_node.memberloop import MemberLoop
 from toucanspindle_node.peerclients import PeerClients
@@ -225,8 +226,7 @@
 
     def pulled_ejections(self, service: str) -> list[EjectionSet]:
         """Return the sets of other judges that were pulled and haven't lapsed."""
-        own = self.incarnation()
-        return [s for s in self.evidence.ejections.of_service(service) if s.holder != own]
+        return self.evidence.ejections.of_others(service)
 
     async def call_platform(self, call: Callable[[PlatformClient], T]) -> T:
         """Run a blocking platform call off the event loop."""
@@ -280,7 +280,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
-    agent = Agent(settings, judge or IdleJudge())
+    agent = Agent(settings, judge or EvidenceJudge())
     await agent.start()
     await stopping.wait()
     await agent.wait_for_proxy_to_leave(again)
--- a/packages/toucanspindle-node/toucanspindle_node/agent_ejections.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_ejections.py
@@ -18,6 +18,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._sets: dict[tuple[str, str], EjectionSet] = {}
+        self._own_holders: set[str] = set()
         self._quarantine: dict[tuple[str, str], QuarantineEntry] = {}
         self._quarantine_until: dict[tuple[str, str], float] = {}
 
@@ -27,6 +28,15 @@
         changed += [self._take_quarantine(entry) for entry in sets.quarantine]
         return any(changed)
 
+    def take_own(self, sets: EjectionSets) -> bool:
+        """Take in what the judge of this node decided; return whether the proxy needs it."""
+        self._own_holders.update(item.holder for item in sets.sets)
+        return self.take(sets, self._clock.now())
+
+    def of_others(self, service: str) -> list[EjectionSet]:
+        """Return the sets of a service that other nodes' judges decided."""
+        return [s for s in self.of_service(service) if s.holder not in self._own_holders]
+
     def of_service(self, service: str) -> list[EjectionSet]:
         """Return the sets of a service that haven't lapsed."""
         return [item for item in self.all_sets() if item.service == service]
--- a/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
@@ -160,7 +160,7 @@
                 services_of.setdefault(judge.agent_address, []).append(service)
         own_services = services_of.pop(own_address, [])
         if own_services:
-            self._take(self._judge.ejection_sets(own_services), self._parts.clock.now())
+            self._take_own(own_services)
         await asyncio.gather(*(self._pull(*entry) for entry in services_of.items()))
 
     async def _pull(self, address: str, services: list[str]) -> None:
@@ -179,8 +179,11 @@
 
     def refresh_own(self) -> None:
         """Take in at once what the local judge decided."""
-        services = self._served_services()
-        self._take(self._judge.ejection_sets(services), self._parts.clock.now())
+        self._take_own(self._served_services())
+
+    def _take_own(self, services: list[str]) -> None:
+        if self.ejections.take_own(self._judge.ejection_sets(services)):
+            self._on_change()
 
     def _served_services(self) -> list[str]:
         policy = self._view.policy()
--- a/packages/toucanspindle-node/toucanspindle_node/memberloop.py
+++ b/packages/toucanspindle-node/toucanspindle_node/memberloop.py
@@ -161,6 +161,9 @@
 
     async def answer_indirect(self, request: IndirectPing) -> IndirectAnswer:
         """Ping another agent on a peer's behalf."""
+        sender = self._members.find(request.ping.from_incarnation)
+        if sender is not None:
+            self._heard.note_request(sender.failure_domain)
         try:
             answer = await self._clients.ping(
                 request.agent_address, request.ping, self._direct_timeout_s()
--- a/packages/toucanspindle-node/toucanspindle_node/peerclients.py
+++ b/packages/toucanspindle-node/toucanspindle_node/peerclients.py
@@ -1,8 +1,10 @@
 """Calls to other agents over a bounded cache of grpclib channels.
 
-A channel whose call failed is closed, so that a connection cut one way isn't used again.  The
-channels used least recently are closed when more than `MAX_CHANNELS` are open and idle.  A
-refusal by the peer carries the name of its error code at the start of the status message.
+A channel is closed when its connection breaks, and after `MAX_TIMEOUTS` calls in a row without an
+answer: until then requests go on reaching a peer whose answers are lost, so that the peer can
+learn that it isn't heard.  The channels used least recently are closed when more than
+`MAX_CHANNELS` are open and idle.  A refusal by the peer carries the name of its error code at the
+start of the status message.
 """
 
 from collections import OrderedDict
@@ -35,6 +37,7 @@
 from toucanspindle_node.agent_counters import AgentCounters, AgentEvent
 
 MAX_CHANNELS: Final = 64
+MAX_TIMEOUTS: Final = 4
 CALL_TIMEOUT_S: Final = 2.0
 BUNDLE_TIMEOUT_S: Final = 5.0
 CODE_CHARS: Final = 5
@@ -48,6 +51,7 @@
     channel: Channel
     stub: PeerLinkStub
     in_flight: int = 0
+    timeouts: int = 0
 
 
 class PeerClients:
@@ -55,7 +59,7 @@
 
     Every call raises ControlError: PEER_AWAY when there was no answer in time, else the code
     that the peer refused with.  Invariant: a peer's channel is closed only while it is idle or
-    after one of its calls failed.
+    after its calls failed.
     """
 
     def __init__(self, counters: AgentCounters) -> None:
@@ -119,12 +123,16 @@
         peer = self._peer(address)
         peer.in_flight += 1
         try:
-            return await choose(peer.stub)(request, timeout=timeout_s)
+            answer = await choose(peer.stub)(request, timeout=timeout_s)
+            peer.timeouts = 0
+            return answer
         except GRPCError as error:
             raise _refusal(address, error) from error
         except (TimeoutError, OSError, ProtocolError, StreamTerminatedError) as error:
             self._counters.count(AgentEvent.CALL_FAILED)
-            self._discard(address, peer)
+            peer.timeouts += 1
+            if not isinstance(error, TimeoutError) or peer.timeouts >= MAX_TIMEOUTS:
+                self._discard(address, peer)
             text = f"The agent at {address} didn't answer: {type(error).__name__} {error}."
             remedy = "check that it runs and that the network lets us through"
             raise ControlError(errorcodes.PEER_AWAY, text, remedy) from error
--- a/tests/agentfleet.py
+++ b/tests/agentfleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import threading
+import time
 import uuid
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
@@ -32,12 +33,12 @@
 from toucanspindle_core.processsettings import ProcessSettings
 
 from tests.configfakes import fleet_config
-from tests.harness import ADDRESSES, ManagedProcess, ProcessTestCase, wait_until
+from tests.harness import ADDRESSES, ManagedProcess, ProcessTestCase, WaitTimeoutError, wait_until
 
 DOMAINS: Final = ("beaufort", "laingsburg", "graaff", "deaar")
 PROBE_INTERVAL_S: Final = 0.2
-CALL_TIMEOUT_S: Final = 10.0
 REPORT_INTERVAL_S: Final = 0.2
+CALL_TIMEOUT_S: Final = 10.0
 
 T = TypeVar("T")
 
@@ -70,6 +71,7 @@
         self._task: asyncio.Task[None] | None = None
         self.states: list[AgentState] = []
         self.generations: list[int] = []
+        self.generation_at: dict[int, float] = {}
         self.reporting = True
         self.report = ProxyReport()
         self.member = Member(
@@ -139,10 +141,11 @@
                 self.states.append(state)
                 if state.config.generation:
                     self.generations.append(state.config.generation)
+                    self.generation_at[state.config.generation] = time.monotonic()
 
     async def _report_forever(self) -> None:
         while True:
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(self._settings.report_interval_s)
             if self.reporting:
                 try:
                     await self._report_once()
@@ -230,6 +233,7 @@
             "platform_url": f"http://{self.platform}",
             "seed_agents": seeds,
             "probe_interval_s": PROBE_INTERVAL_S,
+            "report_interval_s": REPORT_INTERVAL_S,
         }
         return ProcessSettings.model_validate(values | overrides)
 
@@ -268,7 +272,10 @@
         """Wait until every node's proxy was told of every node as LIVE."""
         expected = {node.incarnation for node in nodes}
         for node in nodes:
-            wait_until(partial(self._is_live_at, node, expected), what="all members are live")
+            try:
+                wait_until(partial(self._is_live_at, node, expected))
+            except WaitTimeoutError as error:
+                raise AssertionError(self.describe(node, expected)) from error
 
     def wait_for_state(
         self, nodes: list[AgentNode], incarnation: str, *states: MemberState.ValueType
@@ -277,6 +284,16 @@
         for node in nodes:
             wait_until(partial(_is_in_state, node, incarnation, states), what=f"state {states}")
 
+    def describe(self, node: AgentNode, expected: set[str]) -> str:
+        """Return what every node knows, for the message of a failure at `node`."""
+        missing = expected - self.live_at(node)
+        lines = [f"{node.settings.node} doesn't list {sorted(missing)}"]
+        for other in self.nodes:
+            states = {i: MemberState.Name(s) for i, s in other.proxy.member_states().items()}
+            lines.append(f"{other.settings.node} ({other.incarnation}): {states}")
+            lines.append(other.process.stderr()[-1500:])
+        return "\n".join(lines)
+
     def _is_live_at(self, node: AgentNode, incarnations: set[str]) -> bool:
         return self.live_at(node) >= incarnations
 
--- a/tests/test_agent_cuts.py
+++ b/tests/test_agent_cuts.py
@@ -7,7 +7,9 @@
 from toucanspindle_core.hostport import HostPort
 
 from tests.agentfleet import AgentFleetCase, AgentNode
-from tests.harness import ADDRESSES, put_json, wait_until
+from tests.harness import ADDRESSES, WaitTimeoutError, put_json, wait_until
+
+PROBE_INTERVAL_S = 0.4
 
 
 class CutCase(AgentFleetCase):
@@ -17,17 +19,23 @@
         """Start nodes behind links and wait until all know all."""
         links = [ADDRESSES.take() for _ in range(count)]
         listening = [ADDRESSES.take() for _ in range(count)]
-        self.admin = ADDRESSES.take()
-        argv = ["toucanspindle_standins.main", "faultproxy", "--admin", str(self.admin)]
-        for link, server in zip(links, listening, strict=True):
-            argv += ["--listen", str(link), "--to", str(server)]
-        self.start_process("faults", *argv, ready_at=self.admin)
+        self.admins = [ADDRESSES.take() for _ in range(count)]
+        # One fault proxy per link: looking up the source of a connection takes it a while.
+        for index, admin in enumerate(self.admins):
+            argv = ["toucanspindle_standins.main", "faultproxy", "--admin", str(admin)]
+            argv += ["--listen", str(links[index]), "--to", str(listening[index])]
+            self.start_process(f"faults-{index}", *argv, ready_at=admin)
         for link, server in zip(links, listening, strict=True):
-            self.start_node(agent_address=str(link), agent_listen_address=str(server))
+            self.start_node(
+                agent_address=str(link),
+                agent_listen_address=str(server),
+                probe_interval_s=PROBE_INTERVAL_S,
+            )
         sources = {node.settings.node: [node.process.pid] for node in self.nodes}
-        put_json(self.admin, "/sources", sources)
+        for admin in self.admins:
+            put_json(admin, "/sources", sources)
         # Connections opened before are of no known source.
-        put_json(self.admin, "/faults", {"rules": [{"faults": {"reset": True}}]})
+        self.set_rules({"faults": {"reset": True}})
         self.heal()
         self.wait_for_members(self.nodes)
         return self.nodes
@@ -36,23 +44,29 @@
         """Hold back every byte from the senders to the receivers; the other way stays open."""
         names = [node.settings.node for node in senders]
         other_names = [node.settings.node for node in receivers]
-        rules = [
-            _rule(receivers, names, "to-server"),
-            _rule(senders, other_names, "to-client"),
-        ]
-        put_json(self.admin, "/faults", {"rules": rules})
+        self.set_rules(
+            _rule(receivers, names, "to-server"), _rule(senders, other_names, "to-client")
+        )
+
+    def set_rules(self, *rules: dict[str, Any]) -> None:
+        """Replace all rules."""
+        for admin in self.admins:
+            put_json(admin, "/faults", {"rules": list(rules)})
 
     def wait_until_unlisted(self, nodes: list[AgentNode], incarnations: set[str]) -> None:
         """Wait until none of the nodes names any of the incarnations to callers."""
         for node in nodes:
-            wait_until(partial(self._names_none, node, incarnations), what=node.settings.node)
+            try:
+                wait_until(partial(self._names_none, node, incarnations))
+            except WaitTimeoutError as error:
+                raise AssertionError(self.describe(node, set())) from error
 
     def _names_none(self, node: AgentNode, incarnations: set[str]) -> bool:
         return not incarnations & self.live_at(node)
 
     def heal(self) -> None:
         """End all cuts."""
-        put_json(self.admin, "/faults", {"rules": []})
+        self.set_rules()
 
 
 def _rule(links: list[AgentNode], sources: list[str], cut: str) -> dict[str, Any]:
@@ -114,8 +128,7 @@
         nodes = self.start_linked(4)
         one, other = nodes[:2], nodes[2:]
         names = [[n.settings.node for n in half] for half in (one, other)]
-        rules = [_rule(one, names[1], "both"), _rule(other, names[0], "both")]
-        put_json(self.admin, "/faults", {"rules": rules})
+        self.set_rules(_rule(one, names[1], "both"), _rule(other, names[0], "both"))
         gone = {n.incarnation for n in other}
         self.wait_until_unlisted(one, gone)
         self.heal()
