Ask few nodes for all members, and bound the search for a change

Cause: toucanctl asked every node for its whole status. At 690 nodes that is 476,100 member records a call, and wait repeats it twice a second. Test: of 6 nodes 3 are asked for members; 49 tests pass in test_config_store and test_ctl_*. status without a service still asks every node for all ejections.

--- a/packages/toucanspindle-core/toucanspindle_core/configstore.py
+++ b/packages/toucanspindle-core/toucanspindle_core/configstore.py
@@ -111,9 +111,12 @@
         """Return the head of an accepted generation, or None when there is none."""
         return self._chain.find_generation(generation)
 
-    def find_change(self, change_id: str) -> ConfigHead | None:
-        """Return the head of an accepted change, or None when it isn't accepted."""
-        return self._chain.find_change(change_id)
+    def find_change(self, change_id: str, above_generation: int = 0) -> ConfigHead | None:
+        """Return the head of an accepted change, or None when it isn't accepted.
+
+        Generations up to `above_generation` aren't searched.
+        """
+        return self._chain.find_change(change_id, above_generation)
 
     def _read_base(self, based_on_generation: int) -> StoredHead | None:
         base = self.read_head()
--- a/packages/toucanspindle-ctl/toucanctl/askcommand.py
+++ b/packages/toucanspindle-ctl/toucanctl/askcommand.py
@@ -14,6 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions, parse_address
+from toucanctl.nodeclient import NO_SERVICE
 from toucanctl.output import indent, table
 from toucanctl.session import Session
 
@@ -76,7 +77,7 @@
         if host.role == "entry" and host.state == "live":
             yield HostPort.parse(host.address)
     if session.settings.agents:
-        for status in session.fleet().heard():
+        for status in session.fleet(NO_SERVICE).heard():
             if status.member.entry_address:
                 yield HostPort.parse(status.member.entry_address)
 
--- a/packages/toucanspindle-ctl/toucanctl/changes.py
+++ b/packages/toucanspindle-ctl/toucanctl/changes.py
@@ -15,6 +15,7 @@
 from toucanspindle_core.fleetdiff import FleetDiff, compare_configs
 from toucanspindle_core.objects import ConfigHead
 
+from toucanctl.nodeclient import NO_SERVICE
 from toucanctl.output import indent
 from toucanctl.progress import Spread, require_everywhere
 from toucanctl.session import Session
@@ -110,7 +111,7 @@
 def _check_behind(session: Session, generation: int, above_generation: int) -> None:
     """Refuse a generation that the nodes would ignore because theirs is higher."""
     try:
-        known = session.fleet().highest_generation()
+        known = session.fleet(NO_SERVICE).highest_generation()
     except ControlError:
         return
     if max(generation, above_generation) >= known:
--- a/packages/toucanspindle-ctl/toucanctl/explaincommands.py
+++ b/packages/toucanspindle-ctl/toucanctl/explaincommands.py
@@ -12,7 +12,7 @@
 
 from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions
 from toucanctl.fleetview import FleetView
-from toucanctl.nodeclient import ask_all, fetch_explanation
+from toucanctl.nodeclient import NO_SERVICE, ask_all, fetch_explanation
 from toucanctl.output import indent, table
 from toucanctl.serviceview import ServiceView, TargetView, require_service, view_service
 from toucanctl.session import Session
@@ -37,7 +37,7 @@
         Name of the service.
     """
     with Session(options) as session:
-        view = session.fleet()
+        view = session.fleet(service)
         head, config = session.config_in_force(view)
         policy = require_service(merge_policy(config, head.generation), service)
         found = view_service(policy, view)
@@ -107,7 +107,7 @@
         The Toucan-Request-Id.
     """
     with Session(options) as session:
-        view = session.fleet()
+        view = session.fleet(NO_SERVICE)
         found = asyncio.run(_ask_proxies(view, request_id))
         if not found:
             raise SettingsError(
--- a/packages/toucanspindle-ctl/toucanctl/fleetview.py
+++ b/packages/toucanspindle-ctl/toucanctl/fleetview.py
@@ -3,9 +3,12 @@
 The first agents to ask are those that are named and those that the platform lists; the members
 that they know are asked too.  So a fleet can be asked while the platform is away, and a node
 that the lagging list still names, or names not yet, is found all the same.
+
+Only a few nodes are asked for all members; each answer of 690 nodes naming 690 members would
+come to half a million records.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -19,9 +22,9 @@
 from toucanspindle_core.errors import ControlError
 from toucanspindle_core.platformclient import HostEntry
 
-from toucanctl.nodeclient import ask_all, fetch_status
+from toucanctl.nodeclient import ALL_SERVICES, ask_all, fetch_status
 
-MAX_DISCOVERY_ROUNDS: Final = 3
+MEMBER_SOURCES: Final = 3
 SERVING_STATES: Final = frozenset({MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING})
 
 
@@ -104,28 +107,39 @@
         return [node for node in self.nodes if not node.has_in_force(generation)]
 
 
-async def collect_fleet(agents: Iterable[str], hosts: Iterable[HostEntry]) -> FleetView:
+async def collect_fleet(
+    agents: Iterable[str], hosts: Iterable[HostEntry], scope: str = ALL_SERVICES
+) -> FleetView:
     """Ask every node that can be found.
 
-    `agents` are addresses to begin with, `hosts` the platform's lagging list.
+    `agents` are addresses to begin with, `hosts` the platform's lagging list.  `scope` narrows
+    what the nodes are asked, see fetch_status.
     """
-    listed = {
+    names = dict.fromkeys(agents, "") | _listed_agents(hosts)
+    views: dict[str, NodeView] = {}
+    waiting = list(names)
+    while waiting and not any(view.status for view in views.values()):
+        first, waiting = waiting[:MEMBER_SOURCES], waiting[MEMBER_SOURCES:]
+        views.update(await _ask(first, names, ALL_SERVICES))
+    for address, name in _serving_members(views.values()).items():
+        names.setdefault(address, name)
+    rest = [address for address in names if address not in views]
+    views.update(await _ask(rest, names, scope))
+    ordered = sorted(views.values(), key=lambda view: (view.name, view.agent_address))
+    return FleetView(tuple(ordered))
+
+
+async def _ask(addresses: list[str], names: Mapping[str, str], scope: str) -> dict[str, NodeView]:
+    answers = await ask_all(addresses, lambda address: fetch_status(address, scope))
+    return {address: _view(address, names[address], answers[address]) for address in answers}
+
+
+def _listed_agents(hosts: Iterable[HostEntry]) -> dict[str, str]:
+    return {
         host.agent_address: host.name
         for host in hosts
         if host.role == "entry" and host.state == "live" and host.agent_address
     }
-    views: dict[str, NodeView] = {}
-    names = dict.fromkeys(agents, "") | listed
-    for _ in range(MAX_DISCOVERY_ROUNDS):
-        new = [address for address in names if address not in views]
-        if not new:
-            break
-        for address, answer in (await ask_all(new, fetch_status)).items():
-            views[address] = _view(address, names[address], answer)
-        for address, name in _serving_members(views.values()).items():
-            names.setdefault(address, name)
-    ordered = sorted(views.values(), key=lambda view: (view.name, view.agent_address))
-    return FleetView(tuple(ordered))
 
 
 def _serving_members(views: Iterable[NodeView]) -> dict[str, str]:
--- a/packages/toucanspindle-ctl/toucanctl/historycommands.py
+++ b/packages/toucanspindle-ctl/toucanctl/historycommands.py
@@ -26,20 +26,24 @@
         session.output.result(lines, {"history": [head_json(head) for head in heads]})
 
 
-def find(change_id: str, *, options: CommonOptions = NO_OPTIONS) -> ExitCode:
+def find(change_id: str, *, newest: int = 1000, options: CommonOptions = NO_OPTIONS) -> ExitCode:
     """Tell whether a change whose outcome wasn't known was accepted; exit code 1 if not.
 
     Parameters
     ----------
     change_id
         The id in the message of exit code 3.
+    newest
+        How many of the newest changes are searched.
     """
     with Session(options) as session:
-        head = session.store.find_change(change_id)
+        current = session.store.read_head()
+        oldest = current.head.generation - newest if current else 0
+        head = session.store.find_change(change_id, oldest)
         if head is None:
             line = (
-                f"change {change_id} isn't accepted; applying again is safe, as only one of both"
-                " can be accepted"
+                f"change {change_id} isn't among the newest {newest} changes; applying again is"
+                " safe, as only one of both can be accepted"
             )
             session.output.result([line], {"accepted": False, "change_id": change_id})
             return ExitCode.REFUSED
--- a/packages/toucanspindle-ctl/toucanctl/nodeclient.py
+++ b/packages/toucanspindle-ctl/toucanctl/nodeclient.py
@@ -26,14 +26,21 @@
 CALL_TIMEOUT_S: Final = 2.0
 MAX_CALLS_AT_A_TIME: Final = 32
 
+ALL_SERVICES: Final = ""
+NO_SERVICE: Final = "-"  # No service has this name: generations only.
+
 T = TypeVar("T")
 
 
-async def fetch_status(address: str) -> NodeStatus:
-    """Return the status of the node whose agent is at `address`; raise ControlError."""
+async def fetch_status(address: str, scope: str = ALL_SERVICES) -> NodeStatus:
+    """Return the status of the node whose agent is at `address`; raise ControlError.
+
+    With a service as `scope` the answer has the ejections of that service alone and no members.
+    """
 
     async def ask(channel: Channel) -> NodeStatus:
-        return await PeerLinkStub(channel).Status(StatusRequest(), timeout=CALL_TIMEOUT_S)
+        request = StatusRequest(service=scope)
+        return await PeerLinkStub(channel).Status(request, timeout=CALL_TIMEOUT_S)
 
     return await _call(address, "agent", ask)
 
--- a/packages/toucanspindle-ctl/toucanctl/session.py
+++ b/packages/toucanspindle-ctl/toucanctl/session.py
@@ -23,7 +23,7 @@
     require_platform,
 )
 from toucanctl.fleetview import FleetView, collect_fleet
-from toucanctl.nodeclient import fetch_bundle
+from toucanctl.nodeclient import ALL_SERVICES, NO_SERVICE, fetch_bundle
 from toucanctl.output import Output
 from toucanctl.progress import Follower
 
@@ -88,9 +88,12 @@
             self.output.warn(f"the platform's list of hosts is missing: {error.text}")
             return []
 
-    def fleet(self) -> FleetView:
-        """Ask every node that can be found; raise ControlError when there is none to ask."""
-        view = asyncio.run(collect_fleet(self.settings.agents, self.hosts()))
+    def fleet(self, scope: str = ALL_SERVICES) -> FleetView:
+        """Ask every node that can be found; raise ControlError when there is none to ask.
+
+        `scope` is a service to ask about, or NO_SERVICE for generations only.
+        """
+        view = asyncio.run(collect_fleet(self.settings.agents, self.hosts(), scope))
         if not view.nodes:
             raise ControlError(
                 errorcodes.AGENT_AWAY,
@@ -102,7 +105,7 @@
     @property
     def follower(self) -> Follower:
         """Return what follows a generation to the nodes."""
-        return Follower(self.fleet, self.output, self.clock)
+        return Follower(lambda: self.fleet(NO_SERVICE), self.output, self.clock)
 
     def config_in_force(self, view: FleetView) -> tuple[ConfigHead, FleetConfig]:
         """Return the newest configuration that the nodes have; raise ControlError for none."""
--- a/packages/toucanspindle-ctl/toucanctl/statuscommand.py
+++ b/packages/toucanspindle-ctl/toucanctl/statuscommand.py
@@ -5,6 +5,7 @@
 
 from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions
 from toucanctl.fleetview import FleetView, NodeView
+from toucanctl.nodeclient import ALL_SERVICES
 from toucanctl.output import indent, table
 from toucanctl.progress import require_everywhere
 from toucanctl.serviceview import ServiceView, TargetView, view_services
@@ -24,7 +25,7 @@
     """
     with Session(options) as session:
         generation = _platform_generation(session)
-        view = session.fleet()
+        view = session.fleet(service or ALL_SERVICES)
         services, lines = _services_in_force(session, view, service)
         quarantine = _quarantine_lines(view, service)
         text = [f"platform: {_platform_text(generation)}", "", *_node_lines(view), ""]
--- a/tests/ctlfakes.py
+++ b/tests/ctlfakes.py
@@ -46,6 +46,7 @@
         self.agent_address = ADDRESSES.take()
         self.control_address = ADDRESSES.take()
         self.bundle = ConfigBundle()
+        self.scopes: list[str] = []
         self.explanations: dict[str, list[str]] = {}
         member = Member(
             node=name,
@@ -75,6 +76,17 @@
         self.status.agent_generation = generation
         self.status.proxy_generation = generation
 
+    def status_for(self, service: str) -> NodeStatus:
+        """Return the status; as of a real agent, without members when a service is named."""
+        if not service:
+            return self.status
+        status = NodeStatus()
+        status.CopyFrom(self.status)
+        status.ClearField("members")
+        status.ClearField("ejections")
+        status.ejections.extend(e for e in self.status.ejections if e.service == service)
+        return status
+
     def host(self) -> HostEntry:
         """Return the entry of the platform's list."""
         member = self.status.member
@@ -108,8 +120,10 @@
         self._node = node
 
     async def Status(self, stream: "Stream[StatusRequest, NodeStatus]") -> None:  # noqa: N802
-        await stream.recv_message()
-        await stream.send_message(self._node.status)
+        request = await stream.recv_message()
+        assert request is not None
+        self._node.scopes.append(request.service)
+        await stream.send_message(self._node.status_for(request.service))
 
     async def FetchBundle(  # noqa: N802
         self, stream: "Stream[BundleRequest, ConfigBundle]"
--- a/tests/test_ctl_nodes.py
+++ b/tests/test_ctl_nodes.py
@@ -79,6 +79,15 @@
         shown = self.ctl("config", "show", "--from-nodes", "--agent", str(first.agent_address))
         self.assertIn("based_on_generation = 1\n", shown.out)
 
+    def test_few_nodes_are_asked_for_all_members(self) -> None:
+        more = self.start_nodes(*(f"deaar{number}" for number in range(6)))
+        for node in more:
+            node.fetch(self.client)
+        value = self.ctl("status", "lotbook", "--json").json()
+        self.assertEqual(6, sum(node["heard"] for node in value["nodes"]))
+        scopes = [scope for node in more for scope in node.scopes]
+        self.assertEqual((3, 3), (scopes.count(""), scopes.count("lotbook")))
+
     def test_unknown_service(self) -> None:
         ran = self.ctl("status", "ledger")
         self.assertEqual(ExitCode.REFUSED, ran.code)
