Hedge slow lookups within the retry budget, and test load beyond capacity

The setting hedge_after_ms had no effect; now a second attempt starts beside a slow first one when the budget allows it, and what wins settles the request. Overload with retries on: what is called not run stands in no target's log, runs are at most 1.1 times the requests dispatched, and nothing is ejected.

--- a/packages/toucanspindle-node/toucanspindle_node/dispatch.py
+++ b/packages/toucanspindle-node/toucanspindle_node/dispatch.py
@@ -10,6 +10,7 @@
 """
 
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final, Protocol
 
 from toucanspindle_core import errorcodes
@@ -25,6 +26,7 @@
 
 from toucanspindle_node import messages
 from toucanspindle_node.exchange import Exchange, Handler, new_request_id
+from toucanspindle_node.hedging import HedgePool
 from toucanspindle_node.targetclient import Attempt, AttemptKind, AttemptResult, TargetClient
 from toucanspindle_node.targetregistry import TargetRegistry
 
@@ -47,10 +49,13 @@
     tried: set[str] = field(default_factory=set)
     answer: AttemptResult | None = None
     uncertain: AttemptResult | None = None
+    is_settled: bool = False
 
-    def add(self, target: str, result: AttemptResult) -> None:
-        """Note the end of an attempt."""
-        self.tried.add(target)
+    def add(self, result: AttemptResult, is_settled: bool) -> None:
+        """Note the end of an attempt; once one has settled the request, later ones don't count."""
+        if self.is_settled:
+            return
+        self.is_settled = is_settled
         if result.kind is AttemptKind.ANSWERED:
             self.answer = result
         elif result.kind not in NEVER_RAN:
@@ -82,6 +87,7 @@
     evidence: EvidenceCollector
     quarantine: QuarantineTable
     events: DispatchEvents
+    hedges: HedgePool
 
 
 class DispatchFilter:
@@ -95,6 +101,7 @@
         self._evidence = parts.evidence
         self._quarantine = parts.quarantine
         self._events = parts.events
+        self._hedges = parts.hedges
         self._budgets: dict[tuple[str, int], RetryBudget] = {}
 
     def handle(self, exchange: Exchange, forward: Handler) -> Outcome:  # noqa: ARG002
@@ -103,16 +110,37 @@
         budget = self._budget(service)
         budget.record_first_attempt()
         progress = _Progress()
-        while self._may_try(exchange, progress, budget):
-            target = self._choose(exchange, progress)
-            if target is None:
-                break
-            result = self._attempt(exchange, target, progress)
-            progress.add(target.name, result)
-            if not self._goes_on(exchange, result):
+        if exchange.routed.idempotent and service.settings.hedge_after_ms:
+            self._try_hedged(exchange, progress, budget)
+        while not progress.is_settled and self._may_try(exchange, progress, budget):
+            if self._try_once(exchange, progress) is None:
                 break
         return self._conclude(exchange, progress)
 
+    def _try_once(self, exchange: Exchange, progress: _Progress) -> AttemptResult | None:
+        """Make one attempt; return None when there is no target for it."""
+        target = self._choose(exchange, progress)
+        if target is None:
+            return None
+        progress.tried.add(target.name)
+        result = self._attempt(exchange, target, progress)
+        progress.add(result, is_settled=not self._goes_on(exchange, result))
+        return result
+
+    def _try_hedged(self, exchange: Exchange, progress: _Progress, budget: RetryBudget) -> None:
+        def second() -> AttemptResult | None:
+            if not self._may_try(exchange, progress, budget):
+                return None
+            exchange.note("hedged: the first attempt takes long")
+            return self._try_once(exchange, progress)
+
+        self._hedges.run(
+            partial(self._try_once, exchange, progress),
+            second,
+            exchange.service.settings.hedge_after_ms / 1000,
+            lambda result: not self._goes_on(exchange, result),
+        )
+
     def _may_try(self, exchange: Exchange, progress: _Progress, budget: RetryBudget) -> bool:
         if exchange.remaining_s() <= 0:
             return False
@@ -175,7 +203,7 @@
 
     def _attempt_timeout_s(self, exchange: Exchange, progress: _Progress) -> float:
         remaining_s = max(exchange.remaining_s(), 0.001)
-        attempts_left = exchange.service.settings.max_attempts - len(progress.tried)
+        attempts_left = exchange.service.settings.max_attempts - len(progress.tried) + 1
         if exchange.routed.idempotent and attempts_left > 1:
             return remaining_s / 2
         return remaining_s
--- a/packages/toucanspindle-node/toucanspindle_node/proxy.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxy.py
@@ -47,6 +47,7 @@
 from toucanspindle_node.exchange import CallerRequest, Exchange, build_chain
 from toucanspindle_node.fleetstate import FleetStateHolder, ejections_for_domain
 from toucanspindle_node.handover import hand_over_records
+from toucanspindle_node.hedging import HedgePool
 from toucanspindle_node.identify import IdentifyFilter
 from toucanspindle_node.issuerlink import IssuerCaller, IssuerServer
 from toucanspindle_node.once import OnceFilter
@@ -97,6 +98,7 @@
         self._book = AdmissionBook(clock)
         self._crash_notices = AccountLimiter(CRASH_NOTICES_PER_S, 1, clock)
         self._targets = TargetClient()
+        self._hedges = HedgePool(settings.proxy_threads)
         self._registry = TargetRegistry(settings.failure_domain)
         self._drain_watch = DrainWatch(self._registry, self._targets)
         self._loop = EventLoopThread("control")
@@ -163,6 +165,7 @@
         self._loop.call(self._issuer_server.close(), START_TIMEOUT_S)
         self._caller.close()
         self._loop.close()
+        self._hedges.close()
         self._targets.close()
         log.info("proxy {} has closed", self._settings.node)
 
@@ -259,6 +262,7 @@
             evidence=self._evidence,
             quarantine=self._quarantine,
             events=self,
+            hedges=self._hedges,
         )
 
     def _apply_config(self, bundle: pb.ConfigBundle) -> None:
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,71 @@
+"""Load beyond capacity, slow targets, and a hedge beside a slow attempt."""
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+from toucanspindle_core.outcome import OutcomeKind
+from toucanspindle_standins.fleet import Fleet, FleetOptions
+
+from tests.fleetcase import SERVICE, FleetTestCase, Told, ejected_targets, look_up
+
+TARGETS: Final = 4
+SERVICE_MS: Final = 40
+CALLERS: Final = 48
+LOOKUPS: Final = 600
+MAX_AMPLIFICATION: Final = 1.1
+
+
+class OverloadTests(FleetTestCase):
+    """Three times as many requests at a time as the targets have slots, with retries on."""
+
+    def overload(self, fleet: Fleet) -> list[Told]:
+        entries = [node.entry for node in fleet.nodes]
+
+        def call(number: int) -> Told:
+            return look_up(entries[number % len(entries)], path=f"/{SERVICE}/o{number}")
+
+        with ThreadPoolExecutor(CALLERS) as pool:
+            return list(pool.map(call, range(LOOKUPS)))
+
+    def test_refused_work_did_not_run_and_nothing_is_ejected(self) -> None:
+        options = FleetOptions(target_options={"service_ms": SERVICE_MS, "slots": 2})
+        fleet = self.start_lotbook(
+            targets=TARGETS,
+            options=options,
+            slots_per_target=2,
+            deadline_ms=500,
+            queue_limit=8,
+            account_requests_per_s=100_000,
+        )
+        told = self.overload(fleet)
+        answered = [t for t in told if t.kind is OutcomeKind.ANSWERED]
+        self.assertGreater(len(answered), LOOKUPS // 4)
+        runs = [run.path for run in fleet.all_runs()]
+        not_run = {
+            f"/{SERVICE}/o{number}"
+            for number, one in enumerate(told)
+            if one.kind is OutcomeKind.NOT_RUN
+        }
+        self.assertEqual(set(), not_run & set(runs))
+        dispatched = LOOKUPS - len(not_run)
+        self.assertLessEqual(len(runs), dispatched * MAX_AMPLIFICATION)
+        for node in fleet.nodes:
+            self.assertEqual(set(), ejected_targets(node))
+
+
+class HedgeTests(FleetTestCase):
+    """A slow attempt is hedged at another target, and only when it may be."""
+
+    def test_slow_lookup_is_hedged(self) -> None:
+        options = FleetOptions(node_count=2, target_options={"service_ms": 1})
+        fleet = self.start_lotbook(options=options, hedge_after_ms=50, retry_budget_percent=100)
+        slow = list(fleet.targets.values())[:2]
+        for target in slow:
+            target.set_faults(answer_delay_ms=900)
+        told = [look_up(fleet.nodes[0].entry, path=f"/{SERVICE}/h{n}") for n in range(20)]
+        self.assertEqual({OutcomeKind.ANSWERED}, {t.kind for t in told})
+        hedged = [n for n in range(20) if len(self.runs_at(fleet, f"/{SERVICE}/h{n}")) > 1]
+        self.assertGreater(len(hedged), 0)
+
+    def runs_at(self, fleet: Fleet, path: str) -> list[str]:
+        return [run.target for run in fleet.all_runs() if run.path == path]
