--- a/packages/toucanspindle-node/toucanspindle_node/judge.py
+++ b/packages/toucanspindle-node/toucanspindle_node/judge.py
@@ -88,6 +88,15 @@
             asyncio.create_task(self._step_forever(view)),
             asyncio.create_task(self._keep_forever(self._keeper, view)),
         ]
+        for task in self._tasks:
+            task.add_done_callback(self._stop_on_failure)
+
+    def _stop_on_failure(self, task: asyncio.Task[None]) -> None:
+        """Give nothing out any more once a task ended that should run until `close`."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._view = None
+        _log.critical("the judge has stopped; its ejections lapse: {!r}", task.exception())
 
     async def close(self) -> None:
         """Withdraw all ejections, wait until they have lapsed, and release the permits."""
