Make the test of a lagging peer strict

Cause: with the guard of agent_join.py removed on a scratch copy the test still passed, since the other peers were resumed before an unguarded agent would have served. It now gives it 3 s. With the guard removed: [] != [1]; with the check of generations removed from configcache.py and watcher.py, test_an_older_head_is_not_followed gives [2, 2, 2] != [2, 1, 1]. Both pass with them.

--- a/tests/test_agent_config.py
+++ b/tests/test_agent_config.py
@@ -1,11 +1,14 @@
 """Tests of how configurations spread between agents, and what a restarted agent serves."""
 
+import time
+
 from toucanspindle_core.objects import CONFIG_KIND, HEAD_NAME, PART_KIND
 
 from tests.agentfleet import AgentFleetCase, AgentNode
 from tests.harness import http_call, put_json, wait_until
 
 IN_FORCE_S = 6.0
+STAYS_SO_S = 3.0  # several rounds of asking, and well below the limit of the join
 
 
 class ConfigCase(AgentFleetCase):
@@ -85,6 +88,7 @@
         lagging.process.resume()
         self.restart_agent(restarted)
         wait_until(lambda: restarted.generation() == 1, what="the lagging peer was heard")
+        time.sleep(STAYS_SO_S)
         self.assertEqual([], restarted.proxy.generations)
         for node in nodes[1:4]:
             node.process.resume()
