Read fleet files and addresses of the stand-ins by the product's own checks

A malformed host list or address gave a traceback, and an address of another host the code for one in use. The host list of tests and demonstration is built in one place. The test of the targets command failed after this change, as its file broke the rule on floors; it now has four targets.

--- a/packages/toucanspindle-standins/toucanspindle_standins/demofleet.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/demofleet.py
@@ -8,11 +8,11 @@
 
 from toucanspindle_core.fleetconfig import ServiceModel
 from toucanspindle_core.hostport import HostPort
-from toucanspindle_core.platformclient import HostEntry
 
 from toucanspindle_standins.demoplaces import Places
 from toucanspindle_standins.entrynode import EntryNode, node_settings
 from toucanspindle_standins.faultlinks import STANDINS_MODULE
+from toucanspindle_standins.hostlist import list_hosts
 from toucanspindle_standins.httpcall import get_json, http_call, put_json
 from toucanspindle_standins.processes import ManagedProcess, wait_until
 
@@ -71,8 +71,8 @@
 
     def publish_hosts(self, nodes: list[EntryNode]) -> None:
         """Make the platform list these nodes, and all targets."""
-        hosts = [entry.model_dump() for entry in self._host_list(nodes)]
-        put_json(self.places.platform, "/admin/hosts", {"hosts": hosts})
+        hosts = list_hosts([node.settings for node in nodes], self.places.config)
+        put_json(self.places.platform, "/admin/hosts", hosts.model_dump())
 
     def close(self) -> None:
         """End everything that still runs."""
@@ -123,31 +123,5 @@
             return []
         return sorted(entry["node"] for entry in answer.json()["entries"])
 
-    def _host_list(self, nodes: list[EntryNode]) -> list[HostEntry]:
-        entries = [
-            HostEntry(
-                name=node.name,
-                role="entry",
-                address=node.settings.entry_address,
-                failure_domain=node.settings.failure_domain,
-                state="live",
-                agent_address=node.settings.agent_address,
-            )
-            for node in nodes
-        ]
-        targets = [
-            HostEntry(
-                name=target.name,
-                role="target",
-                address=target.address,
-                failure_domain=target.failure_domain,
-                state="live",
-                service=service.name,
-            )
-            for service in self.places.config.services
-            for target in service.targets
-        ]
-        return entries + targets
-
     def _standin(self, command: str, folder: Path, *options: str) -> ManagedProcess:
         return ManagedProcess(command, [STANDINS_MODULE, command, *options], folder)
--- a/packages/toucanspindle-standins/toucanspindle_standins/faultlinks.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/faultlinks.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from pathlib import Path
+from typing import Final
 
 from toucanspindle_core.hostport import HostPort
 
@@ -14,8 +15,8 @@
 from toucanspindle_standins.httpcall import get_json, put_json
 from toucanspindle_standins.processes import AddressPool, ManagedProcess
 
-NODE_LINKS = ("entry", "proxy", "agent")
-STANDINS_MODULE = "toucanspindle_standins.main"
+NODE_LINKS: Final = ("entry", "proxy", "agent")
+STANDINS_MODULE: Final = "toucanspindle_standins.main"
 
 
 class FaultLinks:
--- a/packages/toucanspindle-standins/toucanspindle_standins/fleet.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/fleet.py
@@ -17,6 +17,7 @@
 
 from toucanspindle_standins.entrynode import EntryNode, node_settings
 from toucanspindle_standins.faultlinks import STANDINS_MODULE, FaultLinks
+from toucanspindle_standins.hostlist import list_hosts
 from toucanspindle_standins.httpcall import HttpResult, get_json, http_call, put_json
 from toucanspindle_standins.processes import AddressPool, ManagedProcess, wait_until
 from toucanspindle_standins.runlog import Run, read_run_file
@@ -151,30 +152,7 @@
 
     def default_hosts(self) -> list[HostEntry]:
         """Return the list of all nodes and targets, all live."""
-        entries = [
-            HostEntry(
-                name=node.name,
-                role="entry",
-                address=node.settings.entry_address,
-                failure_domain=node.settings.failure_domain,
-                state="live",
-                agent_address=node.settings.agent_address,
-            )
-            for node in self.nodes
-        ]
-        targets = [
-            HostEntry(
-                name=target.name,
-                role="target",
-                address=target.address,
-                failure_domain=target.failure_domain,
-                state="live",
-                service=service.name,
-            )
-            for service in self.config.services
-            for target in service.targets
-        ]
-        return entries + targets
+        return list_hosts([node.settings for node in self.nodes], self.config).hosts
 
     def node(self, name: str) -> EntryNode:
         """Return a node by name."""
--- /dev/null
+++ b/packages/toucanspindle-standins/toucanspindle_standins/hostlist.py
@@ -0,0 +1,35 @@
+"""The host list that the stand-in platform shows: entry nodes and targets, all live."""
+
+from collections.abc import Iterable
+
+from toucanspindle_core.fleetconfig import FleetConfig
+from toucanspindle_core.platformclient import HostEntry, HostList
+from toucanspindle_core.processsettings import ProcessSettings
+
+
+def list_hosts(nodes: Iterable[ProcessSettings], config: FleetConfig) -> HostList:
+    """Return the list of some nodes and of all targets of a configuration."""
+    entries = [
+        HostEntry(
+            name=settings.node,
+            role="entry",
+            address=settings.entry_address,
+            failure_domain=settings.failure_domain,
+            state="live",
+            agent_address=settings.agent_address,
+        )
+        for settings in nodes
+    ]
+    targets = [
+        HostEntry(
+            name=target.name,
+            role="target",
+            address=target.address,
+            failure_domain=target.failure_domain,
+            state="live",
+            service=service.name,
+        )
+        for service in config.services
+        for target in service.targets
+    ]
+    return HostList(hosts=entries + targets)
--- a/packages/toucanspindle-standins/toucanspindle_standins/loadcommand.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/loadcommand.py
@@ -6,8 +6,8 @@
 
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import SettingsError
-from toucanspindle_core.hostport import HostPort
 
+from toucanspindle_standins.cliaddress import parse_address
 from toucanspindle_standins.loadgenerator import MAX_SECONDS, LoadGenerator, LoadSettings
 
 
@@ -62,7 +62,7 @@
             "give --submit-service and --submit-path",
         )
     settings = LoadSettings(
-        to=HostPort.parse(to),
+        to=parse_address(to),
         path=path,
         rate_per_s=rate,
         seconds=seconds,
@@ -71,7 +71,7 @@
         non_idempotent=non_idempotent,
         submit_service=submit_service,
         submit_path=submit_path,
-        paired_direct=HostPort.parse(paired_direct) if paired_direct else None,
+        paired_direct=parse_address(paired_direct) if paired_direct else None,
     )
     report = asyncio.run(LoadGenerator(settings).run())
     print(json.dumps(asdict(report), indent=2))
--- a/packages/toucanspindle-standins/toucanspindle_standins/loadstats.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/loadstats.py
@@ -4,10 +4,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from statistics import fmean, median
+from typing import Final
 
 from toucanspindle_standins.loadclient import Ending
 
-MS_PER_S = 1000
+MS_PER_S: Final = 1000
 
 
 @dataclass(frozen=True)
--- a/packages/toucanspindle-standins/toucanspindle_standins/main.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/main.py
@@ -10,12 +10,10 @@
 from cyclopts import App, Parameter
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import SettingsError, ToucanError
-from toucanspindle_core.fleetconfig import FleetConfig
-from toucanspindle_core.hostport import HostPort
-from toucanspindle_core.platformclient import HostList
+from toucanspindle_core.fleetfile import load_fleet_file
 from toucanspindle_core.policy import merge_policy
-from toucanspindle_core.processsettings import read_toml, validate_model
 
+from toucanspindle_standins.cliaddress import parse_address, read_host_list
 from toucanspindle_standins.faultproxy import FaultProxy, Link
 from toucanspindle_standins.loadcommand import load
 from toucanspindle_standins.platformserver import PlatformServer
@@ -42,10 +40,7 @@
     hosts
         JSON file {"hosts": [...]} with the first host list.
     """
-    listed = HostList(hosts=[])
-    if hosts is not None:
-        listed = HostList.model_validate_json(hosts.read_text(encoding="utf-8"))
-    server = PlatformServer(parse_address(address), listed)
+    server = PlatformServer(parse_address(address), read_host_list(hosts))
     serve_until_signal([server], f"platform ready at {address}")
 
 
@@ -73,7 +68,7 @@
     seed
         Seed of the service times and faults.
     """
-    config = validate_model(FleetConfig, read_toml(fleet), str(fleet))
+    config = load_fleet_file(fleet).config
     servers: list[TargetServer] = []
     for policy in merge_policy(config, 1).services.values():
         if service and policy.name not in service:
@@ -193,16 +188,6 @@
 app.command(load)
 
 
-def parse_address(text: str) -> HostPort:
-    """Parse an address of the command line; raise SettingsError."""
-    try:
-        return HostPort.parse(text)
-    except ValueError as error:
-        raise SettingsError(
-            errorcodes.ADDRESS_INVALID, f"{error}.", "name an address as IP:port"
-        ) from error
-
-
 def run() -> None:
     """Run the command line; errors go to stderr with code and remedy, exit code 1."""
     try:
--- a/packages/toucanspindle-standins/toucanspindle_standins/relay.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/relay.py
@@ -3,12 +3,13 @@
 import asyncio
 import socket
 import struct
+from typing import Final
 
 from toucanspindle_core.hostport import HostPort
 
 from toucanspindle_standins.faultrules import ActiveRule, Direction, RuleTable
 
-CHUNK_BYTES = 65_536
+CHUNK_BYTES: Final = 65_536
 
 
 class Relay:
--- a/packages/toucanspindle-standins/toucanspindle_standins/serving.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/serving.py
@@ -1,10 +1,11 @@
 """Runs stand-in servers in one process until SIGINT or SIGTERM."""
 
 import asyncio
+import errno
 import signal
 import sys
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Final, Protocol, runtime_checkable
 
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import SettingsError, ToucanError
@@ -22,6 +23,7 @@
         ...
 
 
+@runtime_checkable
 class Drainable(Protocol):
     """A server that finishes what it runs before it closes."""
 
@@ -30,7 +32,7 @@
         ...
 
 
-DRAIN_LIMIT_S = 5.0
+DRAIN_LIMIT_S: Final = 5.0
 
 
 def serve_until_signal(servers: Sequence[Server], ready_line: str) -> None:
@@ -62,14 +64,14 @@
     try:
         await server.start()
     except OSError as error:
+        absent = error.errno == errno.EADDRNOTAVAIL
         raise SettingsError(
-            errorcodes.ADDRESS_IN_USE,
+            errorcodes.ADDRESS_INVALID if absent else errorcodes.ADDRESS_IN_USE,
             f"A stand-in can't listen: {error.strerror or error}.",
-            "stop what holds the address, or name another one",
+            "name an address of this host" if absent else "name a free address",
         ) from error
 
 
 async def _drain(server: Server) -> None:
-    drain = getattr(server, "drain", None)
-    if drain is not None:
-        await drain(DRAIN_LIMIT_S)
+    if isinstance(server, Drainable):
+        await server.drain(DRAIN_LIMIT_S)
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -171,10 +171,10 @@
     """All targets of a fleet file in one process."""
 
     def test_each_target_has_its_own_address_and_faults(self) -> None:
-        names = ["lotbook-1", "lotbook-2"]
+        names = [f"lotbook-{number}" for number in range(1, 5)]
         fleet, addresses = write_fleet(self.folder, names)
         argv = ("toucanspindle_standins.main", "targets", "--fleet", str(fleet))
-        process = self.start_process("targets", *argv, ready_at=addresses[1])
+        process = self.start_process("targets", *argv, ready_at=addresses[-1])
         put_json(addresses[0], "/admin/faults", {"crash_marker": "bad", "crash_restart_ms": 50})
         self.assertRaises(BrokenAnswerError, http_call, addresses[0], "GET", "/lots/bad")
         answer = http_call(addresses[1], "GET", "/lots/bad")
