Look up the record before a filter may refuse a request

Ruled out: putting the once filter first, since it needs the route to know what is idempotent; such a refusal is now kept and told by the once filter only for a key that never ran. Conclusion: every refusal of a request with key and token is told under its record. A closing node passes requests with a token on to its closed record table.

--- a/packages/toucanspindle-node/toucanspindle_node/exchange.py
+++ b/packages/toucanspindle-node/toucanspindle_node/exchange.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
+from toucanspindle_core.errors import RequestError
 from toucanspindle_core.outcome import Outcome
 from toucanspindle_core.policy import Route, ServicePolicy
 from toucanspindle_core.records import Record
@@ -61,6 +62,7 @@
     policy: ServicePolicy | None = None  # route
     deadline: float = 0.0  # route
     fingerprint: bytes = b""  # route
+    refusal: RequestError | None = None  # identify, route; told only if no earlier copy ran
     record: Record | None = None  # once; None for idempotent requests
     relayed: bool = False  # set at the start: another node sent the request here
     steps: list[str] = field(default_factory=list)  # all
@@ -79,6 +81,17 @@
             raise RuntimeError("the exchange hasn't passed the route filter")
         return self.policy
 
+    def refuse(self, error: RequestError) -> None:
+        """Refuse the request before its record was looked up.
+
+        Raise the error at once unless the request names a key and a token: then an earlier copy
+        may have run, and the once filter tells the refusal only if none did (guard
+        RECORD_BEFORE_REFUSAL of spec/dispatch.py).
+        """
+        if not (self.key and self.token):
+            raise error
+        self.refusal = self.refusal or error
+
     def remaining_s(self) -> float:
         """Return the seconds left until the deadline; may be negative."""
         return self.deadline - time.monotonic()
--- a/packages/toucanspindle-node/toucanspindle_node/identify.py
+++ b/packages/toucanspindle-node/toucanspindle_node/identify.py
@@ -35,9 +35,12 @@
         given_id = headers.get(REQUEST_ID_HEADER, "")
         exchange.request_id = given_id if _REQUEST_ID.fullmatch(given_id) else new_request_id()
         exchange.account = _read_account(headers)
-        exchange.deadline_ms = _read_deadline_ms(headers)
         exchange.key = _read_key(headers)
         exchange.token = headers.get(TOKEN_HEADER, "")
+        try:
+            exchange.deadline_ms = _read_deadline_ms(headers)
+        except RequestError as error:
+            exchange.refuse(error)
         return forward(exchange)
 
 
--- a/packages/toucanspindle-node/toucanspindle_node/once.py
+++ b/packages/toucanspindle-node/toucanspindle_node/once.py
@@ -61,7 +61,7 @@
 
     def handle(self, exchange: Exchange, forward: Handler) -> Outcome:
         """Forward an idempotent request; else run it once, answer from a record, or relay it."""
-        if exchange.routed.idempotent:
+        if exchange.refusal is None and exchange.routed.idempotent:
             return forward(exchange)
         issuer = _check_identity(exchange)
         if issuer == self._issuer.incarnation:
@@ -119,6 +119,8 @@
 
 def _finish_in_every_case(record: Record, exchange: Exchange, forward: Handler) -> Outcome:
     try:
+        if exchange.refusal is not None:
+            raise exchange.refusal
         return record.finish(forward(exchange))
     except RequestError as error:
         return record.finish(Outcome.from_error(error))
--- a/packages/toucanspindle-node/toucanspindle_node/proxy.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxy.py
@@ -9,6 +9,7 @@
 import secrets
 import threading
 import time
+from datetime import UTC, datetime
 from typing import Final
 
 from logbook import Logger
@@ -44,7 +45,7 @@
     quarantine_message,
     report_message,
 )
-from toucanspindle_node.exchange import CallerRequest, Exchange, build_chain
+from toucanspindle_node.exchange import TOKEN_HEADER, CallerRequest, Exchange, build_chain
 from toucanspindle_node.fleetstate import FleetStateHolder, ejections_for_domain
 from toucanspindle_node.handover import hand_over_records
 from toucanspindle_node.hedging import HedgePool
@@ -188,6 +189,7 @@
 
     def report(self) -> pb.ProxyReport:
         """Return what happened since the last report."""
+        self._drop_expired_exceptions()
         self._evidence_sequence += 1
         domain = self._settings.failure_domain
         evidence = [
@@ -281,10 +283,16 @@
             self._agent.report_soon()
             log.info("generation {} is in force", policy.generation)
 
+    def _drop_expired_exceptions(self) -> None:
+        policy = self._state.drop_expired_exceptions(datetime.now(UTC))
+        if policy is not None:
+            self._book.apply_policy(policy)
+            log.info("generation {} is in force without an expired exception", policy.generation)
+
     def _answer_caller(self, request: CallerRequest) -> Outcome:
         if request.target.startswith(DIRECTORY_PREFIX):
             return self._answer_directory(request)
-        if self._entry.closing:
+        if self._entry.closing and TOKEN_HEADER not in request.headers:
             text = "The node is closing."
             error = RequestError(errorcodes.NODE_CLOSING, text, messages.REMEDY_OTHER_NODE)
             return self._decorate(Exchange(request, self._state.state), Outcome.from_error(error))
--- a/packages/toucanspindle-node/toucanspindle_node/routing.py
+++ b/packages/toucanspindle-node/toucanspindle_node/routing.py
@@ -1,5 +1,7 @@
 """Second filter: which service and operation a request is for, under which settings."""
 
+from typing import Final
+
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import RequestError
 from toucanspindle_core.fingerprint import request_fingerprint
@@ -8,6 +10,8 @@
 from toucanspindle_node import messages
 from toucanspindle_node.exchange import Exchange, Handler
 
+DEFAULT_DEADLINE_MS: Final = 2000  # Of a request that has no route, while its record is asked for.
+
 
 class RouteFilter:
     """Finds the route and the service's merged settings, and fixes the deadline."""
@@ -15,27 +19,37 @@
     def handle(self, exchange: Exchange, forward: Handler) -> Outcome:
         """Route the request; refuse it when no route matches or its body is too large."""
         request = exchange.request
-        policy = exchange.state.policy
-        if policy is None:
-            raise RequestError(
-                errorcodes.CONFIG_ABSENT, messages.TEXT_NO_CONFIG, messages.REMEDY_CONFIG
-            )
-        route = exchange.state.routes.find(request.method, request.path)
-        if route is None:
-            text = f"No route matches {request.method} {request.path[:200]!r}."
-            raise RequestError(errorcodes.NO_ROUTE, text, messages.REMEDY_ROUTE)
-        service = policy.services[route.service]
-        limit = service.settings.max_body_bytes
-        if len(request.body) > limit:
-            text = f"The body has {len(request.body)} bytes; {route.service} takes {limit}."
-            raise RequestError(errorcodes.BODY_TOO_LARGE, text, messages.REMEDY_SMALLER)
-        deadline_ms = exchange.deadline_ms or service.settings.deadline_ms
-        exchange.route = route
-        exchange.policy = service
-        exchange.deadline = exchange.received_at + deadline_ms / 1000
         exchange.fingerprint = request_fingerprint(request.method, request.target, request.body)
-        exchange.note(
-            f"routed to {route.service}, operation {route.operation},"
-            f" generation {policy.generation}, deadline {deadline_ms} ms"
-        )
+        deadline_ms = exchange.deadline_ms or DEFAULT_DEADLINE_MS
+        exchange.deadline = exchange.received_at + deadline_ms / 1000
+        try:
+            _route(exchange)
+        except RequestError as error:
+            exchange.refuse(error)
         return forward(exchange)
+
+
+def _route(exchange: Exchange) -> None:
+    request = exchange.request
+    policy = exchange.state.policy
+    if policy is None:
+        raise RequestError(
+            errorcodes.CONFIG_ABSENT, messages.TEXT_NO_CONFIG, messages.REMEDY_CONFIG
+        )
+    route = exchange.state.routes.find(request.method, request.path)
+    if route is None:
+        text = f"No route matches {request.method} {request.path[:200]!r}."
+        raise RequestError(errorcodes.NO_ROUTE, text, messages.REMEDY_ROUTE)
+    service = policy.services[route.service]
+    limit = service.settings.max_body_bytes
+    if len(request.body) > limit:
+        text = f"The body has {len(request.body)} bytes; {route.service} takes {limit}."
+        raise RequestError(errorcodes.BODY_TOO_LARGE, text, messages.REMEDY_SMALLER)
+    deadline_ms = exchange.deadline_ms or service.settings.deadline_ms
+    exchange.route = route
+    exchange.policy = service
+    exchange.deadline = exchange.received_at + deadline_ms / 1000
+    exchange.note(
+        f"routed to {route.service}, operation {route.operation},"
+        f" generation {policy.generation}, deadline {deadline_ms} ms"
+    )
