--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -20,8 +20,9 @@
 from typing import Any, Final
 
 import tomli_w
+from toucanspindle_core.assignment import assign
 from toucanspindle_core.configstore import ConfigStore
-from toucanspindle_core.control_pb2 import LIVE, EvidenceReport, LatencyBin, TargetEvidence
+from toucanspindle_core.control_pb2 import LIVE, EvidenceReport, LatencyBin, Member, TargetEvidence
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_core.platformclient import PlatformClient
 from toucanspindle_core.processsettings import ProcessSettings
@@ -36,6 +37,7 @@
 SPREAD_LIMIT_S: Final = 30.0
 SETTLE_S: Final = 5.0
 LATENCY_BINS: Final = 8
+FAN_IN: Final = 4
 KILOBYTE: Final = 1000
 
 
@@ -70,8 +72,8 @@
         return values
 
 
-def evidence_of(proxy: FakeProxy) -> list[EvidenceReport]:
-    """Return a report such as a proxy sends: each target of each service, one stratum."""
+def evidence_of(proxy: FakeProxy, members: list[Member]) -> list[EvidenceReport]:
+    """Return a report such as a proxy sends: the targets of its services, one stratum."""
     bins = [LatencyBin(index=i, count=i + 1) for i in range(LATENCY_BINS)]
     return [
         EvidenceReport(
@@ -84,6 +86,7 @@
             ],
         )
         for service in fleet_config().services
+        if proxy.member in assign(service.name, members, FAN_IN)
     ]
 
 
@@ -135,7 +138,9 @@
         node = MeteredNode(settings, place.folder, place.loop)
         nodes.append(node)
         node.start()
-        node.proxy.report.evidence.extend(evidence_of(node.proxy))
+    members = [node.proxy.member for node in nodes]
+    for node in nodes:
+        node.proxy.report.evidence.extend(evidence_of(node.proxy, members))
     for node in nodes:
         wait_until(lambda n=node: n.live() >= size, JOIN_LIMIT_S, "all know all")  # type: ignore[misc]
     time.sleep(SETTLE_S)
--- a/packages/toucanspindle-core/toucanspindle_core/membership.py
+++ b/packages/toucanspindle-core/toucanspindle_core/membership.py
@@ -89,6 +89,7 @@
         self._disowned_versions: dict[str, int] = {}
         self.queue = GossipQueue()
         self.changes = 0
+        self.state_changes = 0
         self.evictions = 0
         self.refused_full = 0
 
@@ -331,6 +332,8 @@
         old = self._records.get(member.incarnation)
         if old is not None:
             self._digest ^= hash_of(old.member)
+        if old is None or old.member.state != member.state:
+            self.state_changes += 1
         self._records[member.incarnation] = MemberRecord(member, self._clock.now())
         self._digest ^= hash_of(member)
         self.changes += 1
@@ -341,6 +344,7 @@
         self._digest ^= hash_of(record.member)
         self.queue.drop(incarnation)
         self.changes += 1
+        self.state_changes += 1
 
     def _evict(self) -> None:
         excess = len(self._records) - self._settings.max_members
--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -99,6 +99,8 @@
         self._proxy = ProxyLink(parts, self._feed, self, self._take_report)
         self._servers = [Server([PeerLink(self)]), Server([self._proxy])]
         self._tasks: list[asyncio.Task[None]] = []
+        self._judges: dict[str, list[Member]] = {}
+        self._judges_at = (0, Hearing.HEARD)
         self.members.generation = lambda: self.cache.generation
         self.members.on_generation = self.spread.hear_generation
         self.members.on_change = self._feed.bump
@@ -218,7 +220,13 @@
 
     def judges_of(self, service: str) -> list[Member]:
         """Return the members that judge a service."""
-        return assign_judges(service, self.live_members())
+        state = (self._membership.state_changes, self.members.hearing)
+        if state != self._judges_at:
+            self._judges_at = state
+            self._judges.clear()
+        if service not in self._judges:
+            self._judges[service] = assign_judges(service, self.live_members())
+        return self._judges[service]
 
     def leaving_targets(self) -> frozenset[str]:
         """Return the targets known to be leaving, as "service/target"."""
--- a/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
@@ -2,8 +2,9 @@
 
 Reports of this host's proxy are grouped by service and sent to the members that judge the
 service, in one batch per judge and flush.  Ejections, quarantined requests and leaving targets
-are pulled from the judges of the services that this node serves.  A pulled set lapses its lease
-after the moment the pull began, which is never later than the judge reckons.
+are pulled from the judges of the services that this node serves; where there are few services,
+the others' are pulled too, more seldom, for requests that reach a node unassigned.  A pulled set
+lapses its lease after the moment the pull began, which is never later than the judge reckons.
 
 Names of leaving targets that were told to this node as a judge are kept apart from names it
 pulled: only the former are given out, or judges would keep each other's names alive for ever.
@@ -13,6 +14,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from toucanspindle_core.assignment import assign
 from toucanspindle_core.control_pb2 import (
     EjectionSets,
     EvidenceBatch,
@@ -20,6 +22,7 @@
     PullEjections,
 )
 from toucanspindle_core.errors import ControlError
+from toucanspindle_core.policy import FleetPolicy
 
 from toucanspindle_node.agent_counters import AgentEvent
 from toucanspindle_node.agent_drains import DrainTable
@@ -27,9 +30,11 @@
 from toucanspindle_node.agent_hooks import AgentView, Judge
 from toucanspindle_node.agent_parts import AgentParts
 
+MIN_FLUSH_INTERVAL_S: Final = 1.0
 PULL_INTERVAL_S: Final = 1.0
 MEMBERS_PER_PULL_S: Final = 64
 ALL_SERVICES_UP_TO: Final = 16
+PULLS_PER_FULL_PULL: Final = 4
 SERVED_HOLD_S: Final = 120.0
 HOST_LIST_REFRESH_S: Final = 5.0
 
@@ -55,6 +60,7 @@
         self._told = DrainTable(parts.clock)
         self._pulled = DrainTable(parts.clock)
         self._tasks: list[asyncio.Task[None]] = []
+        self._pulls = 0
         self.ejections = EjectionTable(parts.clock)
 
     async def start(self) -> None:
@@ -132,8 +138,9 @@
     # Out: to the judges, and back from them.
 
     async def _flush_forever(self) -> None:
+        interval_s = max(MIN_FLUSH_INTERVAL_S, self._parts.settings.report_interval_s)
         while True:
-            await asyncio.sleep(self._parts.settings.report_interval_s)
+            await asyncio.sleep(interval_s)
             outbox, self._outbox = self._outbox, {}
             await asyncio.gather(*(self._send(*entry) for entry in outbox.items()))
 
@@ -155,7 +162,9 @@
     async def _pull_all(self) -> None:
         own_address = self._parts.settings.agent_address
         services_of: dict[str, list[str]] = {}
-        for service in self._served_services():
+        is_full = self._pulls % PULLS_PER_FULL_PULL == 0
+        self._pulls += 1
+        for service in self._known_services() if is_full else self._served_services():
             for judge in self._view.judges_of(service):
                 services_of.setdefault(judge.agent_address, []).append(service)
         own_services = services_of.pop(own_address, [])
@@ -179,18 +188,38 @@
 
     def refresh_own(self) -> None:
         """Take in at once what the local judge decided."""
-        self._take_own(self._served_services())
+        self._take_own(self._known_services())
 
     def _take_own(self, services: list[str]) -> None:
         if self.ejections.take_own(self._judge.ejection_sets(services)):
             self._on_change()
 
+    def _known_services(self) -> list[str]:
+        """Return all services where they are few, else those served."""
+        policy = self._view.policy()
+        if policy is None or len(policy.services) > ALL_SERVICES_UP_TO:
+            return self._served_services()
+        return list(policy.services)
+
     def _served_services(self) -> list[str]:
+        """Return the services that this node has served of late or, of few, is assigned to."""
         policy = self._view.policy()
         if policy is None:
             return []
-        if len(policy.services) <= ALL_SERVICES_UP_TO:
-            return list(policy.services)
         limit = self._parts.clock.now() - SERVED_HOLD_S
         self._served_at = {s: at for s, at in self._served_at.items() if at >= limit}
-        return [service for service in self._served_at if service in policy.services]
+        served = {service for service in self._served_at if service in policy.services}
+        if len(policy.services) <= ALL_SERVICES_UP_TO:
+            served |= self._assigned_services(policy)
+        return sorted(served)
+
+    def _assigned_services(self, policy: FleetPolicy) -> set[str]:
+        members = self._view.live_members()
+        own = self._view.incarnation()
+        return {
+            service.name
+            for service in policy.services.values()
+            if any(
+                m.incarnation == own for m in assign(service.name, members, service.settings.fan_in)
+            )
+        }
--- a/packages/toucanspindle-node/toucanspindle_node/agent_join.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_join.py
@@ -7,6 +7,8 @@
 - With the platform's answer, `QUORUM` peers or all that can be reached must have answered.
 - Without it, `QUORUM` peers that hold a configuration must have answered, from two failure
   domains where there are two; after `JOIN_LIMIT_S` the peers that did answer suffice.
+
+Step of spec/configuration.py: Join, with the guard ASK_SEVERAL_PEERS.
 """
 
 import asyncio
--- a/packages/toucanspindle-node/toucanspindle_node/configspread.py
+++ b/packages/toucanspindle-node/toucanspindle_node/configspread.py
@@ -8,6 +8,8 @@
 peers in several failure domains, and the platform, and takes the highest generation that any of
 them names.  Only when the platform is away and too few peers answer within `JOIN_LIMIT_S` does it
 go on with the highest it has; never with less than what somebody named.
+
+Step of spec/configuration.py: PullFromPeer.
 """
 
 import asyncio
--- a/packages/toucanspindle-node/toucanspindle_node/watcher.py
+++ b/packages/toucanspindle-node/toucanspindle_node/watcher.py
@@ -5,6 +5,8 @@
 it, and waits for a later version; so a head that became older than ours is seen too: the higher
 one is kept, counted, and reported once.  The rest of the fleet hears of a generation by
 `configspread.py`.
+
+Step of spec/configuration.py: WatchHead.
 """
 
 import asyncio
