Name the steps of the specifications where the code takes them

Cause: a reader of the configuration's and the permits' code couldn't see which step of spec/ it implements. Docstrings only.

--- a/packages/toucanspindle-core/toucanspindle_core/configacceptance.py
+++ b/packages/toucanspindle-core/toucanspindle_core/configacceptance.py
@@ -3,6 +3,8 @@
 After a lost answer the head and its chain are searched for the change's own id before the same
 replace is tried again.  A second replace of the same version can't take effect twice, because it
 names the version that the first would have replaced.
+
+Steps of spec/configuration.py: SendReplace, ReceiveReply, StopWaiting, FindChange.
 """
 
 import time
--- a/packages/toucanspindle-core/toucanspindle_core/configstore.py
+++ b/packages/toucanspindle-core/toucanspindle_core/configstore.py
@@ -8,6 +8,8 @@
 The answer to the replace can be lost; `configacceptance.py` then finds out whether it took
 effect.  While the platform stays away the outcome stays open: CHANGE_UNCERTAIN carries the change
 id, and `find_change` tells later.
+
+Steps of spec/configuration.py: ReadHead, StoreParts; the replace is in `configacceptance.py`.
 """
 
 import itertools
--- a/packages/toucanspindle-core/toucanspindle_core/permits.py
+++ b/packages/toucanspindle-core/toucanspindle_core/permits.py
@@ -9,6 +9,8 @@
 
 A write whose answer was lost may still take effect until the object's version has moved on.  Till
 then a holder uses the lesser of what it had and what it asked for.
+
+Step of spec/permits.py: WatchOther, with the guards GRANT_WITHIN_BUDGET and WATCH_WHOLE_LEASE.
 """
 
 from collections.abc import Collection
--- a/packages/toucanspindle-core/toucanspindle_core/servicejudge.py
+++ b/packages/toucanspindle-core/toucanspindle_core/servicejudge.py
@@ -4,6 +4,8 @@
 permit is free; judges further down the service's list wait a little first, so that two judges
 don't spend two permits on one target.  Ejected targets come back by stages.  When the
 permits that may be used fall below the ejections, the newest are taken back at once.
+
+Steps of spec/permits.py: Eject, Readmit, LearnLeaving.
 """
 
 from dataclasses import dataclass, field
--- a/packages/toucanspindle-node/toucanspindle_node/permitkeeper.py
+++ b/packages/toucanspindle-node/toucanspindle_node/permitkeeper.py
@@ -4,6 +4,8 @@
 write was sent.  A write goes out only when the grant must change, is near its end, or another
 holder's grant has run out.  An answer that was lost leaves the grant open: until the object's
 version has moved on, the keeper uses the lesser of both counts and the earlier end.
+
+Steps of spec/permits.py: SendGrant, ReceiveGrant, SendRelease.
 """
 
 import math
