Report malformed answers of hosts, nodes and the platform without a traceback

Cause: a host with a malformed address, a node with a malformed head and a file that can't be rewritten ended toucanctl with a traceback, and a malformed head in the platform hid the nodes from status.

--- a/packages/toucanspindle-core/toucanspindle_core/fleetfile.py
+++ b/packages/toucanspindle-core/toucanspindle_core/fleetfile.py
@@ -71,21 +71,29 @@
 
 def set_base(path: Path, generation: int) -> None:
     """Rewrite the line of a file that names its generation; raise SettingsError."""
-    text = path.read_text(encoding="utf-8")
+    try:
+        text = _with_base(path.read_text(encoding="utf-8"), generation)
+        path.write_text(text, encoding="utf-8")
+    except (OSError, ValueError) as error:
+        raise SettingsError(
+            errorcodes.OPTION_INVALID,
+            f"{path}: {BASE_KEY} can't be written: {error}.",
+            f"set {BASE_KEY} = {generation} at the top of the file",
+        ) from error
+
+
+def _with_base(text: str, generation: int) -> str:
+    line = f"{BASE_KEY} = {generation}\n"
     lines = text.splitlines(keepends=True)
-    places = [i for i, line in enumerate(lines) if line.split("=")[0].strip() == BASE_KEY]
+    places = [i for i, old in enumerate(lines) if old.split("=")[0].strip() == BASE_KEY]
     if places:
-        lines[places[0]] = f"{BASE_KEY} = {generation}\n"
+        lines[places[0]] = line
     else:
-        lines.insert(0, f"{BASE_KEY} = {generation}\n")
+        lines.insert(0, line)
     changed = "".join(lines)
     if tomllib.loads(changed).get(BASE_KEY) != generation:
-        raise SettingsError(
-            errorcodes.SETTINGS_UNREADABLE,
-            f"{path}: the line {BASE_KEY} can't be rewritten.",
-            f"set {BASE_KEY} = {generation} at the top of the file",
-        )
-    path.write_text(changed, encoding="utf-8")
+        raise ValueError("the line isn't a key of its own")
+    return changed
 
 
 def _raise_named(faults: list[Fault], values: dict[str, Any], origin: str) -> None:
--- a/packages/toucanspindle-ctl/toucanctl/askcommand.py
+++ b/packages/toucanspindle-ctl/toucanctl/askcommand.py
@@ -58,38 +58,34 @@
         lists.
     """
     with Session(options) as session:
-        addresses = list(_entry_addresses(session, entry or []))
-        asked, answer = _first_answer(addresses, service)
+        named = [str(parse_address(text, "--entry")) for text in entry or []]
+        asked, answer = _first_answer(named or list(_known_entries(session)), service)
         rows = [(e.address, e.failure_domain, e.node, e.token) for e in answer.entries]
         lines = [
             f"{asked} names {len(rows)} address(es) for {service}, to be kept"
             f" {answer.ttl_s:g} s (generation {answer.generation})",
             *indent(table(("address", "domain", "node", "token"), rows)),
         ]
-        session.output.result(lines, {"asked": str(asked), **answer.model_dump()})
+        session.output.result(lines, {"asked": asked, **answer.model_dump()})
 
 
-def _entry_addresses(session: Session, named: list[str]) -> Iterator[HostPort]:
-    if named:
-        yield from (parse_address(text, "--entry") for text in named)
-        return
+def _known_entries(session: Session) -> Iterator[str]:
     for host in session.hosts():
         if host.role == "entry" and host.state == "live":
-            yield HostPort.parse(host.address)
+            yield host.address
     if session.settings.agents:
         for status in session.fleet(NO_SERVICE).heard():
-            if status.member.entry_address:
-                yield HostPort.parse(status.member.entry_address)
+            yield status.member.entry_address
 
 
-def _first_answer(addresses: list[HostPort], service: str) -> tuple[HostPort, DirectoryAnswer]:
+def _first_answer(addresses: list[str], service: str) -> tuple[str, DirectoryAnswer]:
     """Return the first answer; raise ControlError when no node gives one."""
     troubles = []
     with urllib3.PoolManager(retries=False) as pool:
         for address in addresses:
             try:
-                return address, _ask_one(pool, address, service)
-            except HTTPError as error:
+                return address, _ask_one(pool, HostPort.parse(address), service)
+            except (HTTPError, ValueError) as error:
                 troubles.append(f"\n  {address}: {error}")
     raise ControlError(
         errorcodes.AGENT_AWAY,
--- a/packages/toucanspindle-ctl/toucanctl/nodeclient.py
+++ b/packages/toucanspindle-ctl/toucanctl/nodeclient.py
@@ -83,7 +83,7 @@
 
 
 async def _call(address: str, role: str, ask: Callable[[Channel], Awaitable[T]]) -> T:
-    place = HostPort.parse(address)
+    place = _parse(address, role)
     channel = ControlChannel(place.ip, place.port)
     try:
         async with asyncio.timeout(CALL_TIMEOUT_S):
@@ -97,3 +97,14 @@
         ) from error
     finally:
         channel.close()
+
+
+def _parse(address: str, role: str) -> HostPort:
+    try:
+        return HostPort.parse(address)
+    except ValueError as error:
+        raise ControlError(
+            errorcodes.AGENT_AWAY,
+            f"The {role}'s address is malformed: {error}.",
+            "correct the address in the settings of the node",
+        ) from error
--- a/packages/toucanspindle-ctl/toucanctl/session.py
+++ b/packages/toucanspindle-ctl/toucanctl/session.py
@@ -1,13 +1,15 @@
 """What a command works with: checked settings, the platform, the nodes and the output."""
 
 import asyncio
+import json
 from contextlib import AbstractContextManager
 from types import TracebackType
+from typing import Any
 
 from toucanspindle_core import errorcodes
 from toucanspindle_core.clock import Clock, MonotonicClock
 from toucanspindle_core.configacceptance import Patience
-from toucanspindle_core.configchain import StoredHead
+from toucanspindle_core.configchain import StoredHead, parse_head
 from toucanspindle_core.configparts import join_encoded
 from toucanspindle_core.configstore import ConfigStore
 from toucanspindle_core.control_pb2 import ConfigBundle
@@ -125,5 +127,13 @@
 
 
 def _unpack(bundle: ConfigBundle) -> tuple[ConfigHead, FleetConfig]:
-    head = ConfigHead.model_validate_json(bundle.head)
+    head = parse_head(_json_of(bundle.head))
     return head, join_encoded(head, dict(bundle.parts))
+
+
+def _json_of(data: bytes) -> Any:
+    """Return a JSON value, or None for what isn't JSON."""
+    try:
+        return json.loads(data)
+    except ValueError:
+        return None
--- a/packages/toucanspindle-ctl/toucanctl/statuscommand.py
+++ b/packages/toucanspindle-ctl/toucanctl/statuscommand.py
@@ -1,5 +1,8 @@
 """The commands `toucanctl status` and `toucanctl wait`: the fleet, and the spread of a change."""
 
+from dataclasses import dataclass
+
+from toucanspindle_core.configparts import ConfigPartError
 from toucanspindle_core.control_pb2 import Member, MemberState
 from toucanspindle_core.errors import PlatformError
 
@@ -24,12 +27,12 @@
         Show this service only, with all of its targets.
     """
     with Session(options) as session:
-        generation = _platform_generation(session)
+        platform = _view_platform(session)
         view = session.fleet(service or ALL_SERVICES)
         services, lines = _services_in_force(session, view, service)
         quarantine = _quarantine_lines(view, service)
-        text = [f"platform: {_platform_text(generation)}", "", *_node_lines(view), ""]
-        value = _status_json(generation, view, services)
+        text = [f"platform: {platform.text()}", "", *_node_lines(view), ""]
+        value = _status_json(platform, view, services)
         session.output.result([*text, *lines, "", *quarantine], value)
 
 
@@ -72,21 +75,28 @@
         require_everywhere(spread)
 
 
-def _platform_generation(session: Session) -> int | None:
-    """Return the generation in the platform, 0 for none, None while it can't be asked."""
+@dataclass(frozen=True)
+class PlatformView:
+    """What the platform holds: a generation, 0 for none, or None and the trouble."""
+
+    generation: int | None
+    trouble: str = ""
+
+    def text(self) -> str:
+        """Return the state in words."""
+        if self.generation is not None:
+            return f"holds generation {self.generation}"
+        return f"{self.trouble} The fleet keeps its state."
+
+
+def _view_platform(session: Session) -> PlatformView:
     if session.settings.platform_url is None:
-        return None
+        return PlatformView(None, "Not named.")
     try:
         stored = session.store.read_head()
-    except PlatformError:
-        return None
-    return stored.head.generation if stored else 0
-
-
-def _platform_text(generation: int | None) -> str:
-    if generation is None:
-        return "away or not named; the fleet keeps its state"
-    return f"holds generation {generation}"
+    except (PlatformError, ConfigPartError) as error:
+        return PlatformView(None, f"{error.code}: {error.text}")
+    return PlatformView(stored.head.generation if stored else 0)
 
 
 def _node_lines(view: FleetView) -> list[str]:
@@ -150,10 +160,11 @@
 
 
 def _status_json(
-    generation: int | None, view: FleetView, services: list[ServiceView]
+    platform: PlatformView, view: FleetView, services: list[ServiceView]
 ) -> dict[str, object]:
     return {
-        "platform_generation": generation,
+        "platform_generation": platform.generation,
+        "platform_trouble": platform.trouble,
         "generation": view.highest_generation() or None,
         "nodes": [_node_json(node) for node in view.nodes],
         "services": [_service_json(item) for item in services],
--- a/tests/test_ctl_config.py
+++ b/tests/test_ctl_config.py
@@ -1,6 +1,8 @@
 """Tests of the commands that show and change the configuration."""
 
 import os
+from pathlib import Path
+from unittest.mock import patch
 
 from toucanctl.exitcodes import ExitCode
 from toucanspindle_core.fleetfile import dump_fleet, load_fleet_file
@@ -55,6 +57,16 @@
         history = self.done(self.ctl("config", "history", "--json")).json()["history"]
         self.assertEqual([1], [head["generation"] for head in history])
 
+    def test_file_that_can_not_be_written(self) -> None:
+        directory = str(self.folder)
+        self.refused("TS213", "config", "show", "--output", directory)
+        path = self.write_file(dump_fleet(fleet_config(deadline_ms=900), 1))
+        with patch.object(Path, "write_text", side_effect=PermissionError(13, "denied")):
+            arguments = ("config", "apply", str(path), "--why", "be faster", "--update-file")
+            ran = self.refused("TS213", *arguments)
+        self.assertIn("accepted as generation 2", ran.out)
+        self.assertIn("set based_on_generation = 2", ran.err)
+
     def test_file_without_a_base_is_refused(self) -> None:
         path = self.write_file(dump_fleet(fleet_config(deadline_ms=900)))
         ran = self.refused("TS210", "config", "apply", str(path), "--why", "be faster")
--- a/tests/test_ctl_nodes.py
+++ b/tests/test_ctl_nodes.py
@@ -4,6 +4,7 @@
 from toucanspindle_core.control_pb2 import Ejection, EjectionSet, QuarantineEntry
 from toucanspindle_core.fleetconfig import FleetConfig
 from toucanspindle_core.fleetfile import dump_fleet
+from toucanspindle_core.platformclient import HostList
 
 from tests.configfakes import fleet_values
 from tests.ctlfakes import CtlTestCase, FakeNode
@@ -114,6 +115,38 @@
             self.assertIn("No node that was heard has a configuration", ran.err)
 
 
+class MalformedTests(NodesTestCase):
+    """Answers of the platform and of nodes that aren't what they should be."""
+
+    def test_host_with_a_malformed_address(self) -> None:
+        wrong = {"address": "entry.example", "agent_address": "agent.example"}
+        hosts = [self.nodes[0].host().model_copy(update=wrong), self.nodes[1].host()]
+        self.server.set_hosts(HostList(hosts=hosts))
+        ran = self.ctl("status")
+        self.assertEqual(ExitCode.OK, ran.code, ran.err)
+        self.assertIn("agent.example", ran.out)
+        ran = self.ctl("ask", "lotbook")
+        self.assertEqual(ExitCode.AWAY, ran.code)
+        self.assertIn("entry.example", ran.err)
+
+    def test_node_with_a_malformed_configuration(self) -> None:
+        for node in self.nodes:
+            node.bundle.head = b'{"generation": 0}'
+        ran = self.ctl("status")
+        self.assertEqual(ExitCode.REFUSED, ran.code)
+        self.assertIn("error TS209", ran.err)
+
+    def test_malformed_head_in_the_platform(self) -> None:
+        stored = self.client.read("config", "head")
+        assert stored is not None
+        self.client.replace("config", "head", {"generation": "x"}, stored.version)
+        for command in (["show"], ["history"], ["set", "deadline_ms", "9", "--why", "be faster"]):
+            ran = self.ctl("config", *command)
+            self.assertEqual(ExitCode.REFUSED, ran.code)
+            self.assertIn("error TS209", ran.err)
+        self.assertEqual(ExitCode.OK, self.ctl("status").code)
+
+
 class WaitTests(NodesTestCase):
     """Following a change."""
 
