--- a/packages/toucanspindle-node/toucanspindle_node/judge.py
+++ b/packages/toucanspindle-node/toucanspindle_node/judge.py
@@ -24,6 +24,7 @@
 from toucanspindle_core.sequentialdetector import SequentialDetector
 from toucanspindle_core.servicejudge import ActiveEjection, ServiceJudge, ServiceView
 
+from toucanspindle_node.agent_evidence import MEMBERS_PER_PULL_S, PULL_INTERVAL_S
 from toucanspindle_node.agent_hooks import AgentView
 from toucanspindle_node.evidencewire import parse_quarantine, parse_report, quarantine_message
 from toucanspindle_node.permitkeeper import PermitKeeper
@@ -31,8 +32,6 @@
 KEEP_INTERVAL_S: Final = 1.0
 ASSIGNMENT_INTERVAL_S: Final = 2.0
 LEASE_PULLS: Final = 6
-PULL_INTERVAL_S: Final = 1.0
-MEMBERS_PER_PULL_S: Final = 64
 RELEASE_MARGIN_S: Final = 0.5
 MS_PER_S: Final = 1000
 
