--- a/packages/toucanspindle-ctl/toucanctl/exceptioncommands.py
+++ b/packages/toucanspindle-ctl/toucanctl/exceptioncommands.py
@@ -25,7 +25,8 @@
 @exception_app.command
 def add(
     service: str,
-    settings: list[str],
+    changes: list[str],
+    /,
     *,
     reason: str,
     id: str | None = None,
@@ -43,7 +44,7 @@
     ----------
     service
         Service that the exception is for.
-    settings
+    changes
         What differs, as SETTING=VALUE; several may follow each other.
     reason
         Why; at least 8 characters, shown by `explain` and kept in the history.
@@ -58,11 +59,11 @@
         base = session.require_head()
         config = session.store.read_config(base.head)
         values: dict[str, Any] = {
-            "id": id or _make_id(service, settings),
+            "id": id or _make_id(service, changes),
             "service": service,
             "reason": reason,
             "expires": _expiry(expires, expires_in),
-            "settings": parse_settings(settings),
+            "settings": parse_settings(changes),
         }
         exception = validate_model(ExceptionModel, values, "the command line")
         _check_new(config, exception)
--- a/packages/toucanspindle-ctl/toucanctl/historycommands.py
+++ b/packages/toucanspindle-ctl/toucanctl/historycommands.py
@@ -1,11 +1,15 @@
 """Commands on accepted changes: `toucanctl config history` and `toucanctl config find`."""
 
+from typing import Final
+
 from toucanctl.changes import head_json
 from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions
 from toucanctl.exitcodes import ExitCode
 from toucanctl.output import table
 from toucanctl.session import Session
 
+TIME_FORMAT: Final = "%Y-%m-%d %H:%M:%SZ"
+
 
 def history(*, limit: int = 20, options: CommonOptions = NO_OPTIONS) -> None:
     """List the accepted changes, newest first: generation, when, who, why, change id.
@@ -18,8 +22,7 @@
     with Session(options) as session:
         heads = list(session.store.history(limit))
         rows = [
-            (head.generation, head.when.strftime("%Y-%m-%d %H:%M:%SZ"), head.who, head.why)
-            + (head.change_id,)
+            (head.generation, f"{head.when:{TIME_FORMAT}}", head.who, head.why, head.change_id)
             for head in heads
         ]
         lines = table(("generation", "when", "who", "why", "change id"), rows)
--- a/tests/test_ctl_config.py
+++ b/tests/test_ctl_config.py
@@ -124,6 +124,13 @@
         self.done(self.ctl("exception", "remove", item["id"], "--why", "link is mended"))
         self.assertEqual([], self.ctl("exception", "list", "--json").json()["exceptions"])
 
+    def test_settings_file_is_not_taken_for_a_setting(self) -> None:
+        path = str(self.write_file('who = "cleo"\n', "ctl.toml"))
+        add = ("exception", "add", "lotbook", "deadline_ms=5000", "--settings", path)
+        self.done(self.ctl(*add, "--reason", "the yard link is slow"))
+        history = self.ctl("config", "history", "--json").json()["history"]
+        self.assertEqual("cleo", history[0]["who"])
+
     def test_wrong_exceptions_are_refused(self) -> None:
         reason = ("--reason", "the yard link is slow")
         add = ("exception", "add", "lotbook")
