--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -42,6 +42,7 @@
 from toucanspindle_node.agent_join import ConfigJoin
 from toucanspindle_node.agent_parts import AgentParts
 from toucanspindle_node.agent_platform import AgentPlatform
+from toucanspindle_node.agent_tasks import TaskSet
 from toucanspindle_node.configcache import ConfigCache
 from toucanspindle_node.configspread import ConfigSpread
 from toucanspindle_node.judge import EvidenceJudge
@@ -98,7 +99,7 @@
         self._hosts = LeavingHosts(self._platform, lambda: self._watcher.watching, self._take_hosts)
         self._proxy = ProxyLink(parts, self._feed, self, self._take_report)
         self._servers = [Server([PeerLink(self)]), Server([self._proxy])]
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = TaskSet()
         self._judges: dict[str, list[Member]] = {}
         self._judges_at = (0, Hearing.HEARD)
         self.members.generation = lambda: self.cache.generation
@@ -118,18 +119,14 @@
         await self._watcher.start()
         await self.evidence.start()
         await self._judge.start(self)
-        self._tasks = [
-            asyncio.create_task(self._run_join()),
-            asyncio.create_task(self._check_listing()),
-        ]
+        self._tasks.spawn(self._run_join())
+        self._tasks.spawn(self._check_listing())
         _log.info("agent of {} listens at {}", self._settings.node, self._settings.agent_address)
 
     async def close(self) -> None:
         """Stop all work; peers are told what is still queued for them."""
         self._proxy.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
         await self._judge.close()
         await self.evidence.close()
         await self._watcher.close()
--- a/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
@@ -29,6 +29,7 @@
 from toucanspindle_node.agent_ejections import EjectionTable
 from toucanspindle_node.agent_hooks import AgentView, Judge
 from toucanspindle_node.agent_parts import AgentParts
+from toucanspindle_node.agent_tasks import TaskSet
 
 MIN_FLUSH_INTERVAL_S: Final = 1.0
 PULL_INTERVAL_S: Final = 1.0
@@ -59,22 +60,18 @@
         self._listed_sent_at = 0.0
         self._told = DrainTable(parts.clock)
         self._pulled = DrainTable(parts.clock)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = TaskSet()
         self._pulls = 0
         self.ejections = EjectionTable(parts.clock)
 
     async def start(self) -> None:
         """Begin to flush and to pull."""
-        self._tasks = [
-            asyncio.create_task(self._flush_forever()),
-            asyncio.create_task(self._pull_forever()),
-        ]
+        self._tasks.spawn(self._flush_forever())
+        self._tasks.spawn(self._pull_forever())
 
     async def close(self) -> None:
         """Stop; evidence that waits is dropped."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
 
     def leaving_targets(self) -> frozenset[str]:
         """Return the names of all targets known to be leaving."""
--- a/packages/toucanspindle-node/toucanspindle_node/configspread.py
+++ b/packages/toucanspindle-node/toucanspindle_node/configspread.py
@@ -23,6 +23,7 @@
 
 from toucanspindle_node.agent_counters import AgentEvent
 from toucanspindle_node.agent_parts import AgentParts
+from toucanspindle_node.agent_tasks import TaskSet
 from toucanspindle_node.configcache import Offered
 
 FAN_OUT: Final = 3
@@ -48,19 +49,17 @@
         self._random = random.Random()
         self._sources: dict[str, int] = {}
         self._wake = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         self._alarmed: Offered | None = None
         self.on_applied: Callable[[], None] = lambda: None
 
     async def start(self) -> None:
         """Begin to fetch what peers name."""
-        self._spawn(asyncio.create_task(self._fetch_forever()))
+        self._tasks.spawn(self._fetch_forever())
 
     async def close(self) -> None:
         """Stop fetching and notifying."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
 
     @property
     def highest_named(self) -> int:
@@ -107,7 +106,7 @@
         )
         peers = [m.agent_address for m in self._members.peers() if m.state == LIVE]
         for address in self._random.sample(peers, min(FAN_OUT, len(peers))):
-            self._spawn(asyncio.create_task(self._notify(address, notice)))
+            self._tasks.spawn(self._notify(address, notice))
 
     async def _notify(self, address: str, notice: GenerationNotice) -> None:
         try:
@@ -143,7 +142,3 @@
             return False
         self._counters.count(AgentEvent.BUNDLE_FETCHED)
         return offered is Offered.APPLIED
-
-    def _spawn(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/packages/toucanspindle-node/toucanspindle_node/leavinghosts.py
+++ b/packages/toucanspindle-node/toucanspindle_node/leavinghosts.py
@@ -13,6 +13,7 @@
 from toucanspindle_core.platformclient import HostEntry
 
 from toucanspindle_node.agent_platform import AgentPlatform
+from toucanspindle_node.agent_tasks import TaskSet
 
 POLL_INTERVAL_S: Final = 1.0
 LIST_BYTES_PER_S: Final = 8000
@@ -45,17 +46,15 @@
         self._platform = platform
         self._is_polling = is_polling
         self._on_list = on_list
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = TaskSet()
 
     async def start(self) -> None:
         """Begin to poll."""
-        self._task = asyncio.create_task(self._run())
+        self._tasks.spawn(self._run())
 
     async def close(self) -> None:
         """Stop polling."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._tasks.close()
 
     async def _run(self) -> None:
         known = False
--- a/packages/toucanspindle-node/toucanspindle_node/memberloop.py
+++ b/packages/toucanspindle-node/toucanspindle_node/memberloop.py
@@ -15,8 +15,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Iterable
-from typing import Any, Final
+from collections.abc import Callable, Iterable
+from typing import Final
 
 from logbook import Logger
 from toucanspindle_core import errorcodes
@@ -37,6 +37,7 @@
 from toucanspindle_node.agent_counters import AgentEvent
 from toucanspindle_node.agent_heard import HeardTracker, Hearing
 from toucanspindle_node.agent_parts import AgentParts
+from toucanspindle_node.agent_tasks import TaskSet
 
 INDIRECT_PEERS: Final = 3
 JOIN_PEERS: Final = 5
@@ -75,7 +76,7 @@
         self._next_exchange = 0.0
         self._next_reconnect = 0.0
         self._candidates: set[str] = set(settings.seed_agents)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         self._changes_seen = 0
         self.generation: Callable[[], int] = lambda: GENERATION_UNKNOWN
         self.on_generation: GenerationHeard = lambda generation, address: None
@@ -88,13 +89,11 @@
 
     async def start(self) -> None:
         """Join through the candidates known so far and begin to probe."""
-        self._spawn(self._probe_forever())
+        self._tasks.spawn(self._probe_forever())
 
     async def close(self) -> None:
         """Tell a few peers what is still queued, then stop."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
         if len(self._members.queue):
             await asyncio.gather(*(self._farewell(peer) for peer in self._sample(FAREWELL_PEERS)))
 
@@ -217,10 +216,10 @@
         while True:
             peer = self._next_peer()
             if peer is not None:
-                self._spawn(self._probe(peer))
+                self._tasks.spawn(self._probe(peer))
             recheck = self._members.take_recheck()
             if recheck is not None:
-                self._spawn(self._recheck(recheck))
+                self._tasks.spawn(self._recheck(recheck))
             if self._clock.now() >= self._next_reconnect:
                 self._reconnect()
             self._members.expire()
@@ -304,9 +303,9 @@
         self._next_reconnect = self._clock.now() + interval_s
         dead = self._members.dead_peers()
         if dead:
-            self._spawn(self._recheck(self._random.choice(dead)))
+            self._tasks.spawn(self._recheck(self._random.choice(dead)))
         for address in self._pick_candidates(1):
-            self._spawn(self._exchange(address))
+            self._tasks.spawn(self._exchange(address))
 
     def _pick_candidates(self, count: int) -> list[str]:
         present = {member.agent_address for member in self._members.peers()}
@@ -368,8 +367,3 @@
     def _direct_timeout_s(self) -> float:
         wanted = DIRECT_TIMEOUT_PROBES * self._settings.probe_interval_s
         return max(MIN_DIRECT_TIMEOUT_S, wanted)
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/packages/toucanspindle-node/toucanspindle_node/watcher.py
+++ b/packages/toucanspindle-node/toucanspindle_node/watcher.py
@@ -34,6 +34,7 @@
 from toucanspindle_node.agent_counters import AgentEvent
 from toucanspindle_node.agent_parts import AgentParts
 from toucanspindle_node.agent_platform import AgentPlatform
+from toucanspindle_node.agent_tasks import TaskSet
 from toucanspindle_node.configcache import ConfigCache, Offered
 from toucanspindle_node.configspread import ConfigSpread
 
@@ -115,7 +116,7 @@
         self._spread = spread
         self._members = parts.membership
         self._counters = parts.counters
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = TaskSet()
         self._watching = False
         self._behind = False
 
@@ -126,13 +127,11 @@
 
     async def start(self) -> None:
         """Begin to watch whenever this agent is chosen."""
-        self._task = asyncio.create_task(self._run())
+        self._tasks.spawn(self._run())
 
     async def close(self) -> None:
         """Stop watching; a watch in flight is abandoned."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._tasks.close()
 
     async def _run(self) -> None:
         retry_s = MIN_RETRY_S
