--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -1,6 +1,7 @@
 """A graceful shutdown cuts off no request in flight and fails none that follows the protocol."""
 
 import threading
+import time
 import uuid
 from typing import Final
 
@@ -9,7 +10,7 @@
 from toucanspindle_standins.entrynode import EntryNode
 from toucanspindle_standins.fleet import Fleet, FleetOptions
 
-from tests.fleetcase import SERVICE, FleetTestCase, Sending, reserve, runs_of
+from tests.fleetcase import SERVICE, FleetTestCase, Sending, look_up, reserve, runs_of
 from tests.harness import wait_until
 
 CALLERS: Final = 4
@@ -99,3 +100,15 @@
         self.assertGreater(len(keys), 0)
         run_keys = [run.key for run in fleet.all_runs() if run.key]
         self.assertEqual(sorted(keys), sorted(run_keys))
+
+    def test_node_serves_until_directory_answers_that_name_it_have_expired(self) -> None:
+        fleet = self.start_lotbook(directory_ttl_s=4, account_requests_per_s=100_000)
+        node = fleet.nodes[0]
+        told_at = time.monotonic()
+        self.assertIn(node.name, fleet.named_by(node, SERVICE))
+        node.proxy.terminate()
+        told = []
+        while time.monotonic() < told_at + 3.0:
+            told.append(look_up(node.entry))
+        self.assertEqual({OutcomeKind.ANSWERED}, {one.kind for one in told})
+        self.assertEqual(0, node.proxy.wait(30.0))
