Let a full record table be handed over

Cause: the covered tokens counted against the successor's bound on records, which is the same as the issuer's; a table at max_records was refused by every successor and its outcomes became unknown. Before: test_covered_tokens_take_no_room_from_records failed. After: 7 tests of inherited records and the successor test with real processes pass (8 passed). Conclusion: only requests count against the bound.

--- a/packages/toucanspindle-core/toucanspindle_core/inheritedrecords.py
+++ b/packages/toucanspindle-core/toucanspindle_core/inheritedrecords.py
@@ -28,6 +28,11 @@
     fingerprint: bytes
     outcome: Outcome
 
+    @property
+    def covers_token(self) -> bool:
+        """Whether this stands for a covered token."""
+        return not self.name.account and not self.name.key
+
 
 def covered_token_record(token: str) -> InheritedRecord:
     """Return the record that stands for a covered token."""
@@ -40,16 +45,20 @@
     complete: bool = False
     kept_until: float = 0.0
     records: dict[RequestName, InheritedRecord] = field(default_factory=dict)
+    covered_tokens: set[str] = field(default_factory=set)
 
     def add(self, record: InheritedRecord) -> None:
         """Keep a record unless a final outcome of the request is known already."""
+        if record.covers_token:
+            self.covered_tokens.add(record.name.token)
+            return
         known = self.records.get(record.name)
         if known is None or known.outcome.kind is OutcomeKind.UNKNOWN:
             self.records[record.name] = record
 
     def covers(self, token: str) -> bool:
         """Return whether absence under `token` proves that nothing ran."""
-        return self.complete and RequestName("", token, "") in self.records
+        return self.complete and token in self.covered_tokens
 
 
 class InheritedRecords:
@@ -81,7 +90,8 @@
         with self._lock:
             self._evict()
             inheritance = self._by_incarnation.setdefault(incarnation, _Inheritance())
-            added = sum(record.name not in inheritance.records for record in batch)
+            requests = {record.name for record in batch if not record.covers_token}
+            added = len(requests - inheritance.records.keys())
             if len(self) + added > self._max_records:
                 return False
             for record in batch:
--- a/tests/test_records_inherited.py
+++ b/tests/test_records_inherited.py
@@ -69,3 +69,13 @@
         ]
         self.assertFalse(self.inherited.accept("n1", records, KEEP_S, False))
         self.assertEqual(0, len(self.inherited))
+
+    def test_covered_tokens_take_no_room_from_records(self) -> None:
+        records = [
+            InheritedRecord(RequestName("yard", "n1.0.mac", str(n)), b"", ANSWER) for n in range(3)
+        ]
+        tokens = [covered_token_record(f"n1.{n}.mac") for n in range(2)]
+        self.assertTrue(self.inherited.accept("n1", records + tokens, KEEP_S, True))
+        self.assertIs(
+            errorcodes.NODE_CLOSING, self.refusal_of(RequestName("yard", "n1.1.mac", "k"))
+        )
