--- a/packages/toucanspindle-node/toucanspindle_node/agent_join.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_join.py
@@ -54,7 +54,10 @@
         self.ready = False
 
     async def run(self) -> None:
-        """Ask until serving is safe."""
+        """Ask until serving is safe.
+
+        Step Join of `spec/configuration.py`, guard ASK_SEVERAL_PEERS.
+        """
         started = self._clock.now()
         while not self.ready:
             await asyncio.gather(self._ask_platform(), self._ask_peers())
--- a/packages/toucanspindle-node/toucanspindle_node/configcache.py
+++ b/packages/toucanspindle-node/toucanspindle_node/configcache.py
@@ -60,7 +60,10 @@
         return {role: digest for role, digest in head.parts.items() if digest not in self._parts}
 
     def offer(self, bundle: ConfigBundle) -> Offered:
-        """Apply a bundle if it is higher, whole and genuine; else keep the one held."""
+        """Apply a bundle if it is higher, whole and genuine; else keep the one held.
+
+        In `spec/configuration.py`: guards APPLY_HIGHER_ONLY and APPLY_WHOLE.
+        """
         if bundle.generation <= self.generation:
             return Offered.NOT_HIGHER
         try:
--- a/packages/toucanspindle-node/toucanspindle_node/configspread.py
+++ b/packages/toucanspindle-node/toucanspindle_node/configspread.py
@@ -128,6 +128,7 @@
                     await asyncio.sleep(REFETCH_S)
 
     async def _fetch(self, address: str) -> bool:
+        """Fetch from a peer: step PullFromPeer of `spec/configuration.py`."""
         named = self._sources.pop(address, 0)
         if named <= self._cache.generation:
             return True
--- a/packages/toucanspindle-node/toucanspindle_node/watcher.py
+++ b/packages/toucanspindle-node/toucanspindle_node/watcher.py
@@ -149,7 +149,10 @@
                 await asyncio.sleep(retry_s)
 
     async def _watch_once(self) -> bool:
-        """Read the head and wait for the next; return False if it couldn't be applied."""
+        """Read the head and wait for the next; return False if it couldn't be applied.
+
+        Step WatchHead of `spec/configuration.py`.
+        """
         stored = await self._reader.read_head()
         if stored is not None and not await self._take(stored):
             return False
