Test that the record of a request in flight at a shutdown reaches the successor

With the wait for requests in flight removed the answer alone still came, from a thread that outlived the stop; what was lost is the record.

--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -63,7 +63,13 @@
         sending = Sending(node.entry, reservation, timeout_s=20.0)
         wait_until(lambda: runs_of(fleet, reservation.key), what="a target runs the request")
         self.stop_gracefully(node)
-        self.assertEqual(OutcomeKind.ANSWERED, sending.result().kind)
+        told = sending.result()
+        self.assertEqual(OutcomeKind.ANSWERED, told.kind)
+        other = fleet.nodes[1]
+        wait_until(
+            lambda: reserve(other.entry, reservation).body == told.body,
+            what="the successor has the record of the request that was in flight",
+        )
         self.assertEqual(1, len(runs_of(fleet, reservation.key)))
 
     def test_successor_answers_from_the_records_of_a_closed_node(self) -> None:
