--- a/packages/toucanspindle-core/toucanspindle_core/assignment.py
+++ b/packages/toucanspindle-core/toucanspindle_core/assignment.py
@@ -16,7 +16,7 @@
 from typing import Final, Protocol, TypeVar
 
 HASH_BYTES: Final = 8
-JUDGES_PER_SERVICE: Final = 3
+JUDGES_PER_SERVICE: Final = 2
 
 
 class PlacedNode(Protocol):
