Split the proxy module by its jobs, and answer unexpected failures with a code

An unexpected exception on the path of an idempotent request now gives an unknown outcome with TS324 instead of the HTTP library's bare 500. The agent process no longer imports the proxy's modules.

--- a/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
+++ b/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
@@ -89,6 +89,7 @@
 NODE_CLOSING: Final = _register("TS321", 503, "The node is closing and takes no new request.")
 UNKNOWN_FORGOTTEN: Final = _register("TS322", 504, "The token is older than the records kept.")
 QUARANTINED_NOW: Final = _register("TS323", 504, "The request crashed targets that ran it.")
+UNKNOWN_PROXY_FAILED: Final = _register("TS324", 504, "The proxy failed amid the request.")
 
 # 4xx: the platform.
 PLATFORM_AWAY: Final = _register("TS401", 503, "The platform can't be reached.")
--- a/packages/toucanspindle-node/toucanspindle_node/agentlink.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agentlink.py
@@ -106,6 +106,8 @@
             async for state in stream:
                 self._note_connected(True, "")
                 self._proxy.apply(state)
+                if state.config.generation:
+                    self.report_soon()  # so that operators see soon what is in force
         self._note_connected(False, "the agent ended the stream")
 
     async def _report_forever(self) -> None:
--- /dev/null
+++ b/packages/toucanspindle-node/toucanspindle_node/callerport.py
@@ -0,0 +1,113 @@
+"""Answers callers: the directory, or the chain of filters, in the form that callers see.
+
+Every answer carries its outcome and the request's id.  An error carries its code, and a JSON
+body with its message and remedy.
+"""
+
+import time
+from typing import Final
+
+from logbook import Logger
+from toucanspindle_core import errorcodes
+from toucanspindle_core.errors import RequestError
+from toucanspindle_core.outcome import Outcome, OutcomeKind
+from toucanspindle_core.records import RecordTable
+
+from toucanspindle_node import messages
+from toucanspindle_node.directory import DIRECTORY_PREFIX, answer_directory
+from toucanspindle_node.entryserver import error_body
+from toucanspindle_node.exchange import TOKEN_HEADER, CallerRequest, Exchange, Handler
+from toucanspindle_node.fleetstate import FleetStateHolder
+from toucanspindle_node.proxymetrics import ProxyMetrics
+from toucanspindle_node.tracelog import TraceLog
+
+TOKEN_CODES: Final = frozenset(
+    {errorcodes.TOKEN_MISSING, errorcodes.TOKEN_INVALID, errorcodes.TOKEN_EXPIRED}
+)
+
+log = Logger("callerport")
+
+
+class CallerPort:
+    """Turns callers' requests into answers; safe for use by several threads.
+
+    Invariant: once `closing` is set, only requests with a token are served, from the records.
+    """
+
+    def __init__(
+        self, path: Handler, state: FleetStateHolder, records: RecordTable, metrics: ProxyMetrics
+    ) -> None:
+        """Create a port before the chain of filters `path`."""
+        self._path = path
+        self._state = state
+        self._records = records
+        self._metrics = metrics
+        self._traces = TraceLog()
+        self.closing = False
+
+    def answer(self, request: CallerRequest) -> Outcome:
+        """Answer a request of a caller."""
+        exchange = Exchange(request, self._state.state)
+        if request.target.startswith(DIRECTORY_PREFIX):
+            return self._decorate(exchange, _directory_outcome(exchange))
+        if self.closing and TOKEN_HEADER not in request.headers:
+            text = "The node is closing."
+            error = RequestError(errorcodes.NODE_CLOSING, text, messages.REMEDY_OTHER_NODE)
+            return self._decorate(exchange, Outcome.from_error(error))
+        outcome = self._run_path(exchange)
+        self._metrics.count(exchange, outcome, time.monotonic() - exchange.received_at)
+        return self._decorate(exchange, outcome)
+
+    def answer_relayed(self, request: CallerRequest) -> Outcome:
+        """Run or answer a request that another node sent here."""
+        return self._run_path(Exchange(request, self._state.state, relayed=True))
+
+    def explain(self, request_id: str) -> list[str]:
+        """Return what is known of a request, a line per step."""
+        return self._traces.explain(request_id)
+
+    def _run_path(self, exchange: Exchange) -> Outcome:
+        try:
+            outcome = self._path(exchange)
+        except RequestError as error:
+            outcome = Outcome.from_error(error)
+        except Exception:
+            log.exception("request {} failed inside the proxy", exchange.request_id)
+            text = "The proxy failed while it handled the request."
+            remedy = messages.REMEDY_UNKNOWN_IDEMPOTENT
+            outcome = Outcome.from_error(
+                RequestError(errorcodes.UNKNOWN_PROXY_FAILED, text, remedy)
+            )
+        exchange.note(f"outcome: {outcome.kind.value} {outcome.error_code or outcome.status}")
+        self._traces.add(exchange)
+        return outcome
+
+    def _decorate(self, exchange: Exchange, outcome: Outcome) -> Outcome:
+        """Return an outcome with the headers, and for an error the body, that callers see."""
+        headers = [
+            ("Toucan-Outcome", outcome.kind.value),
+            ("Toucan-Request-Id", exchange.request_id),
+        ]
+        code = outcome.error_code
+        if outcome.kind is OutcomeKind.ANSWERED or code is None:
+            headers.extend(outcome.headers)
+            return Outcome(outcome.kind, outcome.status, tuple(headers), outcome.body)
+        headers.append(("Content-Type", "application/json"))
+        headers.append(("Toucan-Error", code.name))
+        if code in TOKEN_CODES:
+            headers.append(("Toucan-Token", self._records.renew_token()))
+        body = error_body(
+            outcome.kind.value, code, outcome.text, outcome.remedy, exchange.request_id
+        )
+        return Outcome(outcome.kind, outcome.status, tuple(headers), body, code)
+
+
+def _directory_outcome(exchange: Exchange) -> Outcome:
+    request = exchange.request
+    try:
+        if request.method != "GET":
+            text = "The directory answers GET only."
+            raise RequestError(errorcodes.BAD_REQUEST, text, messages.REMEDY_BAD_REQUEST)
+        return answer_directory(request.path.removeprefix(DIRECTORY_PREFIX), exchange.state)
+    except RequestError as error:
+        return Outcome.from_error(error)
--- a/packages/toucanspindle-node/toucanspindle_node/directory.py
+++ b/packages/toucanspindle-node/toucanspindle_node/directory.py
@@ -8,7 +8,6 @@
 from typing import Any, Final
 
 from toucanspindle_core import errorcodes
-from toucanspindle_core.assignment import assign
 from toucanspindle_core.errors import RequestError
 from toucanspindle_core.outcome import Outcome
 from toucanspindle_core.policy import ServicePolicy
@@ -38,7 +37,6 @@
 
 
 def _answer(service: ServicePolicy, state: FleetState) -> dict[str, Any]:
-    assigned = assign(service.name, state.live_members(), service.settings.fan_in)
     return {
         "service": service.name,
         "generation": state.generation,
@@ -50,6 +48,6 @@
                 "node": member.node,
                 "token": member.token,
             }
-            for member in assigned
+            for member in state.assigned(service)
         ],
     }
--- /dev/null
+++ b/packages/toucanspindle-node/toucanspindle_node/fleetport.py
@@ -0,0 +1,136 @@
+"""What the proxy tells its agent, and what it takes from it: see `agentlink.ProxyEnd`."""
+
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+from logbook import Logger
+from toucanspindle_core import control_pb2 as pb
+from toucanspindle_core.configparts import ConfigPartError, join_encoded
+from toucanspindle_core.evidence import EvidenceCollector
+from toucanspindle_core.objects import ConfigHead
+from toucanspindle_core.policy import merge_policy
+from toucanspindle_core.processsettings import ProcessSettings
+from toucanspindle_core.quarantine import QuarantineTable
+from toucanspindle_core.records import RecordTable
+
+from toucanspindle_node.admit import AdmissionBook
+from toucanspindle_node.evidencewire import (
+    parse_quarantine,
+    quarantine_message,
+    report_message,
+)
+from toucanspindle_node.fleetstate import FleetStateHolder, ejections_for_domain
+from toucanspindle_node.proxymetrics import ProxyMetrics
+from toucanspindle_node.targetregistry import TargetRegistry, full_name
+
+log = Logger("fleetport")
+
+
+@dataclass(frozen=True)
+class FleetPortParts:
+    """What the port reports from and applies to."""
+
+    settings: ProcessSettings
+    incarnation: str
+    state: FleetStateHolder
+    records: RecordTable
+    evidence: EvidenceCollector
+    quarantine: QuarantineTable
+    registry: TargetRegistry
+    book: AdmissionBook
+    metrics: ProxyMetrics
+
+
+class FleetPort:
+    """The proxy as a member of the fleet.
+
+    Invariant: the member's state only goes LIVE, LEAVING, LEFT, and its version grows with it.
+    """
+
+    def __init__(self, parts: FleetPortParts) -> None:
+        """Create a port of a live member."""
+        self._parts = parts
+        self._member_state = pb.LIVE
+        self._version = 1
+        self._successor = ""
+        self._sequence = 0
+
+    def set_leaving(self) -> None:
+        """Be named to callers no more from the next report on."""
+        self._member_state = pb.LEAVING
+        self._version += 1
+
+    def set_left(self, successor: str) -> None:
+        """Be gone from the next report on; `successor` is the incarnation with the records."""
+        self._member_state = pb.LEFT
+        self._successor = successor
+        self._version += 1
+
+    def member(self) -> pb.Member:
+        """Return this proxy as a member of the fleet."""
+        settings = self._parts.settings
+        return pb.Member(
+            node=settings.node,
+            incarnation=self._parts.incarnation,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            entry_address=settings.entry_address,
+            proxy_control_address=settings.proxy_control_address,
+            agent_address=settings.agent_address,
+            version=self._version,
+            state=self._member_state,
+            token=self._parts.records.renew_token(),
+            successor=self._successor,
+        )
+
+    def report(self) -> pb.ProxyReport:
+        """Return what happened since the last report."""
+        parts = self._parts
+        self._drop_expired_exceptions()
+        self._sequence += 1
+        domain = parts.settings.failure_domain
+        evidence = [
+            report_message(item, parts.incarnation, domain, self._sequence)
+            for item in parts.evidence.drain()
+        ]
+        draining = [full_name(d.service, d.target.name) for d in parts.registry.draining()]
+        return pb.ProxyReport(
+            member=self.member(),
+            evidence=evidence,
+            crashes=[quarantine_message(entry) for entry in parts.quarantine.entries()],
+            generation=parts.state.state.generation,
+            draining_targets=draining,
+        )
+
+    def apply(self, state: pb.AgentState) -> None:
+        """Apply a state from the agent."""
+        parts = self._parts
+        if state.config.generation:
+            self._apply_config(state.config)
+        domain = parts.settings.failure_domain
+        parts.state.apply_members(list(state.members))
+        parts.state.apply_ejections(ejections_for_domain(list(state.ejections), domain))
+        parts.state.apply_leaving(frozenset(state.leaving_targets))
+        parts.quarantine.merge([parse_quarantine(entry) for entry in state.quarantine])
+
+    def _apply_config(self, bundle: pb.ConfigBundle) -> None:
+        parts = self._parts
+        if bundle.generation <= parts.state.state.generation:
+            return
+        try:
+            head = ConfigHead.model_validate_json(bundle.head)
+            policy = merge_policy(join_encoded(head, dict(bundle.parts)), head.generation)
+        except (ValueError, ConfigPartError) as error:
+            log.error("generation {} is refused: {}", bundle.generation, error)
+            parts.metrics.count_event("config_refused")
+            return
+        if parts.state.apply_policy(policy):
+            parts.book.apply_policy(policy)
+            parts.metrics.set_generation(policy.generation)
+            log.info("generation {} is in force", policy.generation)
+
+    def _drop_expired_exceptions(self) -> None:
+        policy = self._parts.state.drop_expired_exceptions(datetime.now(UTC))
+        if policy is not None:
+            self._parts.book.apply_policy(policy)
+            log.info("generation {} is in force without an expired exception", policy.generation)
--- a/packages/toucanspindle-node/toucanspindle_node/fleetstate.py
+++ b/packages/toucanspindle-node/toucanspindle_node/fleetstate.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass, field, replace
 from datetime import datetime
 
+from toucanspindle_core.assignment import assign
 from toucanspindle_core.control_pb2 import EjectionSet, Member, MemberState
-from toucanspindle_core.policy import FleetPolicy
+from toucanspindle_core.policy import FleetPolicy, ServicePolicy
 
 from toucanspindle_node.routetable import RouteTable
 
@@ -40,6 +41,7 @@
     members: tuple[Member, ...] = ()
     ejections: dict[str, tuple[TargetEjection, ...]] = field(default_factory=dict)
     leaving_targets: frozenset[str] = frozenset()
+    _assigned: dict[str, list[Member]] = field(default_factory=dict, init=False, compare=False)
 
     @property
     def generation(self) -> int:
@@ -50,6 +52,14 @@
         """Return the members that may be named to callers."""
         return [m for m in self.members if m.state == MemberState.LIVE]
 
+    def assigned(self, service: ServicePolicy) -> list[Member]:
+        """Return the nodes that a service is assigned to; computed once for each snapshot."""
+        members = self._assigned.get(service.name)
+        if members is None:
+            members = assign(service.name, self.live_members(), service.settings.fan_in)
+            self._assigned[service.name] = members
+        return members
+
     def member(self, incarnation: str) -> Member | None:
         """Return the member of an incarnation, in whatever state, or None."""
         return next((m for m in self.members if m.incarnation == incarnation), None)
--- a/packages/toucanspindle-node/toucanspindle_node/main.py
+++ b/packages/toucanspindle-node/toucanspindle_node/main.py
@@ -13,8 +13,6 @@
 from toucanspindle_core.errors import ToucanError
 from toucanspindle_core.processsettings import load_process_settings
 
-from toucanspindle_node.proxy import Proxy
-
 EXIT_OK: Final = 0
 EXIT_REFUSED: Final = 1
 
@@ -27,6 +25,8 @@
 @app.command
 def proxy(*, settings: SettingsPath) -> None:
     """Serve callers: the data path. Runs until SIGTERM, then closes without cutting requests."""
+    from toucanspindle_node.proxy import Proxy  # noqa: PLC0415  # the agent needs none of it
+
     process = Proxy(load_process_settings(settings))
     stopping = _stop_on_signal()
     process.start()
