End a process that can't start, and tell one address fault from another

Cause: a proxy whose address was in use printed its error and then hung: the metrics server's threads had started, and SIGTERM was already caught. The agent called any fault of its addresses 'in use'.

--- a/packages/toucanspindle-core/toucanspindle_core/processsettings.py
+++ b/packages/toucanspindle-core/toucanspindle_core/processsettings.py
@@ -58,6 +58,11 @@
         """Where the proxy listens for callers."""
         return self.entry_listen_address or self.entry_address
 
+    @property
+    def agent_bind_address(self) -> str:
+        """Where the agent listens for other agents."""
+        return self.agent_listen_address or self.agent_address
+
     @property
     def proxy_control_bind_address(self) -> str:
         """Where the proxy listens for other proxies."""
--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -12,7 +12,6 @@
 
 from grpclib.server import Server
 from logbook import Logger
-from toucanspindle_core import errorcodes
 from toucanspindle_core.assignment import assign_judges
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.control_pb2 import (
@@ -26,7 +25,6 @@
     ProxyReport,
     StatusRequest,
 )
-from toucanspindle_core.errors import SettingsError
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_core.memberrecord import GONE, with_state
 from toucanspindle_core.membership import Membership, MembershipSettings
@@ -47,6 +45,7 @@
 from toucanspindle_node.configspread import ConfigSpread
 from toucanspindle_node.judge import EvidenceJudge
 from toucanspindle_node.leavinghosts import LeavingHosts, agent_addresses, leaving_names
+from toucanspindle_node.listening import explain_bind_error
 from toucanspindle_node.memberloop import MemberLoop
 from toucanspindle_node.peerclients import PeerClients
 from toucanspindle_node.peerlink import PeerLink
@@ -109,10 +108,10 @@
 
     async def start(self) -> None:
         """Listen and begin all work; raise SettingsError if an address can't be used."""
-        listen_address = self._settings.agent_listen_address or self._settings.agent_address
-        addresses = (listen_address, self._settings.proxy_link_address)
-        for server, address in zip(self._servers, addresses, strict=True):
-            await _listen(server, HostPort.parse(address))
+        peers, proxy = self._servers
+        settings = self._settings
+        await _listen(peers, "agent_address", HostPort.parse(settings.agent_bind_address))
+        await _listen(proxy, "proxy_link_address", HostPort.parse(settings.proxy_link_address))
         await self._hosts.start()
         await self.members.start()
         await self.spread.start()
@@ -292,12 +291,8 @@
     await agent.close()
 
 
-async def _listen(server: Server, address: HostPort) -> None:
+async def _listen(server: Server, setting: str, address: HostPort) -> None:
     try:
         await server.start(address.ip, address.port)
     except OSError as error:
-        raise SettingsError(
-            errorcodes.ADDRESS_IN_USE,
-            f"The agent can't listen at {address}: {error.strerror}.",
-            "name a free address of this host in the settings file",
-        ) from error
+        raise explain_bind_error(setting, address, error) from error
--- a/packages/toucanspindle-node/toucanspindle_node/proxy.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxy.py
@@ -98,13 +98,14 @@
         return self._incarnation
 
     def start(self) -> None:
-        """Listen and link up; raise SettingsError when an address can't be used."""
-        self._loop.start()
-        self._loop.call(self._issuer_server.start(), START_TIMEOUT_S)
-        self._metrics_server.start()
-        self._entry.start_serving()
-        self._loop.call(self._agent.start(), START_TIMEOUT_S)
-        self._drain_watch.start()
+        """Listen and link up; raise SettingsError, with nothing left running, when it can't."""
+        try:
+            self._start_all()
+        except BaseException:
+            # Threads of a part that did start would keep the process from ending.
+            self._entry.stop_serving()
+            self._metrics_server.close()
+            raise
         log.info(
             "proxy {} serves callers on {} as incarnation {}",
             self._settings.node,
@@ -193,6 +194,14 @@
             metrics=self._metrics,
         )
 
+    def _start_all(self) -> None:
+        self._loop.start()
+        self._loop.call(self._issuer_server.start(), START_TIMEOUT_S)
+        self._metrics_server.start()
+        self._entry.start_serving()
+        self._loop.call(self._agent.start(), START_TIMEOUT_S)
+        self._drain_watch.start()
+
     # Steps of the shutdown.
 
     async def _report_soon(self) -> None:
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -28,6 +28,7 @@
     def __init__(self, *scripts: Script) -> None:
         self.requests: list[bytes] = []
         self.connections = 0
+        self.closed = threading.Event()
         self._scripts = list(scripts)
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.target = Target("t", HostPort(*self._listener.getsockname()), "d", False)
@@ -53,7 +54,9 @@
             try:
                 script(connection)
             except OSError:
+                self.closed.set()
                 return
+        self.closed.set()
 
 
 def _read_request(connection: socket.socket) -> bytes:
@@ -119,6 +122,7 @@
     def test_stale_connection_is_not_used_and_nothing_is_sent_twice(self) -> None:
         target = self.scripted(answer_and_close(WHOLE), answer(WHOLE))
         self.attempt(target)
+        self.assertTrue(target.closed.wait(TIMEOUT_S))
         result = self.attempt(target)
         self.assertEqual(AttemptKind.ANSWERED, result.kind)
         self.assertEqual((2, 2), (len(target.requests), target.connections))
