--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -6,7 +6,8 @@
 Real node processes, stand-in targets and the load generator, each in a process of its own.
 `latency`: one node takes all the load; each request through it is paired with one that goes to a
 target directly in the same run.  `goodput`: three nodes before four targets, at 0.5, 1, 2 and 3
-times the targets' capacity; work amplification is runs at the targets over answers.  Results are
+times the targets' capacity; goodput is answers over the time from the first run to the end of the
+last; work amplification is runs at the targets over answers.  Results are
 written into bench/results/ as JSON and a table.
 """
 
@@ -135,14 +136,15 @@
         reports = [_finish_load(process) for process in running]
         time.sleep(1.0)  # what was dispatched last still reaches the logs
         answered = sum(report["through"]["succeeded"] for report in reports)
-        runs = len(fleet.all_runs())
+        all_runs = fleet.all_runs()
+        busy_s = max(r.finished for r in all_runs) - min(r.started for r in all_runs)
         return GoodputRow(
             load,
             seed,
             round(load * CAPACITY_PER_S, 1),
-            round(answered / seconds, 1),
+            round(answered / busy_s, 1),
             max(report["through"]["p99_ms"] for report in reports),
-            round(runs / max(1, answered), 3),
+            round(len(all_runs) / max(1, answered), 3),
         )
     finally:
         fleet.close()
