--- a/tests/test_spec_permits.py
+++ b/tests/test_spec_permits.py
@@ -1,28 +1,16 @@
 """Model checking of ejection permits and the floor."""
 
-from testtools import TestCase
-from testtools.matchers import GreaterThan
-
-from spec.checking import check
 from spec.permits import Guard, PermitSpec
+from tests.speccase import SpecTestCase
 
 MIN_STATES = 100_000
 
 
-class PermitSpecTests(TestCase):
+class PermitSpecTests(SpecTestCase):
     """The protocol holds, and each of its guards is needed."""
 
     def test_every_property_holds_in_every_reachable_state(self) -> None:
-        specification = PermitSpec().specification()
-        result = check(specification)
-        print(specification.describe())
-        print(result)
-        self.assertTrue(result.exhaustive)
-        self.assertEqual((), result.violations)
-        self.assertThat(result.states, GreaterThan(MIN_STATES))
+        self.check_properties(PermitSpec().specification(), MIN_STATES)
 
     def test_each_removed_guard_is_found(self) -> None:
-        for guard in Guard:
-            result = check(PermitSpec(guard).specification(), stop_at_violation=True)
-            print(result)
-            self.assertNotEqual((), result.violations, f"without {guard.name}")
+        self.check_guards(Guard, lambda guard: PermitSpec(guard).specification())
