--- /dev/null
+++ b/tests/test_caller.py
@@ -0,0 +1,70 @@
+"""The caller library follows the protocol, also when nodes fail."""
+
+import threading
+from typing import Final
+
+from toucanspindle_core.caller import Caller, CallerAnswer, CallerSettings, Submission
+from toucanspindle_core.errors import ControlError
+from toucanspindle_core.outcome import OutcomeKind
+from toucanspindle_standins.fleet import Fleet, FleetOptions
+
+from tests.fleetcase import ACCOUNT, SERVICE, FleetTestCase, reserve, runs_of
+from tests.harness import ADDRESSES, wait_until
+
+SLOW_MS: Final = 600
+
+
+class CallerTests(FleetTestCase):
+    """Lookups and submissions through nodes that come and go."""
+
+    def caller_of(self, *addresses: str) -> Caller:
+        caller = Caller(CallerSettings(ACCOUNT, addresses, timeout_s=3.0))
+        self.addCleanup(caller.close)
+        return caller
+
+    def caller_of_fleet(self, fleet: Fleet) -> Caller:
+        return self.caller_of(*(node.settings.entry_address for node in fleet.nodes))
+
+    def test_dead_node_costs_a_connect_not_a_request(self) -> None:
+        fleet = self.start_lotbook(directory_ttl_s=60)
+        caller = self.caller_of_fleet(fleet)
+        caller.entries(SERVICE)
+        fleet.nodes[0].kill()
+        answers = [caller.look_up(SERVICE, f"/{SERVICE}/{n}") for n in range(6)]
+        answers += [caller.submit(SERVICE, f"/{SERVICE}", b"%d" % n) for n in range(6)]
+        self.assertEqual({OutcomeKind.ANSWERED}, {answer.kind for answer in answers})
+
+    def test_issuer_that_crashes_amid_a_submission_leaves_it_unknown(self) -> None:
+        fleet = self.start_lotbook(options=FleetOptions(target_options={"service_ms": SLOW_MS}))
+        caller = self.caller_of_fleet(fleet)
+        answers: list[CallerAnswer] = []
+        thread = threading.Thread(
+            target=lambda: answers.append(caller.submit(SERVICE, f"/{SERVICE}", b"x"))
+        )
+        thread.start()
+        wait_until(fleet.all_runs, what="a target runs the request")
+        self.kill_issuer(fleet)
+        thread.join()
+        self.assertEqual(OutcomeKind.UNKNOWN, answers[0].kind)
+        self.assertEqual(1, len(runs_of(fleet, answers[0].key)))
+
+    def kill_issuer(self, fleet: Fleet) -> None:
+        """Kill the node that the first entry of a fresh directory answer names."""
+        entry = fleet.directory(fleet.nodes[0], SERVICE).json()["entries"][0]["node"]
+        fleet.node(entry).kill()
+
+    def test_resend_answers_from_the_record(self) -> None:
+        fleet = self.start_lotbook()
+        reservation = self.reservation(fleet, fleet.nodes[1])
+        first = reserve(fleet.nodes[1].entry, reservation)
+        submission = Submission(
+            SERVICE, "POST", f"/{SERVICE}", reservation.body, reservation.key, reservation.token
+        )
+        again = self.caller_of_fleet(fleet).resend(submission)
+        self.assertEqual((first.kind, first.body), (again.kind, again.body))
+        self.assertEqual(1, len(runs_of(fleet, reservation.key)))
+
+    def test_no_entry_address_answers(self) -> None:
+        caller = self.caller_of(str(ADDRESSES.take()))
+        error = self.assertRaises(ControlError, caller.look_up, SERVICE, "/x")
+        self.assertEqual("TS501", error.code.name)
