--- a/packages/toucanspindle-core/toucanspindle_core/admission.py
+++ b/packages/toucanspindle-core/toucanspindle_core/admission.py
@@ -22,7 +22,7 @@
 from toucanspindle_core.fairshare import FairQueue
 from toucanspindle_core.fleetconfig import ServiceSettings
 from toucanspindle_core.policy import AccountClass
-from toucanspindle_core.ratelimit import AccountLimiter
+from toucanspindle_core.ratelimit import RateLimiter
 
 INITIAL_LIMIT: Final = 8.0
 MIN_LIMIT: Final = 2.0
@@ -134,7 +134,7 @@
         self._limit = AdaptiveLimit()
         self._in_flight = 0
         self._queue: FairQueue[AdmissionTicket] = FairQueue()
-        self._accounts = AccountLimiter(settings.account_requests_per_s, settings.fan_in, clock)
+        self._accounts = RateLimiter(settings.account_requests_per_s, settings.fan_in, clock)
 
     @property
     def limit(self) -> int:
--- a/packages/toucanspindle-core/toucanspindle_core/ratelimit.py
+++ b/packages/toucanspindle-core/toucanspindle_core/ratelimit.py
@@ -1,4 +1,7 @@
-"""Rate limit of each account at one node: its share of the fleet's limit as a token bucket."""
+"""Rate limits by key, such as an account or a service: a token bucket each.
+
+At one node of several that share a limit, a key has its share of the fleet's limit.
+"""
 
 from dataclasses import dataclass
 from typing import Final
@@ -15,15 +18,15 @@
     updated_at: float
 
 
-class AccountLimiter:
-    """Token buckets by account; the caller serialises the calls.
+class RateLimiter:
+    """Token buckets by key; the caller serialises the calls.
 
     Invariants: no bucket holds more than one burst; at most MAX_BUCKETS buckets are kept, and
     only full ones, which mean the same as an absent one, are dropped first.
     """
 
     def __init__(self, requests_per_s: float, assigned_nodes: int, clock: Clock) -> None:
-        """Create a limiter for 1/`assigned_nodes` of a fleet-wide limit per account."""
+        """Create a limiter for 1/`assigned_nodes` of a fleet-wide limit per key."""
         self._clock = clock
         self._buckets: dict[str, _Bucket] = {}
         self._rate_per_s = 0.0
@@ -35,12 +38,12 @@
         self._rate_per_s = requests_per_s / max(1, assigned_nodes)
         self._burst = max(1.0, self._rate_per_s * BURST_S)
 
-    def try_take(self, account: str) -> bool:
-        """Count one request; return False when the account is over its limit."""
+    def try_take(self, key: str) -> bool:
+        """Count one request; return False when the key is over its limit."""
         now = self._clock.now()
-        bucket = self._buckets.get(account)
+        bucket = self._buckets.get(key)
         if bucket is None:
-            bucket = self._add(account, now)
+            bucket = self._add(key, now)
         refill = (now - bucket.updated_at) * self._rate_per_s
         bucket.tokens = min(self._burst, bucket.tokens + refill)
         bucket.updated_at = now
@@ -49,10 +52,10 @@
         bucket.tokens -= 1
         return True
 
-    def _add(self, account: str, now: float) -> _Bucket:
+    def _add(self, key: str, now: float) -> _Bucket:
         if len(self._buckets) >= MAX_BUCKETS:
             self._drop_idle(now)
-        bucket = self._buckets[account] = _Bucket(self._burst, now)
+        bucket = self._buckets[key] = _Bucket(self._burst, now)
         return bucket
 
     def _drop_idle(self, now: float) -> None:
--- a/packages/toucanspindle-node/toucanspindle_node/crashnotices.py
+++ b/packages/toucanspindle-node/toucanspindle_node/crashnotices.py
@@ -12,7 +12,7 @@
 from toucanspindle_core.assignment import assign
 from toucanspindle_core.clock import Clock
 from toucanspindle_core.quarantine import QuarantineTable
-from toucanspindle_core.ratelimit import AccountLimiter
+from toucanspindle_core.ratelimit import RateLimiter
 
 from toucanspindle_node.evidencewire import parse_quarantine, quarantine_message
 from toucanspindle_node.fleetstate import FleetState
@@ -32,7 +32,7 @@
         self._incarnation = incarnation
         self._quarantine = quarantine
         self._caller = caller
-        self._limiter = AccountLimiter(NOTICES_PER_S, 1, clock)
+        self._limiter = RateLimiter(NOTICES_PER_S, 1, clock)
 
     def send(self, service: str, fingerprint: str, state: FleetState) -> None:
         """Tell the other proxies of the service, and take in what they know."""
--- a/packages/toucanspindle-node/toucanspindle_node/once.py
+++ b/packages/toucanspindle-node/toucanspindle_node/once.py
@@ -1,6 +1,6 @@
 """Third filter: a non-idempotent request runs at most once.
 
-Names of steps in capitals are those of the specification spec/dispatch.py.
+Names such as BeginRecord are steps of the specification spec/dispatch.py.
 
 The token names the incarnation that issued it, and only that incarnation dispatches the request:
 
