Choose the judge of an agent in one place, and drop a re-export nobody uses

main.py passed the judge that run_agent takes by default. The entry server's module listed SettingsError among its names only to keep an import. Behaviour is as before: formatter, linter and types are clean, tests/test_node_start.py 3 passed.

--- a/packages/toucanspindle-node/toucanspindle_node/entryserver.py
+++ b/packages/toucanspindle-node/toucanspindle_node/entryserver.py
@@ -21,7 +21,7 @@
 from cheroot.server import Gateway, HeaderReader, HTTPConnection, HTTPRequest, HTTPServer
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errorcodes import ErrorCode
-from toucanspindle_core.errors import RequestError, SettingsError
+from toucanspindle_core.errors import RequestError
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_core.outcome import Outcome
 
@@ -310,6 +310,3 @@
         lines.append("Connection: close")
     head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
     return head + body if include_body else head
-
-
-__all__ = ["EntryServer", "SettingsError", "error_body"]
--- a/packages/toucanspindle-node/toucanspindle_node/main.py
+++ b/packages/toucanspindle-node/toucanspindle_node/main.py
@@ -38,9 +38,8 @@
 def agent(*, settings: SettingsPath) -> None:
     """Keep the host in touch with the fleet and the platform: the control path."""
     from toucanspindle_node.agent import run_agent  # noqa: PLC0415
-    from toucanspindle_node.judge import EvidenceJudge  # noqa: PLC0415
 
-    asyncio.run(run_agent(load_process_settings(settings), EvidenceJudge()))
+    asyncio.run(run_agent(load_process_settings(settings)))
 
 
 def _stop_on_signal() -> threading.Event:
