Have a judge short of permits look again after 2 s instead of 60

Cause: a judge that found no free permit read the platform's object again only after 60 s, and one whose first write was overtaken by the other judge's waited as long. Judges change while a fleet starts: the first one up takes the whole allowance, or two write at once; a new judge without a permit then can't eject for a minute.

A holder that stays short reads 16 times at most in ten minutes, then once a minute as before.

Conclusion: the first reads come after 2, 4, 8 ... 60 s, so the platform sees one burst of a few reads per service when judges change.

--- a/packages/toucanspindle-node/toucanspindle_node/permitkeeper.py
+++ b/packages/toucanspindle-node/toucanspindle_node/permitkeeper.py
@@ -2,8 +2,10 @@
 
 Per service the keeper knows what it was granted and until when, by its own clock from before the
 write was sent.  A write goes out only when the grant must change, is near its end, or another
-holder's grant has run out.  An answer that was lost leaves the grant open: until the object's
-version has moved on, the keeper uses the lesser of both counts and the earlier end.
+holder's grant has run out.  A holder short of permits reads the object again, at first after
+`FIRST_SHORT_READ_S` and then ever more seldom: when judges change, the new ones often come while
+the old ones' ejections haven't lapsed.  An answer that was lost leaves the grant open: until the
+object's version has moved on, the keeper uses the lesser of both counts and the earlier end.
 
 Steps of spec/permits.py: SendGrant, ReceiveGrant, SendRelease.
 """
@@ -22,7 +24,8 @@
 from toucanspindle_core.platformclient import PlatformClient
 
 RENEW_AT_SHARE: Final = 0.5
-SHORT_OF_PERMITS_READ_S: Final = 60.0
+FIRST_SHORT_READ_S: Final = 2.0
+MAX_SHORT_READ_S: Final = 60.0
 RETRY_S: Final = 5.0
 MAX_RETRY_S: Final = 60.0
 
@@ -66,7 +69,8 @@
     permits: Permits = field(default_factory=Permits)
     version: int = 0
     open_writes: list[_OpenWrite] = field(default_factory=list)
-    read_at_s: float = -math.inf
+    short_read_at_s: float = -math.inf
+    short_read_s: float = FIRST_SHORT_READ_S
     retry_at_s: float = -math.inf
     retry_s: float = RETRY_S
     released: bool = True
@@ -118,7 +122,7 @@
         held = grant.holding.count
         if held and (held > max(wanted, in_use) or self._is_near_end(grant)):
             return True
-        return wanted > held and now - grant.read_at_s >= SHORT_OF_PERMITS_READ_S
+        return wanted > held and now >= grant.short_read_at_s
 
     async def keep(self, service: str, wanted: int, allowance: int, in_use: int) -> None:
         """Bring the grant to `wanted` permits, as far as `allowance` and the others' grants let.
@@ -133,11 +137,12 @@
         except PlatformUncertainError:
             self._retry_later(grant)
         except ConflictError:
-            grant.retry_at_s = self._clock.now()
+            grant.short_read_at_s = self._clock.now()
         except PlatformError:
             self._retry_later(grant)
         else:
             grant.retry_s = RETRY_S
+            self._plan_short_read(grant, wanted)
 
     async def release(self, service: str) -> None:
         """Give the grant back; only for a holder whose ejections have all lapsed."""
@@ -157,7 +162,6 @@
         stored = await self._call(lambda platform: platform.read(PERMITS_KIND, service))
         grant.version = stored.version if stored else 0
         grant.permits = _parse(service, stored.value if stored else {})
-        grant.read_at_s = self._clock.now()
         self._watches.setdefault(service, GrantWatch(self._clock)).see(grant.permits)
         self._settle_open_writes(grant)
 
@@ -219,6 +223,14 @@
         remaining_s = grant.holding.until_s - self._clock.now()
         return remaining_s < GRANT_LEASE_S * (1 - RENEW_AT_SHARE)
 
+    def _plan_short_read(self, grant: _ServiceGrant, wanted: int) -> None:
+        """Look again soon for a permit that others may give back, and then ever more seldom."""
+        if grant.holding.count >= wanted:
+            grant.short_read_s = FIRST_SHORT_READ_S
+            return
+        grant.short_read_at_s = self._clock.now() + grant.short_read_s
+        grant.short_read_s = min(MAX_SHORT_READ_S, 2 * grant.short_read_s)
+
     def _retry_later(self, grant: _ServiceGrant) -> None:
         grant.retry_at_s = self._clock.now() + grant.retry_s
         grant.retry_s = min(MAX_RETRY_S, 2 * grant.retry_s)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -16,7 +16,7 @@
 from toucanspindle_core.readmission import BASE_INTERVAL_S, STAGE_PERCENTS
 from toucanspindle_core.servicejudge import STANDBY_DELAY_S, ServiceJudge, ServiceView
 from toucanspindle_node.judge import share_of
-from toucanspindle_node.permitkeeper import RETRY_S, PermitKeeper
+from toucanspindle_node.permitkeeper import FIRST_SHORT_READ_S, RETRY_S, PermitKeeper
 
 LEASE_S = 3.0
 TARGETS = frozenset({"t1", "t2", "t3", "t4"})
@@ -150,10 +150,13 @@
         self.is_away = False
         self.loses: str = ""
         self.delayed: Callable[[], None] | None = None
+        self.is_overtaken = False
+        self.reads = 0
         self.writes = 0
 
     def read(self, kind: str, name: str) -> StoredObject | None:
         self._check_away()
+        self.reads += 1
         return StoredObject(name, self.version, self.value) if self.version else None
 
     def create(self, kind: str, name: str, value: Any) -> int:
@@ -161,6 +164,9 @@
 
     def replace(self, kind: str, name: str, value: Any, version: int) -> int:
         self._check_away()
+        if self.is_overtaken:
+            self.is_overtaken = False
+            self._apply({"grants": []}, self.version)
         self.writes += 1
         if self.loses == "delays":
             self.delayed = lambda: self._apply(value, version)
@@ -263,6 +269,29 @@
         self.assertEqual(0, first.usable_permits("s", 2, LEASE_S))
         self.assertEqual(2, self.keep(second, 2))
 
+    def test_a_holder_that_found_no_free_permit_soon_looks_again(self) -> None:
+        first, second = self.keeper("a"), self.keeper("b")
+        self.keep(first, 2)
+        self.assertEqual(0, self.keep(second, 1))
+        asyncio.run(first.release("s"))
+        self.clock.advance(FIRST_SHORT_READ_S)
+        self.assertEqual(1, self.keep(second, 1))
+
+    def test_a_holder_that_stays_short_looks_ever_more_seldom(self) -> None:
+        first, second = self.keeper("a"), self.keeper("b")
+        self.keep(first, 2)
+        before = self.platform.reads
+        for _ in range(600):
+            self.keep(second, 1)
+            self.clock.advance(1)
+        self.assertTrue(self.platform.reads - before <= 16, self.platform.reads - before)
+
+    def test_a_holder_whose_write_was_overtaken_tries_again_at_once(self) -> None:
+        keeper = self.keeper("a")
+        self.platform.is_overtaken = True
+        self.assertEqual(0, self.keep(keeper, 1))
+        self.assertEqual(1, self.keep(keeper, 1))
+
     def test_shares_add_up_to_the_allowance(self) -> None:
         for allowance in range(6):
             for judges in range(1, 4):
