Serve the agent's metrics, and don't wait for nodes that have left

Cause of the first: the agent's counters were registered and never served; operators had them only in the closing line of its log. `agent_metrics_address` (optional) now serves them and gauges of the agent's state, by the server that the proxy uses, moved to a module of its own.

Cause of the second: once a proxy's stream ended, the agent's status named no member, so `--wait` saw a node without a proxy and waited for it until its time was over (exit code 6). Ruled out: the host list and the members' table, which don't name the node. The status now keeps the last record of the proxy, and a node that LEFT isn't waited for but named. A crashed proxy (DEAD) is waited for as before.

--- a/packages/toucanspindle-core/toucanspindle_core/processsettings.py
+++ b/packages/toucanspindle-core/toucanspindle_core/processsettings.py
@@ -37,6 +37,9 @@
     )
     proxy_link_address: Address = Field(description="IP:port where this host's proxy connects.")
     metrics_address: Address = Field(description="IP:port of the proxy's metrics.")
+    agent_metrics_address: Address | None = Field(
+        None, description="IP:port of the agent's metrics; without it the agent serves none."
+    )
     platform_url: str = Field(pattern=r"^http://", description="Base URL of the platform.")
     seed_agents: list[Address] = Field(
         default_factory=list, description="Agents to join through when the platform is away."
--- a/packages/toucanspindle-ctl/toucanctl/changes.py
+++ b/packages/toucanspindle-ctl/toucanctl/changes.py
@@ -140,4 +140,5 @@
         if not spread.missing:
             took = f"after {spread.elapsed_s:.1f} s"
             lines.append(f"in force on all {spread.nodes} nodes {took}")
+        lines.extend(spread.left_lines())
     session.output.result(lines, value)
--- a/packages/toucanspindle-ctl/toucanctl/fleetview.py
+++ b/packages/toucanspindle-ctl/toucanctl/fleetview.py
@@ -40,6 +40,11 @@
     status: NodeStatus | None
     trouble: str = ""
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the node's proxy ended in an orderly way and no other has followed it."""
+        return self.status is not None and self.status.member.state == MemberState.LEFT
+
     def has_in_force(self, generation: int) -> bool:
         """Return whether the node's agent and proxy have at least this generation."""
         status = self.status
@@ -105,9 +110,17 @@
         """Return the highest generation that a node has; 0 when none was heard."""
         return max((status.agent_generation for status in self.heard()), default=0)
 
+    def awaited(self) -> list[NodeView]:
+        """Return the nodes that a change is waited for: all but those that have left."""
+        return [node for node in self.nodes if not node.has_left]
+
+    def left(self) -> list[NodeView]:
+        """Return the nodes that have left: their agents run and serve no proxy."""
+        return [node for node in self.nodes if node.has_left]
+
     def missing(self, generation: int) -> list[NodeView]:
-        """Return the nodes that don't have a generation in force."""
-        return [node for node in self.nodes if not node.has_in_force(generation)]
+        """Return the awaited nodes that don't have a generation in force."""
+        return [node for node in self.awaited() if not node.has_in_force(generation)]
 
 
 async def collect_fleet(
--- a/packages/toucanspindle-ctl/toucanctl/progress.py
+++ b/packages/toucanspindle-ctl/toucanctl/progress.py
@@ -17,11 +17,15 @@
 
 @dataclass(frozen=True)
 class Spread:
-    """How far a generation has come: the nodes asked, and those that don't have it."""
+    """How far a generation has come: the nodes awaited, and those that don't have it.
+
+    Nodes that have left serve nobody and aren't awaited.
+    """
 
     generation: int
     nodes: int
     missing: tuple[NodeView, ...]
+    left: tuple[NodeView, ...]
     elapsed_s: float
 
     def as_json(self) -> dict[str, object]:
@@ -31,9 +35,15 @@
             "nodes": self.nodes,
             "in_force": self.nodes - len(self.missing),
             "missing": [{"node": m.name, "has": m.shortfall()} for m in self.missing],
+            "left": [node.name for node in self.left],
             "elapsed_s": round(self.elapsed_s, 3),
         }
 
+    def left_lines(self) -> list[str]:
+        """Return the line that names the nodes that weren't awaited, if there are any."""
+        names = ", ".join(node.name for node in self.left)
+        return [f"not waited for, since they have left: {names}"] if names else []
+
 
 @dataclass(frozen=True)
 class Follower:
@@ -56,7 +66,8 @@
             view = self.ask_fleet()
             missing = tuple(view.missing(generation))
             elapsed_s = self.clock.now() - start
-            spread = Spread(generation, len(view.nodes), missing, elapsed_s)
+            left = tuple(view.left())
+            spread = Spread(generation, len(view.awaited()), missing, left, elapsed_s)
             line = f"in force on {spread.nodes - len(missing)} of {spread.nodes} nodes"
             if line != last_line:
                 self.output.progress(f"generation {generation}: {line}")
--- a/packages/toucanspindle-ctl/toucanctl/statuscommand.py
+++ b/packages/toucanspindle-ctl/toucanctl/statuscommand.py
@@ -71,6 +71,7 @@
         limit_s = wait_s or session.settings.wait_s
         spread = session.follower.follow(generation, limit_s)
         lines = [f"in force on all {spread.nodes} nodes"] if not spread.missing else []
+        lines.extend(spread.left_lines())
         session.output.result(lines, spread.as_json())
         require_everywhere(spread)
 
--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -38,6 +38,7 @@
 from toucanspindle_node.agent_heard import Hearing, hearing_window_s
 from toucanspindle_node.agent_hooks import Judge
 from toucanspindle_node.agent_join import ConfigJoin
+from toucanspindle_node.agent_metrics import AgentMetrics, AgentSources
 from toucanspindle_node.agent_parts import AgentParts
 from toucanspindle_node.agent_platform import AgentPlatform
 from toucanspindle_node.agent_tasks import TaskSet
@@ -99,6 +100,9 @@
         self._join = ConfigJoin(parts, self.spread, self.members)
         self._hosts = LeavingHosts(self._platform, lambda: self._watcher.watching, self._take_hosts)
         self._proxy = ProxyLink(parts, self._feed, self, self._take_report)
+        self._metrics = AgentMetrics(
+            AgentSources(parts, self.members, self._proxy, self.evidence, judge)
+        )
         self._servers = [Server([PeerLink(self)]), Server([self._proxy])]
         self._tasks = TaskSet()
         self._judges: dict[str, list[Member]] = {}
@@ -114,6 +118,7 @@
         settings = self._settings
         await _listen(peers, "agent_address", HostPort.parse(settings.agent_bind_address))
         await _listen(proxy, "proxy_link_address", HostPort.parse(settings.proxy_link_address))
+        await self._metrics.start()
         await self._hosts.start()
         await self.members.start()
         await self.spread.start()
@@ -137,6 +142,7 @@
         for server in self._servers:
             server.close()
         await asyncio.gather(*(server.wait_closed() for server in self._servers))
+        await self._metrics.close()
         self._clients.close()
         self._platform.close()
         _log.info("agent of {} closed: {}", self._settings.node, self.counters.summary())
@@ -172,7 +178,7 @@
         if request.service:
             sets = self.evidence.ejections.of_service(request.service)
         return NodeStatus(
-            member=self._membership.own,
+            member=self._membership.own or self._proxy.last_member,
             agent_generation=self.cache.generation,
             proxy_generation=self._proxy.generation,
             platform_reachable=self._platform.reachable,
--- a/packages/toucanspindle-node/toucanspindle_node/agent_counters.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_counters.py
@@ -1,4 +1,4 @@
-"""Counters of one agent: one metric with a bounded label, and gauges of its state."""
+"""Counters of one agent: one metric with a bounded label; `agent_metrics.py` adds gauges."""
 
 from enum import StrEnum
 from typing import Final
@@ -32,6 +32,7 @@
     NOTICE_SENT = "notice_sent"
     BUNDLE_FETCHED = "bundle_fetched"
     STATE_SENT = "state_sent"
+    EVIDENCE_SENT = "evidence_sent"
     EVIDENCE_DROPPED = "evidence_dropped"
     EJECTIONS_PULLED = "ejections_pulled"
 
@@ -44,6 +45,8 @@
         text = "Events of the agent since its start."
         self._counter = Counter(METRIC_NAME, text, registry=self.registry)
         self._totals: dict[AgentEvent, int] = dict.fromkeys(AgentEvent, 0)
+        for event in AgentEvent:
+            self._counter.set({"event": event.value}, 0)
 
     def count(self, event: AgentEvent, amount: int = 1) -> None:
         """Count an event."""
--- a/packages/toucanspindle-node/toucanspindle_node/agent_ejections.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_ejections.py
@@ -37,6 +37,10 @@
         """Return the sets of a service that other nodes' judges decided."""
         return [s for s in self.of_service(service) if s.holder not in self._own_holders]
 
+    def own_sets(self) -> list[EjectionSet]:
+        """Return the sets that the judge of this node decided and that haven't lapsed."""
+        return [item for item in self.all_sets() if item.holder in self._own_holders]
+
     def of_service(self, service: str) -> list[EjectionSet]:
         """Return the sets of a service that haven't lapsed."""
         return [item for item in self.all_sets() if item.service == service]
--- a/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
@@ -146,6 +146,8 @@
             await self._parts.clients.send_evidence(address, batch)
         except ControlError:
             self._parts.counters.count(AgentEvent.EVIDENCE_DROPPED)
+        else:
+            self._parts.counters.count(AgentEvent.EVIDENCE_SENT)
 
     async def _pull_forever(self) -> None:
         while True:
--- a/packages/toucanspindle-node/toucanspindle_node/agent_hooks.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_hooks.py
@@ -89,6 +89,10 @@
         """Stop all work; ejections lapse by their leases."""
         ...
 
+    def permits_held(self) -> dict[str, int]:
+        """Return how many ejection permits are held, by service."""
+        ...
+
 
 class IdleJudge:
     """A judge that ejects nothing."""
@@ -105,3 +109,7 @@
     def ejection_sets(self, services: Sequence[str]) -> EjectionSets:
         """Return no ejections."""
         return EjectionSets()
+
+    def permits_held(self) -> dict[str, int]:
+        """Return that none is held."""
+        return {}
--- a/packages/toucanspindle-node/toucanspindle_node/judge.py
+++ b/packages/toucanspindle-node/toucanspindle_node/judge.py
@@ -141,6 +141,10 @@
             )
         return sets
 
+    def permits_held(self) -> dict[str, int]:
+        """Return how many permits this judge holds, by service."""
+        return self._keeper.permits_held() if self._keeper else {}
+
     def _ejection_set(self, service: str, judged: _Judged, view: AgentView) -> EjectionSet:
         ejections = judged.judge.ejections()
         # A judge that was paused may be asked before its next step finds the permits run out.
--- /dev/null
+++ b/packages/toucanspindle-node/toucanspindle_node/metricsserver.py
@@ -0,0 +1,43 @@
+"""Serves the metrics of a process over HTTP, in the Prometheus text format."""
+
+import threading
+from collections.abc import Callable
+from typing import Any, Final
+
+from cheroot.server import HTTPServer
+from cheroot.wsgi import Server as WsgiServer
+from toucanspindle_core.hostport import HostPort
+
+from toucanspindle_node.listening import explain_bind_error
+
+METRICS_THREADS: Final = 1
+
+
+class MetricsServer:
+    """Serves the metrics to whoever scrapes them."""
+
+    def __init__(self, setting: str, address: HostPort, text: Callable[[], bytes]) -> None:
+        """Create a server of what `text` returns; `setting` is the one that holds the address."""
+        self._setting = setting
+        self._address = address
+        self._text = text
+        self._server: HTTPServer | None = None
+
+    def start(self) -> None:
+        """Listen; raise SettingsError when the address can't be used."""
+        bind = (self._address.ip, self._address.port)
+        self._server = WsgiServer(bind, self._answer, numthreads=METRICS_THREADS)
+        try:
+            self._server.prepare()
+        except OSError as error:
+            raise explain_bind_error(self._setting, self._address, error) from error
+        threading.Thread(target=self._server.serve, name="metrics", daemon=True).start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+
+    def _answer(self, environ: Any, start_response: Any) -> list[bytes]:  # noqa: ARG002
+        start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
+        return [self._text()]
--- a/packages/toucanspindle-node/toucanspindle_node/permitkeeper.py
+++ b/packages/toucanspindle-node/toucanspindle_node/permitkeeper.py
@@ -96,6 +96,15 @@
         """Services in which this holder may have a grant."""
         return [name for name, grant in self._grants.items() if not grant.released]
 
+    def permits_held(self) -> dict[str, int]:
+        """Return how many permits were granted and haven't run out, by service."""
+        now = self._clock.now()
+        return {
+            service: grant.holding.count if grant.holding.until_s > now else 0
+            for service, grant in self._grants.items()
+            if not grant.released
+        }
+
     def usable_permits(self, service: str, allowance_now: int, lease_s: float) -> int:
         """Return how many permits may be used for ejections that lapse in `lease_s`."""
         grant = self._grants.get(service)
--- a/packages/toucanspindle-node/toucanspindle_node/proxy.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxy.py
@@ -38,8 +38,9 @@
 from toucanspindle_node.hedging import HedgePool
 from toucanspindle_node.identify import IdentifyFilter
 from toucanspindle_node.issuerlink import IssuerCaller, IssuerServer
+from toucanspindle_node.metricsserver import MetricsServer
 from toucanspindle_node.once import OnceFilter
-from toucanspindle_node.proxymetrics import MetricsServer, ProxyMetrics
+from toucanspindle_node.proxymetrics import ProxyMetrics
 from toucanspindle_node.routing import RouteFilter
 from toucanspindle_node.targetclient import TargetClient
 from toucanspindle_node.targetregistry import TargetRegistry
@@ -89,7 +90,7 @@
             HostPort.parse(settings.entry_bind_address), settings.proxy_threads, self._port.answer
         )
         self._metrics_server = MetricsServer(
-            HostPort.parse(settings.metrics_address), self._metrics.text
+            "metrics_address", HostPort.parse(settings.metrics_address), self._metrics.text
         )
 
     @property
--- a/packages/toucanspindle-node/toucanspindle_node/proxylink.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxylink.py
@@ -57,6 +57,8 @@
         self._on_report = on_report
         self._session = 0
         self._incarnation = ""
+        self._last_incarnation = ""
+        self._last_member: Member | None = None
         self._reported_at: float | None = None
         self._closing = False
         self._loop_timers: list[asyncio.TimerHandle] = []
@@ -67,6 +69,12 @@
         """Whether a proxy follows."""
         return bool(self._incarnation)
 
+    @property
+    def last_member(self) -> Member | None:
+        """The record of the proxy that follows or followed last, also once it is forgotten."""
+        self._last_member = self._parts.membership.find(self._last_incarnation) or self._last_member
+        return self._last_member
+
     def is_silent(self) -> bool:
         """Say whether the proxy follows but stopped reporting."""
         if not self._incarnation or self._reported_at is None:
@@ -89,7 +97,7 @@
         self._check(member)
         self._session += 1
         session = self._session
-        self._incarnation = member.incarnation
+        self._incarnation = self._last_incarnation = member.incarnation
         self._reported_at = None
         self._parts.membership.set_own(member)
         self._feed.bump()
@@ -149,6 +157,7 @@
         _log.notice("proxy {} is gone", incarnation)
         membership = self._parts.membership
         membership.retire_own()
+        self._last_member = membership.find(incarnation)
         self._feed.bump()
         loop = asyncio.get_running_loop()
         timer = loop.call_later(LEAVING_HOLD_S, membership.finish_leaving, incarnation)
--- a/tests/test_ctl_nodes.py
+++ b/tests/test_ctl_nodes.py
@@ -1,7 +1,7 @@
 """Tests of the commands that ask nodes: status, wait, explain and ask."""
 
 from toucanctl.exitcodes import ExitCode
-from toucanspindle_core.control_pb2 import Ejection, EjectionSet, QuarantineEntry
+from toucanspindle_core.control_pb2 import Ejection, EjectionSet, MemberState, QuarantineEntry
 from toucanspindle_core.fleetconfig import FleetConfig
 from toucanspindle_core.fleetfile import dump_fleet
 from toucanspindle_core.platformclient import HostList
@@ -169,6 +169,25 @@
         self.assertIn("beaufort-1: agent at generation 1, proxy at 1", ran.err)
         self.assertIn(f"graaff-1: The agent at {gone.agent_address} wasn't heard", ran.err)
 
+    def test_node_that_has_left_is_not_awaited(self) -> None:
+        left = self.nodes[1].status
+        left.member.state = MemberState.LEFT
+        left.proxy_generation = 0
+        ran = self.ctl("wait", "--wait-s", "0.1", "--json")
+        self.assertEqual(ExitCode.OK, ran.code, ran.err)
+        spread = ran.json()
+        self.assertEqual((1, 1), (spread["nodes"], spread["in_force"]))
+        self.assertEqual([left.member.node], spread["left"])
+        self.assertIn(f"have left: {left.member.node}", self.ctl("wait", "--wait-s", "0.1").out)
+
+    def test_node_whose_proxy_crashed_is_awaited(self) -> None:
+        crashed = self.nodes[1].status
+        crashed.member.state = MemberState.DEAD
+        crashed.proxy_generation = 0
+        ran = self.ctl("wait", "--wait-s", "0.1")
+        self.assertEqual(ExitCode.NOT_EVERYWHERE, ran.code)
+        self.assertIn(crashed.member.node, ran.err)
+
     def test_platform_that_lost_its_newest_head_is_noticed(self) -> None:
         for node in self.nodes:
             node.status.agent_generation = 7
--- a/tests/test_node_start.py
+++ b/tests/test_node_start.py
@@ -54,6 +54,7 @@
             ("proxy", "metrics_address"),
             ("agent", "agent_address"),
             ("agent", "proxy_link_address"),
+            ("agent", "agent_metrics_address"),
         ):
             process = self.run_node(command, self.settings_file(**{setting: used}))
             self.assertIn("TS103", process.stderr(), setting)
