--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Final
 
+import pytest
 from testtools import TestCase
 from toucanspindle_core.hostport import HostPort
 
@@ -17,6 +18,9 @@
 COMMAND_TIMEOUT_S: Final = 60.0
 STEPS: Final = 7
 
+# Both demonstrations listen at the same addresses, so one worker runs them one after the other.
+pytestmark = pytest.mark.xdist_group("demo")
+
 
 class DemoTests(TestCase):
     """The whole demonstration."""
