Give the exchange of member tables a module of its own

Joining and exchanges of tables are now MemberExchange (memberexchange.py); memberloop.py keeps the probes. No change of behaviour.

Tried and left out: timeouts widened by the process's own lag, against false suspicion under load.

After: test_agent_fleet, test_agent_cuts and test_membership, 29 passed.

--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -258,7 +258,7 @@
         self.evidence.accept_report(report)
 
     def _take_hosts(self, hosts: list[HostEntry]) -> None:
-        self.members.add_candidates(agent_addresses(hosts))
+        self.members.exchange.add_candidates(agent_addresses(hosts))
         self.evidence.accept_host_list(leaving_names(hosts))
 
     async def _run_join(self) -> None:
--- a/packages/toucanspindle-node/toucanspindle_node/agent_join.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_join.py
@@ -76,7 +76,7 @@
         named = max([self._platform_generation or 0, *self._answers.values()])
         if self._cache.generation < named:
             return False
-        candidates = self._members.candidates()
+        candidates = self._members.exchange.candidates()
         quorum = min(QUORUM, len(candidates))
         if self._platform_generation is not None:
             return len(self._answers) >= quorum or candidates <= self._tried
@@ -100,7 +100,7 @@
             pass  # asked again in the next round
 
     async def _ask_peers(self) -> None:
-        unasked = sorted(self._members.candidates() - set(self._answers))
+        unasked = sorted(self._members.exchange.candidates() - set(self._answers))
         chosen = self._random.sample(unasked, min(ASKED_AT_A_TIME, len(unasked)))
         await asyncio.gather(*(self._ask(address) for address in chosen))
 
--- a/packages/toucanspindle-node/toucanspindle_node/memberloop.py
+++ b/packages/toucanspindle-node/toucanspindle_node/memberloop.py
@@ -1,4 +1,4 @@
-"""Runs the membership protocol of one agent: probes, indirect probes, anti-entropy, joining.
+"""Runs the membership protocol of one agent: probes and indirect probes.
 
 Each probe interval one peer is pinged, in a shuffled order that visits every peer once a round.
 A peer that doesn't answer is pinged through a few others.  It is suspected only if one of them
@@ -15,7 +15,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Final
 
 from logbook import Logger
@@ -38,6 +38,7 @@
 from toucanspindle_node.agent_heard import HeardTracker, Hearing
 from toucanspindle_node.agent_parts import AgentParts
 from toucanspindle_node.agent_tasks import TaskSet
+from toucanspindle_node.memberexchange import MemberExchange
 
 INDIRECT_PEERS: Final = 3
 JOIN_PEERS: Final = 5
@@ -45,9 +46,6 @@
 DIRECT_TIMEOUT_PROBES: Final = 0.8
 MIN_DIRECT_TIMEOUT_S: Final = 0.3
 RECONNECT_PROBES: Final = 5
-MIN_EXCHANGE_INTERVAL_S: Final = 2.0
-EXCHANGE_BYTES_PER_MEMBER: Final = 60
-EXCHANGE_BYTES_PER_S: Final = 1000
 GENERATION_UNKNOWN: Final = 0
 
 _log = Logger("agent.members")
@@ -70,12 +68,11 @@
         self._counters = parts.counters
         self._clock = clock
         self._random = random.Random()
+        self._exchange = MemberExchange(parts, self._random, self._note_changes)
         self._heard = HeardTracker(settings.failure_domain, settings.probe_interval_s, clock)
         self._hearing = Hearing.HEARD
         self._round: list[str] = []
-        self._next_exchange = 0.0
         self._next_reconnect = 0.0
-        self._candidates: set[str] = set(settings.seed_agents)
         self._tasks = TaskSet()
         self._changes_seen = 0
         self.generation: Callable[[], int] = lambda: GENERATION_UNKNOWN
@@ -87,6 +84,11 @@
         """How this node stands towards the rest of the fleet."""
         return self._hearing
 
+    @property
+    def exchange(self) -> MemberExchange:
+        """The exchanges of tables that this loop sets off."""
+        return self._exchange
+
     async def start(self) -> None:
         """Join through the candidates known so far and begin to probe."""
         self._tasks.spawn(self._probe_forever())
@@ -97,16 +99,6 @@
         if len(self._members.queue):
             await asyncio.gather(*(self._farewell(peer) for peer in self._sample(FAREWELL_PEERS)))
 
-    def add_candidates(self, addresses: Iterable[str]) -> None:
-        """Add addresses of agents that may be joined through."""
-        self._candidates.update(addresses)
-        self._candidates.discard(self._settings.agent_address)
-
-    def candidates(self) -> set[str]:
-        """Return addresses of agents known from any source, without this one's."""
-        known = self._candidates | {peer.agent_address for peer in self._members.peers()}
-        return known - {self._settings.agent_address}
-
     def make_ping(self, target: Member | None) -> PingRequest:
         """Return a ping for a member, or for an agent whose member isn't known."""
         own = self._members.own
@@ -171,18 +163,6 @@
             return IndirectAnswer(reached=False)
         return IndirectAnswer(reached=True, answer=answer)
 
-    def answer_exchange(self, members: list[Member]) -> list[Member]:
-        """Answer a peer's table: its compact entries are compared, its full ones merged."""
-        full = [member for member in members if not is_compact(member)]
-        self._members.merge(full)
-        listing = [member for member in members if is_compact(member)]
-        answered: list[Member] = []
-        if listing or not full:
-            answer = self._members.answer_exchange(listing)
-            answered = answer.full + answer.wanted
-        self._note_changes()
-        return answered
-
     def _check_sender(self, request: PingRequest) -> Member | None:
         incarnation = request.from_incarnation
         if not incarnation:
@@ -212,7 +192,8 @@
     # Probing.
 
     async def _probe_forever(self) -> None:
-        await asyncio.gather(*(self._exchange(a) for a in self._pick_candidates(JOIN_PEERS)))
+        joining = self._exchange.pick_absent(JOIN_PEERS)
+        await asyncio.gather(*(self._exchange.run(address) for address in joining))
         while True:
             peer = self._next_peer()
             if peer is not None:
@@ -245,7 +226,7 @@
             await self._probe_indirectly(peer)
         else:
             self._heard.note_round_trip(peer.failure_domain)
-            await self._exchange_if_differing(peer.agent_address, answer.members_digest)
+            await self._exchange.run_if_differing(peer.agent_address, answer.members_digest)
         self._judge_hearing()
         self._note_changes()
 
@@ -296,42 +277,14 @@
         except ControlError:
             pass
 
-    # Joining and anti-entropy.
-
     def _reconnect(self) -> None:
         interval_s = RECONNECT_PROBES * self._settings.probe_interval_s
         self._next_reconnect = self._clock.now() + interval_s
         dead = self._members.dead_peers()
         if dead:
             self._tasks.spawn(self._recheck(self._random.choice(dead)))
-        for address in self._pick_candidates(1):
-            self._tasks.spawn(self._exchange(address))
-
-    def _pick_candidates(self, count: int) -> list[str]:
-        present = {member.agent_address for member in self._members.peers()}
-        absent = sorted(self._candidates - present - {self._settings.agent_address})
-        return self._random.sample(absent, min(count, len(absent)))
-
-    async def _exchange_if_differing(self, address: str, digest: bytes) -> None:
-        now = self._clock.now()
-        if digest == self._members.digest or now < self._next_exchange:
-            return
-        size = len(self._members.all_members()) * EXCHANGE_BYTES_PER_MEMBER
-        self._next_exchange = now + max(MIN_EXCHANGE_INTERVAL_S, size / EXCHANGE_BYTES_PER_S)
-        await self._exchange(address)
-
-    async def _exchange(self, address: str) -> None:
-        try:
-            listing = self._members.compact_table()
-            received = await self._clients.exchange_members(address, listing)
-            self._members.merge(m for m in received if not is_compact(m))
-            wanted = self._members.full_records(received)
-            if wanted:
-                await self._clients.exchange_members(address, wanted)
-        except ControlError as error:
-            if error.code is errorcodes.PEER_MALFORMED:
-                self._counters.count(AgentEvent.REFUSED_MALFORMED)
-        self._note_changes()
+        for address in self._exchange.pick_absent(1):
+            self._tasks.spawn(self._exchange.run(address))
 
     def _take_answer(self, answer: PingAnswer, address: str) -> None:
         try:
--- a/packages/toucanspindle-node/toucanspindle_node/peerlink.py
+++ b/packages/toucanspindle-node/toucanspindle_node/peerlink.py
@@ -95,7 +95,7 @@
         """Compare member tables."""
         request = await _receive(stream)
         try:
-            members = self._handlers.members.answer_exchange(list(request.members))
+            members = self._handlers.members.exchange.answer(list(request.members))
         except ControlError as error:
             self._handlers.counters.count(AgentEvent.REFUSED_MALFORMED)
             raise refusal(error) from error
