--- a/tests/test_gray_target.py
+++ b/tests/test_gray_target.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import Any, Final
 
+from toucanspindle_core.objects import PERMITS_KIND
+from toucanspindle_core.permits import Permits
 from toucanspindle_standins.fleet import Fleet, FleetOptions
 from toucanspindle_standins.httpcall import BrokenAnswerError, http_call
 
@@ -71,6 +73,14 @@
         wait_until(ejected_everywhere, DETECTED_WITHIN_S, f"{names} are ejected on all nodes")
 
 
+def granted(fleet: Fleet) -> int:
+    """Return how many permits the platform has granted to judges of the service."""
+    stored = fleet.client.read(PERMITS_KIND, SERVICE)
+    if stored is None:
+        return 0
+    return sum(grant.count for grant in Permits.model_validate(stored.value).grants)
+
+
 class GrayTargetTests(GrayFleetTestCase):
     """Each kind of sickness, with the health endpoint green throughout."""
 
@@ -134,6 +144,7 @@
         fleet = self.start_gray()
         fleet.targets[f"{SERVICE}-1"].set_faults(wrong_share=0.5)
         self.wait_ejected(fleet, f"{SERVICE}-1")
+        wait_until(lambda: granted(fleet) == 2, what="the judges hold both permits")
         fleet.set_platform_faults(away="error")
         fleet.targets[f"{SERVICE}-2"].set_faults(wrong_share=0.5)
         fleet.targets[f"{SERVICE}-3"].set_faults(wrong_share=0.5)
