--- a/packages/toucanspindle-standins/toucanspindle_standins/faultrules.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/faultrules.py
@@ -38,6 +38,9 @@
         None, ge=0, description="Close after so many bytes of an answer."
     )
     lose_answers: int = Field(0, ge=0, description="Reset the next n connections that answer.")
+    hold_request_after_bytes: int | None = Field(
+        None, ge=0, description="Hold the rest of a request after so many bytes."
+    )
 
     def cuts(self, direction: Direction) -> bool:
         """Whether bytes in this direction are held."""
--- a/packages/toucanspindle-standins/toucanspindle_standins/relay.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/relay.py
@@ -32,6 +32,7 @@
         self._client_reader, self._client_writer = client
         self._server_writer: asyncio.StreamWriter | None = None
         self._answer_bytes = 0
+        self._request_bytes = 0
         self._request_seen = False
         self._held_pumps = 0
 
@@ -86,15 +87,35 @@
             if direction is Direction.TO_SERVER:
                 self._answer_bytes = 0
                 self._request_seen = True
-                writer.write(data)
+                await self._pass_request(data, writer)
             else:
                 self._pass_answer(data, writer)
             await writer.drain()
 
+    async def _pass_request(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        limit = self.active_rule().rule.faults.hold_request_after_bytes
+        before = self._request_bytes
+        self._request_bytes += len(data)
+        if limit is not None and self._request_bytes > limit:
+            passed = max(0, limit - before)
+            writer.write(data[:passed])
+            data = data[passed:]
+            await self._hold_request()
+        writer.write(data)
+
+    async def _hold_request(self) -> None:
+        while self.active_rule().rule.faults.hold_request_after_bytes is not None:
+            self._held_pumps += 1
+            try:
+                await self._table.wait_changed()
+            finally:
+                self._held_pumps -= 1
+
     def _pass_answer(self, data: bytes, writer: asyncio.StreamWriter) -> None:
         active = self.active_rule()
         if self._answer_bytes == 0 and self._request_seen and active.takes_answer():
             raise ConnectionResetError("answer lost on demand")
+        self._request_bytes = 0
         limit = active.rule.faults.cut_answer_after_bytes
         if limit is None:
             writer.write(data)
--- a/tests/test_standin_faultproxy.py
+++ b/tests/test_standin_faultproxy.py
@@ -75,6 +75,14 @@
         self.assertEqual(1, self.runs())
         self.assertTrue(self.answers(self.link))
 
+    def test_rest_of_a_request_is_held_and_delivered_late(self) -> None:
+        self.strike(hold_request_after_bytes=10)
+        self.assertFalse(self.answers(self.link))
+        self.assertEqual((1, 0), (self.held(), self.runs()))
+        self.assertTrue(self.answers(self.other))
+        self.set_rules()
+        wait_until(lambda: self.runs() == 2, what="the target has the whole request")
+
     def test_answer_is_cut(self) -> None:
         self.strike(cut_answer_after_bytes=100)
         with socket.create_connection((self.link.ip, self.link.port)) as client:
