Refuse malformed, oversized and forged messages between proxies

Cause: a request that one proxy sends on to another was taken as it came. A header with a line end went on to the target, where it is a second request; a name in upper case (Content-Length) passed the list of headers that aren't forwarded; an outcome with a status that no outcome has, or with a line end in a header, went to the caller or into a successor's records. A message could be of up to 4 GB and was read whole. Undecodable bytes ended as an internal error without a code, and at the other end as a failure of the proxy (TS324). A hand-over put 200 records into a message, whatever their size.

Now each is refused with TS502 before anything is done, lengths are checked before the bytes are read (48 MB, above the largest answer of a target), an issuer's answer that is no outcome gives unknown (TS317), and batches of records end at 8 MB. The limit can't be set in grpclib: its codec sees a message only once it is whole, and its windows grow as it reads, so the data of a call is read through a bounded reader.

--- a/packages/toucanspindle-node/toucanspindle_node/handover.py
+++ b/packages/toucanspindle-node/toucanspindle_node/handover.py
@@ -15,10 +15,12 @@
 from toucanspindle_core.records import RecordTable
 
 from toucanspindle_node.fleetstate import FleetState
-from toucanspindle_node.issuerlink import RECORDS_PER_BATCH, IssuerCaller
+from toucanspindle_node.issuerlink import IssuerCaller
 from toucanspindle_node.outcomewire import covered_token_message, record_message
 
 MAX_SUCCESSORS: Final = 3
+RECORDS_PER_BATCH: Final = 200
+BYTES_PER_BATCH: Final = 8_388_608
 
 log = Logger("handover")
 
@@ -52,7 +54,15 @@
 def _batches(
     incarnation: str, records: list[pb.FinishedRecord], keep_ms: int
 ) -> Iterable[pb.RecordBatch]:
-    for start in range(0, len(records), RECORDS_PER_BATCH):
-        batch = records[start : start + RECORDS_PER_BATCH]
+    batch: list[pb.FinishedRecord] = []
+    size_bytes = 0
+    for record in records:
+        size_bytes += record.ByteSize()
+        if batch and (size_bytes > BYTES_PER_BATCH or len(batch) == RECORDS_PER_BATCH):
+            yield pb.RecordBatch(from_incarnation=incarnation, records=batch, keep_ms=keep_ms)
+            batch = []
+            size_bytes = record.ByteSize()
+        batch.append(record)
+    if batch:
         yield pb.RecordBatch(from_incarnation=incarnation, records=batch, keep_ms=keep_ms)
     yield pb.RecordBatch(from_incarnation=incarnation, complete=True, keep_ms=keep_ms)
--- a/packages/toucanspindle-node/toucanspindle_node/issuerlink.py
+++ b/packages/toucanspindle-node/toucanspindle_node/issuerlink.py
@@ -2,6 +2,7 @@
 
 `IssuerServer` answers for this incarnation; the work itself runs on a small pool of threads,
 since the request path blocks.  `IssuerCaller` is the other side.  Channels are kept per address.
+A message that is malformed or too large is refused with a code before anything is done with it.
 """
 
 import asyncio
@@ -18,26 +19,29 @@
 from toucanspindle_core.controlchannel import ControlChannel
 from toucanspindle_core.errors import ControlError, RequestError
 from toucanspindle_core.hostport import HostPort
-from toucanspindle_core.inheritedrecords import InheritedRecord, InheritedRecords
+from toucanspindle_core.inheritedrecords import InheritedRecords
 from toucanspindle_core.outcome import Outcome
 
 from toucanspindle_node import messages
+from toucanspindle_node.boundedmessage import UNDECODABLE, malformed, receive_message
 from toucanspindle_node.eventloop import EventLoopThread
 from toucanspindle_node.exchange import CallerRequest, Exchange
 from toucanspindle_node.listening import explain_bind_error
 from toucanspindle_node.outcomewire import (
     answer_message,
+    check_crash_entry,
     parse_answer,
-    parse_record,
+    parse_batch,
     parse_submit,
     submit_message,
 )
 
 SUBMIT_THREADS: Final = 8
 HAND_OVER_TIMEOUT_S: Final = 5.0
-RECORDS_PER_BATCH: Final = 200
 ANSWER_MARGIN_S: Final = 0.25
 CRASH_NOTICE_S: Final = 0.25
+MAX_MESSAGE_BYTES: Final = 50_331_648  # a target's largest answer, with its headers, fits
+CALL_ERRORS: Final = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
 
 
 class IssuerEnd(Protocol):
@@ -86,24 +90,22 @@
         self, stream: "Stream[pb.SubmitRequest, pb.SubmitAnswer]"
     ) -> None:
         """Run or answer a request whose token this incarnation issued or inherited."""
-        message = await stream.recv_message()
-        if message is None:
-            return
+        message = await receive_message(stream, pb.SubmitRequest, MAX_MESSAGE_BYTES)
+        try:
+            request = parse_submit(message)
+        except ValueError as error:
+            raise malformed(str(error)) from error
         loop = asyncio.get_running_loop()
-        outcome = await loop.run_in_executor(
-            self._executor, self._proxy.answer_relayed, parse_submit(message)
-        )
+        outcome = await loop.run_in_executor(self._executor, self._proxy.answer_relayed, request)
         await stream.send_message(answer_message(outcome))
 
     async def HandOver(self, stream: "Stream[pb.RecordBatch, pb.Empty]") -> None:  # noqa: N802
         """Take over records of a proxy that closes (step HandOver)."""
-        message = await stream.recv_message()
-        if message is None:
-            return
+        message = await receive_message(stream, pb.RecordBatch, MAX_MESSAGE_BYTES)
         try:
-            records: list[InheritedRecord] = [parse_record(r) for r in message.records]
+            records = parse_batch(message)
         except ValueError as error:
-            raise GRPCError(Status.INVALID_ARGUMENT, f"malformed record: {error}") from error
+            raise malformed(str(error)) from error
         accepted = self._inherited.accept(
             message.from_incarnation, records, message.keep_ms / 1000, message.complete
         )
@@ -115,18 +117,20 @@
         self, stream: "Stream[pb.ExplainRequest, pb.Explanation]"
     ) -> None:
         """Tell what is known of a request id."""
-        message = await stream.recv_message()
-        if message is not None:
-            await stream.send_message(pb.Explanation(lines=self._proxy.explain(message.request_id)))
+        message = await receive_message(stream, pb.ExplainRequest, MAX_MESSAGE_BYTES)
+        await stream.send_message(pb.Explanation(lines=self._proxy.explain(message.request_id)))
 
     async def NoteCrash(  # noqa: N802
         self, stream: "Stream[pb.CrashNotice, pb.CrashEntries]"
     ) -> None:
         """Take note of a request that crashed a target elsewhere."""
-        message = await stream.recv_message()
-        if message is not None:
-            entries = self._proxy.take_crash_notice(message.entry)
-            await stream.send_message(pb.CrashEntries(entries=entries))
+        message = await receive_message(stream, pb.CrashNotice, MAX_MESSAGE_BYTES)
+        try:
+            check_crash_entry(message.entry)
+        except ValueError as error:
+            raise malformed(str(error)) from error
+        entries = self._proxy.take_crash_notice(message.entry)
+        await stream.send_message(pb.CrashEntries(entries=entries))
 
 
 class IssuerCaller:
@@ -151,7 +155,7 @@
         try:
             answer = self._loop.call(self._submit(address, exchange, timeout_s), timeout_s)
             return parse_answer(answer)
-        except (OSError, GRPCError, StreamTerminatedError, TimeoutError, ValueError) as error:
+        except (*CALL_ERRORS, *UNDECODABLE, ValueError) as error:
             exchange.note(f"the issuer at {address} can't be heard: {error!r}")
             text = "The node that issued the token can't be heard."
             unheard = RequestError(errorcodes.UNKNOWN_ISSUER, text, messages.REMEDY_UNKNOWN)
@@ -161,7 +165,7 @@
         """Hand records over; raise ControlError unless the successor took them all."""
         try:
             self._loop.call(self._hand_over(address, batch), HAND_OVER_TIMEOUT_S)
-        except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
+        except CALL_ERRORS as error:
             raise ControlError(
                 errorcodes.AGENT_AWAY,
                 f"The proxy at {address} didn't take the records: {error!r}.",
--- a/packages/toucanspindle-node/toucanspindle_node/outcomewire.py
+++ b/packages/toucanspindle-node/toucanspindle_node/outcomewire.py
@@ -1,14 +1,27 @@
-"""Converts requests, outcomes and records to and from the messages between proxies."""
+"""Converts requests, outcomes and records to and from the messages between proxies.
 
+What comes from another process is checked as strictly as what comes from a caller: a header with
+a line end, passed on, would be a second request to a target or a second answer to a caller.
+"""
+
+import re
+from collections.abc import Iterable
 from typing import Final
 
 from toucanspindle_core import control_pb2 as pb
 from toucanspindle_core.errorcodes import UNKNOWN_BROKEN, lookup_code
 from toucanspindle_core.inheritedrecords import InheritedRecord, covered_token_record
-from toucanspindle_core.outcome import Outcome, OutcomeKind
+from toucanspindle_core.outcome import UNKNOWN_HTTP_STATUS, Outcome, OutcomeKind
 from toucanspindle_core.records import Record, RequestName
+from toucanspindle_core.tokens import issuer_of
 
-from toucanspindle_node.exchange import CallerRequest, Exchange
+from toucanspindle_node.exchange import (
+    ACCOUNT_HEADER,
+    KEY_HEADER,
+    TOKEN_HEADER,
+    CallerRequest,
+    Exchange,
+)
 
 KIND_TO_WIRE: Final = {
     OutcomeKind.ANSWERED: pb.ANSWERED,
@@ -16,6 +29,17 @@
     OutcomeKind.UNKNOWN: pb.UNKNOWN,
 }
 KIND_FROM_WIRE: Final = {wire: kind for kind, wire in KIND_TO_WIRE.items()}
+STATUSES: Final = {
+    OutcomeKind.ANSWERED: range(100, 1000),
+    OutcomeKind.NOT_RUN: range(400, 600),
+    OutcomeKind.UNKNOWN: range(UNKNOWN_HTTP_STATUS, UNKNOWN_HTTP_STATUS + 1),
+}
+MAX_NAME_CHARS: Final = 255
+
+_WORD: Final = re.compile(r"[!-~\x80-\xff]+")
+_HEADER_NAME: Final = re.compile(r"[!-9;-~\x80-\xff]+")
+_HEADER_VALUE: Final = re.compile(r"[^\r\n\0\u0100-\U0010ffff]*")
+_FINGERPRINT: Final = re.compile(r"[0-9a-f]{1,128}")
 
 
 def submit_message(exchange: Exchange) -> pb.SubmitRequest:
@@ -33,8 +57,19 @@
 
 
 def parse_submit(message: pb.SubmitRequest) -> CallerRequest:
-    """Return the caller's request in a message, with the time that it has left."""
-    headers = {h.name: h.value for h in message.headers}
+    """Return the caller's request in a message, with the time that it has left.
+
+    Raise ValueError when no proxy can have sent it: it couldn't be written to a target as it
+    stands, or its headers name another request than the message.
+    """
+    if not _WORD.fullmatch(message.method) or not _WORD.fullmatch(message.path):
+        raise ValueError("a method or path with spaces or control characters")
+    headers = dict(_checked_headers(message.headers))
+    named = [headers.get(name, "") for name in (ACCOUNT_HEADER, TOKEN_HEADER, KEY_HEADER)]
+    if named != [message.account, message.token, message.key]:
+        raise ValueError("headers that name another request than the message")
+    if any(name != name.lower() for name in headers):
+        raise ValueError("a header name in upper case")
     headers["toucan-deadline-ms"] = str(message.deadline_ms)
     return CallerRequest(message.method, message.path, headers, message.body)
 
@@ -56,11 +91,15 @@
     kind = KIND_FROM_WIRE.get(message.kind)
     if kind is None:
         raise ValueError(f"outcome kind {message.kind}")
+    if message.status not in STATUSES[kind]:
+        raise ValueError(f"status {message.status} of an outcome {kind.value}")
+    if kind is OutcomeKind.NOT_RUN and message.status == UNKNOWN_HTTP_STATUS:
+        raise ValueError("an outcome not-run with the status of unknown")
     text, _, remedy = message.error_text.partition("\n")
     code = lookup_code(message.error_code)
     if code is None and kind is not OutcomeKind.ANSWERED:
         code = UNKNOWN_BROKEN
-    headers = tuple((h.name, h.value) for h in message.headers)
+    headers = tuple(_checked_headers(message.headers))
     return Outcome(kind, message.status, headers, message.body, code, text, remedy)
 
 
@@ -81,6 +120,29 @@
     return pb.FinishedRecord(token=token, answer=answer_message(record.outcome))
 
 
+def parse_batch(message: pb.RecordBatch) -> list[InheritedRecord]:
+    """Return the records of a batch; raise ValueError unless all are the sender's own."""
+    records = [parse_record(record) for record in message.records]
+    if any(issuer_of(record.name.token) != message.from_incarnation for record in records):
+        raise ValueError("a record under a token that the sender didn't issue")
+    return records
+
+
+def check_crash_entry(entry: pb.QuarantineEntry) -> None:
+    """Raise ValueError unless an entry names a service and a fingerprint."""
+    if not _FINGERPRINT.fullmatch(entry.fingerprint):
+        raise ValueError("a fingerprint that isn't hexadecimal")
+    if not entry.service or max(len(entry.service), len(entry.last_target)) > MAX_NAME_CHARS:
+        raise ValueError("a service or target without a proper name")
+
+
+def _checked_headers(headers: Iterable[pb.Header]) -> Iterable[tuple[str, str]]:
+    for header in headers:
+        if not _HEADER_NAME.fullmatch(header.name) or not _HEADER_VALUE.fullmatch(header.value):
+            raise ValueError("a header with line ends or characters that HTTP doesn't have")
+        yield header.name, header.value
+
+
 def parse_record(message: pb.FinishedRecord) -> InheritedRecord:
     """Return the record in a message; raise ValueError when it isn't one."""
     name = RequestName(message.account, message.token, message.key)
