Test accepted changes under races, lost answers, cuts, outages and restarts together

The tests had each of these alone. Now two operators race while write answers are lost, and the platform goes away during the spread of the last change: each accepted change has a generation of its own and is part of the last one, and all nodes have it within 6 s. And a node restarts during an outage while one domain is cut off one way from the nodes that hold the newest generation: it serves nothing older, and passes the newest on to the domain that can't hear the others. The registration of sources with the fault proxies became a method, since a restart repeats it; no check changed.

--- a/tests/test_agent_cuts.py
+++ b/tests/test_agent_cuts.py
@@ -31,15 +31,19 @@
                 agent_listen_address=str(server),
                 probe_interval_s=PROBE_INTERVAL_S,
             )
-        sources = {node.settings.node: [node.process.pid] for node in self.nodes}
-        for admin in self.admins:
-            put_json(admin, "/sources", sources)
+        self.register_sources()
         # Connections opened before are of no known source.
         self.set_rules({"faults": {"reset": True}})
         self.heal()
         self.wait_for_members(self.nodes)
         return self.nodes
 
+    def register_sources(self) -> None:
+        """Tell the fault proxies the process ids; to be called after a restart of an agent."""
+        sources = {node.settings.node: [node.process.pid] for node in self.nodes}
+        for admin in self.admins:
+            put_json(admin, "/sources", sources)
+
     def cut(self, senders: list[AgentNode], receivers: list[AgentNode]) -> None:
         """Hold back every byte from the senders to the receivers; the other way stays open."""
         names = [node.settings.node for node in senders]
--- /dev/null
+++ b/tests/test_config_failures.py
@@ -0,0 +1,125 @@
+"""Accepted changes under failures that come together: races, lost answers, cuts, outages, restarts.
+
+A change that an operator was told is accepted stays, each node serves only higher generations, and
+the reachable nodes have it within the stated bound.
+"""
+
+import threading
+from typing import Final
+
+from toucanspindle_core.configstore import ConfigStore
+from toucanspindle_core.errors import ConflictError
+from toucanspindle_core.fleetconfig import ExceptionModel, FleetConfig
+from toucanspindle_core.objects import ConfigHead
+from toucanspindle_core.platformclient import PlatformClient
+
+from tests.agentfleet import AgentNode
+from tests.harness import wait_until
+from tests.test_agent_config import IN_FORCE_S, ConfigCase
+from tests.test_agent_cuts import CutCase
+
+CHANGES_EACH: Final = 3
+LOST_ANSWERS: Final = 6  # of writes of parts and heads; each operator writes three for a change
+
+
+class Operator(threading.Thread):
+    """Adds exceptions one after another, each on top of whatever is the newest configuration.
+
+    `accepted` maps the exceptions to the heads that the operator was told are accepted.
+    """
+
+    def __init__(self, name: str, platform: str) -> None:
+        super().__init__(daemon=True)
+        self.who = name
+        self.accepted: dict[str, ConfigHead] = {}
+        self._client = PlatformClient(platform)
+        self._store = ConfigStore(self._client)
+
+    def run(self) -> None:
+        """Make all changes."""
+        for number in range(CHANGES_EACH):
+            exception = ExceptionModel.model_validate(
+                {
+                    "id": f"{self.who}-{number}",
+                    "service": "lotbook",
+                    "reason": "a change that races others",
+                    "settings": {"deadline_ms": 3000 + number},
+                }
+            )
+            self.accepted[exception.id] = self._add(exception)
+        self._client.close()
+
+    def _add(self, exception: ExceptionModel) -> ConfigHead:
+        while True:
+            stored = self._store.read_head()
+            assert stored is not None
+            config = self._store.read_config(stored.head)
+            changed = config.model_copy(update={"exceptions": [*config.exceptions, exception]})
+            try:
+                return self._store.accept(changed, self.who, "a race", stored.head.generation)
+            except ConflictError:
+                continue
+
+
+class RaceTests(ConfigCase):
+    """Operators who change the same configuration at the same time."""
+
+    def test_changes_of_racing_operators_with_lost_answers_all_stay(self) -> None:
+        nodes = self.start_holding(4)
+        self.set_platform(lose_write_answers=LOST_ANSWERS)
+        operators = [Operator(name, f"http://{self.platform}") for name in ("ann", "bob")]
+        for operator in operators:
+            operator.start()
+        for operator in operators:
+            operator.join()
+        accepted = operators[0].accepted | operators[1].accepted
+        last = 1 + len(accepted)
+        wait_until(lambda: any(node.proxy.generation() == last for node in nodes))
+        self.set_platform(away="error")
+        self.wait_for_generation(nodes, last, IN_FORCE_S)
+        self.assert_never_decreased(nodes)
+        self.set_platform()
+        self.check_all_stay(accepted)
+
+    def check_all_stay(self, accepted: dict[str, ConfigHead]) -> None:
+        """Each accepted change has a generation of its own, and is part of the last one."""
+        heads = {head.generation: head for head in accepted.values()}
+        self.assertEqual(list(range(2, 2 + len(accepted))), sorted(heads))
+        store = ConfigStore(self.client)
+        for generation, head in heads.items():
+            self.assertEqual(head, store.find_generation(generation))
+        newest: FleetConfig = store.read_config(heads[max(heads)])
+        self.assertEqual(sorted(accepted), sorted(one.id for one in newest.exceptions))
+
+
+class CutOutageTests(ConfigCase, CutCase):
+    """A one-way cut between domains, the platform away amid the spread, and a restart in it."""
+
+    def test_node_that_restarts_in_the_outage_serves_the_newest_and_passes_it_on(self) -> None:
+        self.accept(1)
+        nodes = self.start_linked(4)
+        self.wait_for_generation(nodes, 1)
+        lagging, holders, restarted = nodes[0], nodes[1:3], nodes[3]
+        self.cut(holders, [lagging])
+        restarted.process.kill()
+        lagging.process.pause()
+        self.accept(2)
+        wait_until(lambda: any(node.proxy.generation() == 2 for node in holders))
+        self.set_platform(away="error")
+        self.wait_for_generation(holders, 2, IN_FORCE_S)
+        lagging.process.resume()
+        restarted.proxy.generations.clear()
+        self.restart(restarted)
+        self.wait_for_generation(nodes, 2)
+        self.assertEqual([2], restarted.proxy.generations)
+        self.assert_never_decreased(nodes)
+        self.heal()
+        self.set_platform()
+        self.accept(3)
+        self.wait_for_generation(nodes, 3, IN_FORCE_S)
+        self.assert_never_decreased(nodes)
+
+    def restart(self, node: AgentNode) -> None:
+        """Start a killed agent anew, and tell the fault proxies its process."""
+        self.restart_agent(node)
+        self.register_sources()
