Send judges at most 300 attempts a second of a service

Cause: what a judge pays grows with the attempts it is told of. Merging the counts of several reports doesn't help: with 37 targets, 4 operations and 8 account buckets nearly every attempt is a cell of its own.

Each proxy now takes the first attempts of a service between two reports, up to its share of 300 a second. An attempt is left out for its time alone, never for its target or outcome.

Ruled out: fewer judges, since the second one holds the permits that the first may strand. What the cap costs in detection time at that size isn't measured.

--- a/bench/judgecost.py
+++ b/bench/judgecost.py
@@ -8,7 +8,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from toucanspindle_core.clock import ManualClock
@@ -17,12 +17,16 @@
 from toucanspindle_core.evidence import ServiceEvidence, TargetOutcomes
 from toucanspindle_core.sequentialdetector import SequentialDetector
 from toucanspindle_node.evidencewire import parse_report, report_message
+from toucanspindle_node.fleetport import EVIDENCE_PER_S
 
 from bench.outcomestream import LOTBOOK, ORDERS, OutcomeStream, ServiceShape
 
 LARGE: Final = ServiceShape(
     "two-year", tuple(f"domain-{number}" for number in range(7)), 37, 4, 20.0, 0.05
 )
+CAPPED: Final = replace(
+    LARGE, name="two-year, capped", requests_per_target_s=EVIDENCE_PER_S / LARGE.targets
+)
 WARM_UP_S: Final = 60.0
 MEASURED_S: Final = 30.0
 ALLOWED_PER_DAY: Final = 0.05
@@ -83,7 +87,7 @@
     """Measure all sizes and write a table."""
     write("| service | requests/s | parse, us/request | judge, us/request | core | report B/s |")
     write("| --- | --- | --- | --- | --- | --- |")
-    for shape in (LOTBOOK, ORDERS, LARGE):
+    for shape in (LOTBOOK, ORDERS, LARGE, CAPPED):
         cost = measure(shape)
         write(
             f"| {cost.service} | {cost.requests_per_s:.0f} | {cost.parse_us_per_request:.0f}"
--- a/packages/toucanspindle-core/toucanspindle_core/evidence.py
+++ b/packages/toucanspindle-core/toucanspindle_core/evidence.py
@@ -1,9 +1,14 @@
 """Collects outcomes of requests per service, target, operation and account bucket.
 
-The proxy records each attempt; about each half second the counts are drained and sent to the
-service's judges.  Accounts fall into ACCOUNT_BUCKETS buckets by a stable hash, alike on all nodes.
+The proxy records attempts; about each half second the counts are drained and sent to the service's
+judges.  Accounts fall into ACCOUNT_BUCKETS buckets by a stable hash, alike on all nodes.
+
+What a judge pays grows with the attempts, so each window between two drains takes only the first
+ones of a service, up to a limit.  An attempt is left out for its time in the window alone, never
+for its target or outcome, so the shares that a judge compares stay true.
 """
 
+import sys
 import threading
 import zlib
 from dataclasses import dataclass, field
@@ -13,6 +18,7 @@
 from toucanspindle_core.latencybins import bin_index
 
 ACCOUNT_BUCKETS: Final = 8
+NO_LIMIT: Final = sys.maxsize
 
 
 class Outcome(Enum):
@@ -77,16 +83,32 @@
 _Key = tuple[str, str, int]
 
 
+@dataclass(slots=True)
+class _Window:
+    """What was recorded of one service since the last drain; `recorded` never exceeds `limit`."""
+
+    limit: int
+    recorded: int = 0
+    counts: dict[_Key, TargetOutcomes] = field(default_factory=dict)
+
+
 class EvidenceCollector:
     """Counts outcomes between two reports; safe for use by several threads.
 
-    Invariant: each recorded attempt is in exactly one drained result.
+    Invariant: each attempt is in one drained result at most, and in exactly one as long as its
+    service's window is below the limit.
     """
 
     def __init__(self) -> None:
-        """Create an empty collector."""
+        """Create an empty collector without a limit."""
         self._lock = threading.Lock()
-        self._counts: dict[str, dict[_Key, TargetOutcomes]] = {}
+        self._windows: dict[str, _Window] = {}
+        self._limits: dict[str, int] = {}
+
+    def set_limit(self, service: str, attempts: int) -> None:
+        """Take in at most so many attempts of a service from one drain to the next."""
+        with self._lock:
+            self._limits[service] = attempts
 
     def record(  # noqa: PLR0917
         self,
@@ -98,17 +120,24 @@
         latency_s: float,
     ) -> None:
         """Count one attempt at a target that took `latency_s` seconds."""
-        bucket = account_bucket(account)
-        key = (target, operation, bucket)
         with self._lock:
-            by_key = self._counts.setdefault(service, {})
-            counts = by_key.get(key)
+            window = self._windows.get(service)
+            if window is None:
+                window = self._windows[service] = _Window(self._limits.get(service, NO_LIMIT))
+            if window.recorded >= window.limit:
+                return
+            window.recorded += 1
+            bucket = account_bucket(account)
+            key = (target, operation, bucket)
+            counts = window.counts.get(key)
             if counts is None:
-                counts = by_key[key] = TargetOutcomes(target, operation, bucket)
+                counts = window.counts[key] = TargetOutcomes(target, operation, bucket)
             counts.add(outcome, latency_s)
 
     def drain(self) -> list[ServiceEvidence]:
         """Return what was recorded since the last call, one entry per service."""
         with self._lock:
-            counts, self._counts = self._counts, {}
-        return [ServiceEvidence(name, list(by_key.values())) for name, by_key in counts.items()]
+            windows, self._windows = self._windows, {}
+        return [
+            ServiceEvidence(name, list(window.counts.values())) for name, window in windows.items()
+        ]
--- a/packages/toucanspindle-node/toucanspindle_node/fleetport.py
+++ b/packages/toucanspindle-node/toucanspindle_node/fleetport.py
@@ -1,7 +1,9 @@
 """What the proxy tells its agent, and what it takes from it: see `agentlink.ProxyEnd`."""
 
+import math
 from dataclasses import dataclass
 from datetime import UTC, datetime
+from typing import Final
 
 from logbook import Logger
 from toucanspindle_core import control_pb2 as pb
@@ -23,6 +25,8 @@
 from toucanspindle_node.proxymetrics import ProxyMetrics
 from toucanspindle_node.targetregistry import TargetRegistry, full_name
 
+EVIDENCE_PER_S: Final = 300.0
+
 log = Logger("fleetport")
 
 
@@ -89,9 +93,11 @@
         self._drop_expired_exceptions()
         self._sequence += 1
         domain = parts.settings.failure_domain
+        observed = parts.evidence.drain()
+        for item in observed:
+            parts.evidence.set_limit(item.service, self._evidence_limit(item.service))
         evidence = [
-            report_message(item, parts.incarnation, domain, self._sequence)
-            for item in parts.evidence.drain()
+            report_message(item, parts.incarnation, domain, self._sequence) for item in observed
         ]
         draining = [full_name(d.service, d.target.name) for d in parts.registry.draining()]
         return pb.ProxyReport(
@@ -129,6 +135,14 @@
             parts.metrics.set_generation(policy.generation)
             log.info("generation {} is in force", policy.generation)
 
+    def _evidence_limit(self, service: str) -> int:
+        """Return this node's share, for one report, of what a judge is sent of a service."""
+        state = self._parts.state.state
+        policy = state.policy.services.get(service) if state.policy else None
+        nodes = len(state.assigned(policy)) if policy else 1
+        attempts = EVIDENCE_PER_S * self._parts.settings.report_interval_s
+        return math.ceil(attempts / max(1, nodes))
+
     def _drop_expired_exceptions(self) -> None:
         policy = self._parts.state.drop_expired_exceptions(datetime.now(UTC))
         if policy is not None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -67,3 +67,13 @@
         self.assertEqual((1, 1, 1), (counts.succeeded, counts.failed, counts.shed))
         self.assertEqual(account_bucket("shop"), counts.account_bucket)
         self.assertEqual([], collector.drain())
+
+    def test_each_window_takes_the_first_attempts_up_to_its_limit(self) -> None:
+        collector = EvidenceCollector()
+        collector.set_limit("orders", 3)
+        for _ in range(2):
+            for number in range(5):
+                collector.record("orders", f"t{number}", "order", "shop", Outcome.SUCCEEDED, 0.02)
+            collector.record("stock", "t1", "look up", "shop", Outcome.SUCCEEDED, 0.02)
+            drained = {evidence.service: len(evidence.targets) for evidence in collector.drain()}
+            self.assertEqual({"orders": 3, "stock": 1}, drained)
