Share the loop over refused framings in the border tests

Cause: three tests sent reservations with odd framing in the same seven lines. Cases and what is asserted are unchanged.

--- a/tests/test_border_entry.py
+++ b/tests/test_border_entry.py
@@ -67,6 +67,16 @@
             f"Toucan-Token: {reservation.token}\r\n"
         ).encode()
 
+    def assert_refused(self, framings: dict[str, tuple[bytes, bytes]]) -> None:
+        """Assert that reservations with such last headers and bodies are refused, and none runs."""
+        faults: list[str] = []
+        for name, (framing, body) in framings.items():
+            reservation = self.reservation(self.fleet, self.node)
+            head = b"POST /lotbook HTTP/1.1\r\n" + self.headers_of(reservation) + framing
+            faults += self.faults_of(name, head + b"\r\n" + body, reservation)
+        self.assertEqual([], faults)
+        self.assert_goes_on()
+
     def faults_of(self, name: str, data: bytes, reservation: Reservation) -> list[str]:
         """Send `data`; return what is wrong unless it gets one refusal with a code and no run."""
         try:
@@ -131,13 +141,7 @@
             "no colon": (b"Content-Length 5\r\n", b"hello" + SMUGGLED),
             "null byte": (b"X-A: a\0b\r\nContent-Length: 5\r\n", b"hello" + SMUGGLED),
         }
-        faults: list[str] = []
-        for name, (framing, body) in framings.items():
-            reservation = self.reservation(self.fleet, self.node)
-            head = b"POST /lotbook HTTP/1.1\r\n" + self.headers_of(reservation) + framing
-            faults += self.faults_of(name, head + b"\r\n" + body, reservation)
-        self.assertEqual([], faults)
-        self.assert_goes_on()
+        self.assert_refused(framings)
 
     def test_malformed_request_lines_are_refused(self) -> None:
         lines = {
@@ -169,14 +173,8 @@
             "empty size": b"\r\nhello\r\n0\r\n\r\n",
             "bare line feed": b"5\nhello\n0\n\n",
         }
-        faults: list[str] = []
-        for name, body in bodies.items():
-            reservation = self.reservation(self.fleet, self.node)
-            head = b"POST /lotbook HTTP/1.1\r\n" + self.headers_of(reservation)
-            data = head + b"Transfer-Encoding: chunked\r\n\r\n" + body + SMUGGLED
-            faults += self.faults_of(name, data, reservation)
-        self.assertEqual([], faults)
-        self.assert_goes_on()
+        encoding = b"Transfer-Encoding: chunked\r\n"
+        self.assert_refused({name: (encoding, body + SMUGGLED) for name, body in bodies.items()})
 
     def test_a_body_cut_short_runs_nothing(self) -> None:
         for framing, body in (
@@ -206,13 +204,7 @@
                 b"x" * (limit + 1),
             ),
         }
-        faults: list[str] = []
-        for name, (framing, body) in framings.items():
-            reservation = self.reservation(self.fleet, self.node)
-            head = b"POST /lotbook HTTP/1.1\r\n" + self.headers_of(reservation) + framing
-            faults += self.faults_of(name, head + b"\r\n" + body, reservation)
-        self.assertEqual([], faults)
-        self.assert_goes_on()
+        self.assert_refused(framings)
 
     def test_a_long_path_is_refused(self) -> None:
         reservation = self.reservation(self.fleet, self.node)
