Assign all services together, within a bound of each node's load

Cause: rendezvous hashing of each service alone has no bound: at 690 nodes and a fan-in of 4, 212 nodes had no service and the busiest 938 requests a second against a mean of 217 (2,385 with services of unlike size). Ruled out: a higher fan-in for all (562 and 704 at 24, and longer waits of small services).

Services now get one node for each 16 slots, at least `fan_in`, and take nodes in rendezvous order but for those that would come over 1.5 times the mean. Judges stay with `assign_judges`.

The proxy keeps the assignment over changes of ejections too, which dropped it before. Notices of a crash in fleets over 48 nodes go to the assigned nodes and to 48 leaving ones at most. Account limits are split over the scaled fan-in.

--- a/packages/toucanspindle-core/toucanspindle_core/configrules.py
+++ b/packages/toucanspindle-core/toucanspindle_core/configrules.py
@@ -13,7 +13,7 @@
 
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import SettingsError
-from toucanspindle_core.fleetconfig import FleetConfig
+from toucanspindle_core.fleetconfig import CONNECTIONS_OF_TARGET, FleetConfig
 from toucanspindle_core.policy import (
     DEFAULT_ACCOUNT_CLASS,
     ServicePolicy,
@@ -22,7 +22,6 @@
 )
 
 MAX_ACCOUNT_CLASSES: Final = 32  # Each class is a label of the latency histograms.
-CONNECTIONS_OF_TARGET: Final = 360
 
 Path = tuple[str | int, ...]
 
--- a/packages/toucanspindle-core/toucanspindle_core/fleetconfig.py
+++ b/packages/toucanspindle-core/toucanspindle_core/fleetconfig.py
@@ -13,6 +13,7 @@
 
 from toucanspindle_core.hostport import HostPort
 
+CONNECTIONS_OF_TARGET: Final = 360
 NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9-]{0,62}$"
 
 
@@ -33,7 +34,7 @@
 HedgeMs = Annotated[int, Field(ge=0, le=600_000)]
 FanIn = Annotated[int, Field(ge=2, le=64)]
 Slots = Annotated[int, Field(ge=1, le=4096)]
-Connections = Annotated[int, Field(ge=1, le=360)]
+Connections = Annotated[int, Field(ge=1, le=CONNECTIONS_OF_TARGET)]
 Attempts = Annotated[int, Field(ge=1, le=10)]
 QueueLimit = Annotated[int, Field(ge=0, le=10_000)]
 TtlS = Annotated[int, Field(ge=1, le=3600)]
@@ -60,7 +61,11 @@
     deadline_ms: DeadlineMs = Field(
         2000, description="Time in which a request is answered when its caller names none."
     )
-    fan_in: FanIn = Field(4, description="Nodes that callers are sent to for the service.")
+    fan_in: FanIn = Field(
+        4,
+        description="Least number of nodes that callers are sent to for the service; services of"
+        " many slots get one node for each 16 slots, as far as connections_per_target lets.",
+    )
     slots_per_target: Slots = Field(4, description="Requests one target runs at a time.")
     connections_per_target: Connections = Field(
         16, description="Connections one node holds to one target."
--- a/packages/toucanspindle-core/toucanspindle_core/policy.py
+++ b/packages/toucanspindle-core/toucanspindle_core/policy.py
@@ -8,7 +8,13 @@
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
 
-from toucanspindle_core.fleetconfig import FleetConfig, ServiceModel, ServiceSettings
+from toucanspindle_core.balancedassignment import ServiceDemand, scaled_fan_in
+from toucanspindle_core.fleetconfig import (
+    CONNECTIONS_OF_TARGET,
+    FleetConfig,
+    ServiceModel,
+    ServiceSettings,
+)
 from toucanspindle_core.hostport import HostPort
 
 
@@ -46,6 +52,13 @@
     settings: ServiceSettings
     exception_by_setting: dict[str, str]
 
+    def demand(self) -> ServiceDemand:
+        """Return the slots of the service, and the number of nodes that it is assigned to."""
+        slots = len(self.targets) * self.settings.slots_per_target
+        most = CONNECTIONS_OF_TARGET // self.settings.connections_per_target
+        nodes = scaled_fan_in(slots, self.settings.fan_in, most)
+        return ServiceDemand(self.name, slots, nodes)
+
     def floor_count(self) -> int:
         """Return how many healthy targets ejections must leave (rounded up)."""
         percent = self.settings.capacity_floor_percent
@@ -88,6 +101,10 @@
             return self
         return merge_policy(self.config, self.generation, now)
 
+    def demands(self) -> list[ServiceDemand]:
+        """Return what each service needs of the nodes."""
+        return [service.demand() for service in self.services.values()]
+
     def account_class(self, account: str) -> AccountClass:
         """Return the class of an account; accounts that aren't listed share one class."""
         return self.account_class_by_account.get(account, DEFAULT_ACCOUNT_CLASS)
--- a/packages/toucanspindle-ctl/toucanctl/explaincommands.py
+++ b/packages/toucanspindle-ctl/toucanctl/explaincommands.py
@@ -4,11 +4,11 @@
 
 from cyclopts import App
 from toucanspindle_core import errorcodes
-from toucanspindle_core.assignment import assign
-from toucanspindle_core.control_pb2 import MemberState
+from toucanspindle_core.balancedassignment import BalancedAssignment
+from toucanspindle_core.control_pb2 import Member, MemberState
 from toucanspindle_core.errors import ControlError, SettingsError
 from toucanspindle_core.fleetconfig import ExceptionModel, FleetConfig
-from toucanspindle_core.policy import ServicePolicy, merge_policy
+from toucanspindle_core.policy import FleetPolicy, ServicePolicy, merge_policy
 
 from toucanctl.ctlsettings import NO_OPTIONS, CommonOptions
 from toucanctl.fleetview import FleetView
@@ -39,9 +39,10 @@
     with Session(options) as session:
         view = session.fleet(service)
         head, config = session.config_in_force(view)
-        policy = require_service(merge_policy(config, head.generation), service)
+        fleet_policy = merge_policy(config, head.generation)
+        policy = require_service(fleet_policy, service)
         found = view_service(policy, view)
-        nodes = _assigned_nodes(policy, view)
+        nodes = _assigned_nodes(fleet_policy, service, view)
         lines = [
             f"service {service} in generation {head.generation}",
             "settings:",
@@ -142,9 +143,10 @@
     }
 
 
-def _assigned_nodes(policy: ServicePolicy, view: FleetView) -> list[str]:
+def _assigned_nodes(policy: FleetPolicy, service: str, view: FleetView) -> list[str]:
     live = [member for member in view.members() if member.state == MemberState.LIVE]
-    return [member.node for member in assign(policy.name, live, policy.settings.fan_in)]
+    assignment: BalancedAssignment[Member] = BalancedAssignment()
+    return [member.node for member in assignment.assign(policy.demands(), live)[service]]
 
 
 def _setting_lines(
--- a/packages/toucanspindle-node/toucanspindle_node/admit.py
+++ b/packages/toucanspindle-node/toucanspindle_node/admit.py
@@ -35,9 +35,9 @@
         admission = self._by_service.get(service.name)
         if admission is None:
             with self._lock:
-                admission = self._by_service.setdefault(
-                    service.name, ServiceAdmission(service.settings, self._clock)
-                )
+                created = ServiceAdmission(service.settings, self._clock)
+                created.update(service.settings, service.demand().nodes)
+                admission = self._by_service.setdefault(service.name, created)
         return admission
 
     def apply_policy(self, policy: FleetPolicy) -> None:
@@ -45,7 +45,7 @@
         for name, admission in list(self._by_service.items()):
             service = policy.services.get(name)
             if service is not None:
-                admission.update(service.settings, service.settings.fan_in)
+                admission.update(service.settings, service.demand().nodes)
 
 
 class QuarantineFilter:
--- a/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent_evidence.py
@@ -14,10 +14,11 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from toucanspindle_core.assignment import assign
+from toucanspindle_core.balancedassignment import BalancedAssignment
 from toucanspindle_core.control_pb2 import (
     EjectionSets,
     EvidenceBatch,
+    Member,
     ProxyReport,
     PullEjections,
 )
@@ -62,6 +63,7 @@
         self._pulled = DrainTable(parts.clock)
         self._tasks = TaskSet()
         self._pulls = 0
+        self._assignment: BalancedAssignment[Member] = BalancedAssignment()
         self.ejections = EjectionTable(parts.clock)
 
     async def start(self) -> None:
@@ -213,12 +215,10 @@
         return sorted(served)
 
     def _assigned_services(self, policy: FleetPolicy) -> set[str]:
-        members = self._view.live_members()
+        assigned = self._assignment.assign(policy.demands(), self._view.live_members())
         own = self._view.incarnation()
         return {
-            service.name
-            for service in policy.services.values()
-            if any(
-                m.incarnation == own for m in assign(service.name, members, service.settings.fan_in)
-            )
+            service
+            for service, members in assigned.items()
+            if any(member.incarnation == own for member in members)
         }
--- a/packages/toucanspindle-node/toucanspindle_node/crashnotices.py
+++ b/packages/toucanspindle-node/toucanspindle_node/crashnotices.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 from toucanspindle_core import control_pb2 as pb
-from toucanspindle_core.assignment import assign
 from toucanspindle_core.clock import Clock
 from toucanspindle_core.quarantine import QuarantineTable
 from toucanspindle_core.ratelimit import RateLimiter
@@ -59,5 +58,7 @@
     def _peers(self, service: str, state: FleetState) -> list[str]:
         members = [m for m in state.members if m.state in {pb.LIVE, pb.LEAVING}]
         if len(members) > MAX_PEERS and state.policy is not None:
-            members = assign(service, members, state.policy.services[service].settings.fan_in)
+            # Those that are leaving still serve callers that were sent to them before.
+            leaving = [m for m in members if m.state == pb.LEAVING]
+            members = state.assigned(state.policy.services[service]) + leaving[:MAX_PEERS]
         return [m.proxy_control_address for m in members if m.incarnation != self._incarnation]
--- a/packages/toucanspindle-node/toucanspindle_node/fleetstate.py
+++ b/packages/toucanspindle-node/toucanspindle_node/fleetstate.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass, field, replace
 from datetime import datetime
 
-from toucanspindle_core.assignment import assign
 from toucanspindle_core.control_pb2 import EjectionSet, Member, MemberState
 from toucanspindle_core.policy import FleetPolicy, ServicePolicy
 
+from toucanspindle_node.assignmentcache import AssignmentCache
 from toucanspindle_node.routetable import RouteTable
 
 
@@ -41,7 +41,7 @@
     members: tuple[Member, ...] = ()
     ejections: dict[str, tuple[TargetEjection, ...]] = field(default_factory=dict)
     leaving_targets: frozenset[str] = frozenset()
-    _assigned: dict[str, list[Member]] = field(default_factory=dict, init=False, compare=False)
+    assignments: AssignmentCache = field(default_factory=AssignmentCache, repr=False, compare=False)
 
     @property
     def generation(self) -> int:
@@ -53,12 +53,10 @@
         return [m for m in self.members if m.state == MemberState.LIVE]
 
     def assigned(self, service: ServicePolicy) -> list[Member]:
-        """Return the nodes that a service is assigned to; computed once for each snapshot."""
-        members = self._assigned.get(service.name)
-        if members is None:
-            members = assign(service.name, self.live_members(), service.settings.fan_in)
-            self._assigned[service.name] = members
-        return members
+        """Return the nodes that a service is assigned to; computed when members change."""
+        if self.policy is None:
+            return []
+        return self.assignments.assigned(self.policy, self.members).get(service.name, [])
 
     def member(self, incarnation: str) -> Member | None:
         """Return the member of an incarnation, in whatever state, or None."""
