Read callers' requests through streams of our own

Cause: cheroot's streams derive from the standard library's buffered streams in their Python form: 39 Python calls of a request (bench/pathprofile.py), and each header line passed through two readers of ours and the library's.

A reader that looks for the line's end in what it received, a writer that sends at once with the socket's timeout for each part, and headers checked and collected in one pass with the same checks.

--- a/packages/toucanspindle-node/toucanspindle_node/entryserver.py
+++ b/packages/toucanspindle-node/toucanspindle_node/entryserver.py
@@ -9,6 +9,7 @@
 
 import json
 import re
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -19,7 +20,14 @@
 
 from cheroot.connections import ConnectionManager
 from cheroot.errors import MaxSizeExceeded
-from cheroot.server import Gateway, HeaderReader, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import (  # type: ignore[attr-defined]
+    Gateway,
+    HeaderReader,
+    HTTPConnection,
+    HTTPRequest,
+    HTTPServer,
+    comma_separated_headers,
+)
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errorcodes import ErrorCode
 from toucanspindle_core.errors import RequestError
@@ -27,6 +35,7 @@
 from toucanspindle_core.outcome import Outcome
 
 from toucanspindle_node import messages
+from toucanspindle_node.callerstreams import CallerReader, CallerWriter, drain
 from toucanspindle_node.exchange import CallerRequest
 from toucanspindle_node.listening import explain_bind_error
 from toucanspindle_node.readyconnections import (
@@ -52,6 +61,7 @@
         b"Toucan-Token",
     }
 )
+LIST_HEADERS: Final = frozenset(comma_separated_headers)
 MAX_CHUNK_LINE_BYTES: Final = 1024
 CHUNK_LINE: Final = re.compile(rb"[0-9A-Fa-f]{1,8}[ \t]*(?:;[^\r\n]*)?\r\n")
 HANDLE = Callable[[CallerRequest], Outcome]
@@ -62,44 +72,44 @@
 
     def __call__(self, rfile: Any, hdict: dict[bytes, bytes] | None = None) -> Any:
         """Read headers from `rfile`; raise ValueError for an ambiguous header."""
-        guarded = _HeaderLines(rfile)
-        headers = super().__call__(guarded, hdict)
-        if b"Content-Length" in headers and b"Transfer-Encoding" in headers:
-            raise ValueError("Content-Length and Transfer-Encoding exclude each other.")
-        length = headers.get(b"Content-Length")
-        if length is not None and not length.isdigit():
-            raise ValueError("Content-Length must be a decimal number.")
-        encoding = headers.get(b"Transfer-Encoding")
-        if encoding is not None and encoding.lower() != b"chunked":
-            raise ValueError("Transfer-Encoding must be chunked.")
+        headers = {} if hdict is None else hdict
+        while (line := rfile.readline()) != b"\r\n":
+            name, value = _split_header(line)
+            canonical = name.title()
+            earlier = headers.get(canonical)
+            if earlier is not None and canonical in SINGLE_HEADERS:
+                raise ValueError(f"{canonical.decode('latin-1')} is given twice.")
+            if earlier and canonical in LIST_HEADERS:
+                value = b", ".join((earlier, value))
+            headers[canonical] = value
+        _check_framing(headers)
         return headers
 
 
-class _HeaderLines:
-    """Passes header lines through; raises ValueError for one that is ambiguous."""
-
-    def __init__(self, rfile: Any) -> None:
-        self._rfile = rfile
-        self._seen: set[bytes] = set()
-
-    def readline(self, *args: int) -> bytes:
-        line: bytes = self._rfile.readline(*args)
-        if line == b"\r\n":
-            return line
-        if not line.endswith(b"\r\n"):
-            raise ValueError("Header lines end in CR LF.")
-        if line[:1] in {b" ", b"\t"}:
-            raise ValueError("Folded header lines aren't allowed.")
-        name, colon, value = line[:-2].partition(b":")
-        if not colon or not name or name != name.strip():
-            raise ValueError("A header line needs a name, directly followed by a colon.")
-        if b"\r" in value or b"\0" in value:
-            raise ValueError("A header value has a control character.")
-        canonical = name.title()
-        if canonical in SINGLE_HEADERS and canonical in self._seen:
-            raise ValueError(f"{canonical.decode('latin-1')} is given twice.")
-        self._seen.add(canonical)
-        return line
+def _split_header(line: bytes) -> tuple[bytes, bytes]:
+    """Return name and value of a header line; raise ValueError for one that is ambiguous."""
+    if not line.endswith(b"\r\n"):
+        raise ValueError("Header lines end in CR LF.")
+    if line[:1] in {b" ", b"\t"}:
+        raise ValueError("Folded header lines aren't allowed.")
+    name, colon, value = line[:-2].partition(b":")
+    if not colon or not name or name != name.strip():
+        raise ValueError("A header line needs a name, directly followed by a colon.")
+    if b"\r" in value or b"\0" in value:
+        raise ValueError("A header value has a control character.")
+    return name, value.strip()
+
+
+def _check_framing(headers: dict[bytes, bytes]) -> None:
+    """Raise ValueError unless the body's length is given in one way at most."""
+    length = headers.get(b"Content-Length")
+    encoding = headers.get(b"Transfer-Encoding")
+    if length is not None and encoding is not None:
+        raise ValueError("Content-Length and Transfer-Encoding exclude each other.")
+    if length is not None and not length.isdigit():
+        raise ValueError("Content-Length must be a decimal number.")
+    if encoding is not None and encoding.lower() != b"chunked":
+        raise ValueError("Transfer-Encoding must be chunked.")
 
 
 class _ChunkLines:
@@ -140,8 +150,9 @@
             ("Toucan-Outcome", "not-run"),
             ("Toucan-Error", code.name),
         ]
-        self.conn.wfile.write(_encode_answer(number, headers, body, True))
         self.sent_headers = True
+        self.conn.wfile.write(_encode_answer(number, headers, body, True))
+        drain(self.conn.socket)
 
 
 class EntryConnection(HTTPConnection):
@@ -157,6 +168,12 @@
     is_watched = False
     is_expired = False
 
+    def __init__(self, server: HTTPServer, sock: socket.socket, makefile: Any) -> None:
+        """Create the connection of an accepted socket, with streams of this package."""
+        super().__init__(server, sock, makefile)
+        self.rfile = CallerReader(sock)
+        self.wfile = CallerWriter(sock)
+
 
 class EntryGateway(Gateway):
     """Hands a parsed request to the chain of filters and writes the outcome."""
