--- a/bench/pathprofile.py
+++ b/bench/pathprofile.py
@@ -16,7 +16,6 @@
 import subprocess
 import sys
 import threading
-import time
 from collections import Counter
 from pathlib import Path
 from typing import Any, Final
@@ -43,7 +42,7 @@
 from toucanspindle_node.routing import RouteFilter
 from toucanspindle_node.targetclient import TargetClient
 from toucanspindle_node.targetregistry import TargetRegistry
-from toucanspindle_standins.processes import AddressPool
+from toucanspindle_standins.processes import AddressPool, listens, wait_until
 from toucanspindle_standins.smallfleet import small_fleet
 
 SERVICE: Final = "lotbook"
@@ -203,7 +202,7 @@
     argv += ["--address", target.address, "--name", target.name, "--service", SERVICE]
     process = subprocess.Popen([*argv, "--service-ms", "0"])
     try:
-        time.sleep(2.0)
+        wait_until(lambda: listens(HostPort.parse(target.address)))
         measure_plain(config, addresses.take(), options.requests)
         measure_calls(config, addresses.take(), options.requests, options.top)
     finally:
