--- a/packages/toucanspindle-node/toucanspindle_node/proxymetrics.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxymetrics.py
@@ -1,13 +1,19 @@
 """Counters and histograms of a proxy, with bounded label counts.
 
 Labels are services and account classes, never accounts or targets.  The text is served on the
-metrics address in the Prometheus format.
+metrics address in the Prometheus format.  Requests are counted in plain integers, and handed to the
+library when the text is asked for: the library encodes its labels as JSON at each count.
 """
 
+import threading
+from bisect import bisect_left
+from dataclasses import dataclass, field
+from itertools import accumulate
 from typing import Final
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
-from toucanspindle_core.outcome import Outcome
+from aioprometheus.histogram import Histogram as HistogramValue
+from toucanspindle_core.outcome import Outcome, OutcomeKind
 
 from toucanspindle_node.exchange import Exchange
 
@@ -15,8 +21,32 @@
 UNROUTED: Final = "none"
 
 
+@dataclass(slots=True)
+class _Latencies:
+    """Counts of latencies by bucket; the last one takes what is above all bounds."""
+
+    by_bucket: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BUCKETS_S) + 1))
+    sum_s: float = 0.0
+
+    def add(self, latency_s: float) -> None:
+        """Count one latency."""
+        self.by_bucket[bisect_left(LATENCY_BUCKETS_S, latency_s)] += 1
+        self.sum_s += latency_s
+
+    def as_histogram(self) -> HistogramValue:
+        """Return the library's form, in which a bucket counts all that is below its bound."""
+        value = HistogramValue(*LATENCY_BUCKETS_S)
+        value.buckets = dict(zip(value.buckets, accumulate(self.by_bucket), strict=True))
+        value.observations = sum(self.by_bucket)
+        value.sum = self.sum_s
+        return value
+
+
 class ProxyMetrics:
-    """The metrics of one proxy."""
+    """The metrics of one proxy; safe for use by several threads.
+
+    Invariant: each request is counted once, whatever threads count at the same time.
+    """
 
     def __init__(self) -> None:
         """Create all metrics at zero."""
@@ -32,17 +62,27 @@
         self._errors = Counter("errors_total", "Errors by code.", **options)
         self._events = Counter("events_total", "Changes of state by kind.", **options)
         self._generation = Gauge("config_generation", "Generation in force.", **options)
+        self._lock = threading.Lock()
+        self._request_counts: dict[tuple[str, OutcomeKind], int] = {}
+        self._error_counts: dict[str, int] = {}
+        self._latencies: dict[tuple[str, str], _Latencies] = {}
 
     def count(self, exchange: Exchange, outcome: Outcome, elapsed_s: float) -> None:
         """Count the end of a request."""
         service = exchange.policy.name if exchange.policy else UNROUTED
-        self._requests.inc({"service": service, "outcome": outcome.kind.value})
-        if outcome.error_code is not None:
-            self._errors.inc({"code": outcome.error_code.name})
         policy = exchange.state.policy
-        if policy is not None and exchange.policy is not None:
-            group = policy.account_class(exchange.account).name
-            self._latency.observe({"service": service, "account_class": group}, elapsed_s)
+        request = (service, outcome.kind)
+        with self._lock:
+            self._request_counts[request] = self._request_counts.get(request, 0) + 1
+            if outcome.error_code is not None:
+                code = outcome.error_code.name
+                self._error_counts[code] = self._error_counts.get(code, 0) + 1
+            if policy is not None and exchange.policy is not None:
+                group = (service, policy.account_class(exchange.account).name)
+                latencies = self._latencies.get(group)
+                if latencies is None:
+                    latencies = self._latencies[group] = _Latencies()
+                latencies.add(elapsed_s)
 
     def count_event(self, kind: str) -> None:
         """Count a change of state."""
@@ -54,5 +94,16 @@
 
     def text(self) -> bytes:
         """Return all metrics in the text format."""
+        self._hand_over()
         content, _ = render(self._registry, [])
         return bytes(content)
+
+    def _hand_over(self) -> None:
+        with self._lock:
+            for (service, kind), count in self._request_counts.items():
+                self._requests.set({"service": service, "outcome": kind.value}, count)
+            for code, count in self._error_counts.items():
+                self._errors.set({"code": code}, count)
+            for (service, group), latencies in self._latencies.items():
+                labels = {"service": service, "account_class": group}
+                self._latency.set_value(labels, latencies.as_histogram())
--- /dev/null
+++ b/tests/test_proxymetrics.py
@@ -0,0 +1,70 @@
+"""Metrics of the proxy: what is counted is what the text shows."""
+
+import threading
+from typing import Final
+
+from testtools import TestCase
+from toucanspindle_core.outcome import Outcome
+from toucanspindle_core.policy import FleetPolicy, ServicePolicy, merge_policy
+from toucanspindle_node.exchange import CallerRequest, Exchange
+from toucanspindle_node.fleetstate import FleetStateHolder
+from toucanspindle_node.proxymetrics import ProxyMetrics
+from toucanspindle_standins.processes import AddressPool
+from toucanspindle_standins.smallfleet import small_fleet
+
+SERVICE: Final = "lotbook"
+THREADS: Final = 4
+REQUESTS: Final = 500
+
+
+class ProxyMetricsTests(TestCase):
+    """Requests by outcome, and latencies by bucket."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.metrics = ProxyMetrics()
+        policy: FleetPolicy = merge_policy(small_fleet(AddressPool(), {SERVICE: 1}), 1)
+        holder = FleetStateHolder()
+        holder.apply_policy(policy)
+        service: ServicePolicy = policy.services[SERVICE]
+        self.exchange = Exchange(CallerRequest("GET", "/", {}, b""), holder.state, policy=service)
+
+    def count(self, *latencies_s: float) -> None:
+        for latency_s in latencies_s:
+            self.metrics.count(self.exchange, Outcome.answered(200, (), b""), latency_s)
+
+    def values(self) -> dict[str, float]:
+        """Return the value of each line of the text that has labels or not."""
+        lines = self.metrics.text().decode().splitlines()
+        pairs = (line.rpartition(" ") for line in lines if line and not line.startswith("#"))
+        return {name: float(value) for name, _, value in pairs}
+
+    def bucket(self, bound: str) -> float:
+        found = [
+            value
+            for name, value in self.values().items()
+            if name.startswith("request_seconds_bucket") and f'le="{bound}"' in name
+        ]
+        return found[0]
+
+    def test_a_bucket_counts_all_up_to_its_bound(self) -> None:
+        self.count(0.0005, 0.001, 0.003, 20.0)
+        expected = {"0.001": 2, "0.002": 2, "0.005": 3, "10.0": 3, "+Inf": 4}
+        self.assertEqual(expected, {bound: self.bucket(bound) for bound in expected})
+
+    def test_each_text_shows_all_requests_so_far(self) -> None:
+        self.count(0.01)
+        self.values()
+        self.count(0.01)
+        total = [v for name, v in self.values().items() if name.startswith("requests_total")]
+        self.assertEqual([2.0], total)
+
+    def test_no_request_of_several_threads_is_lost(self) -> None:
+        threads = [
+            threading.Thread(target=self.count, args=[0.01] * REQUESTS) for _ in range(THREADS)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(THREADS * REQUESTS, self.bucket("+Inf"))
