Leave what exists at the start out of the collection of garbage

Cause: a full collection walks every object that has ever been made, while all requests wait. With the proxy's modules loaded there are 48,489, and a full collection took 23 to 27 ms (5 times, busy machine); after gc.freeze it took less than 0.01 ms (5 times).

Once listening, a proxy collects once and freezes. The effect on p99.9 under load is for a quiet machine to show. Thresholds are left alone: what a request leaves behind is its trace, and young collections are short.

--- a/packages/toucanspindle-node/toucanspindle_node/proxy.py
+++ b/packages/toucanspindle-node/toucanspindle_node/proxy.py
@@ -5,6 +5,7 @@
 flight; hand the finished records to a successor; say so (LEFT); close.
 """
 
+import gc
 import random
 import secrets
 import time
@@ -107,6 +108,7 @@
             self._entry.stop_serving()
             self._metrics_server.close()
             raise
+        _exempt_from_collection()
         log.info(
             "proxy {} serves callers on {} as incarnation {}",
             self._settings.node,
@@ -247,3 +249,12 @@
         self._loop.close()
         self._hedges.close()
         self._targets.close()
+
+
+def _exempt_from_collection() -> None:
+    """Leave what exists now, modules above all, out of later collections of garbage.
+
+    A full collection walks all objects while every request waits.
+    """
+    gc.collect()
+    gc.freeze()
