Prove the floor and gray targets under more failures

New tests with real processes: a target unreachable from one failure domain, a flapping target, a whole service that is slow and then wrong, a poison request beside other traffic with crashed targets restarted; for the floor: each node can't reach another target, a target leaves while two are ejected, a permit holder's agent is frozen past its ejections' lapse and woken after another node judges in its place. The shared base is tests/grayfleet.py.

The watch on ejections ran in a thread whose error was lost, so that it could have stopped without a failure; it now raises, and looks once more after the action. Status is asked past the links.

--- a/tests/fleetcase.py
+++ b/tests/fleetcase.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 from toucanctl.nodeclient import fetch_status
+from toucanspindle_core.control_pb2 import NodeStatus
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_core.outcome import OutcomeKind
 from toucanspindle_standins.entrynode import EntryNode
@@ -119,10 +120,15 @@
     return Told(kind, answer.status, code, answer.body)
 
 
+def status_of(node: EntryNode) -> NodeStatus:
+    """Return what a node's agent shows operators, asked past the links and their faults."""
+    return asyncio.run(fetch_status(node.settings.agent_bind_address))
+
+
 def ejected_targets(node: EntryNode) -> set[str]:
     """Return the targets that a node's agent tells its proxy to eject."""
-    status = asyncio.run(fetch_status(node.settings.agent_address))
-    return {ejection.target for one in status.ejections for ejection in one.ejections}
+    sets = status_of(node).ejections
+    return {ejection.target for one in sets for ejection in one.ejections}
 
 
 def runs_of(fleet: Fleet, key: str) -> list[Run]:
--- a/tests/test_gray_target.py
+++ b/tests/test_gray_target.py
@@ -1,76 +1,26 @@
 """A sick target loses its traffic while it looks healthy, and the floor holds over all nodes."""
 
-import threading
 import time
-from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from functools import partial
+from itertools import pairwise
 from typing import Any, Final
 
 from toucanspindle_core.objects import PERMITS_KIND
+from toucanspindle_core.outcome import OutcomeKind
 from toucanspindle_core.permits import Permits
-from toucanspindle_standins.fleet import Fleet, FleetOptions
-from toucanspindle_standins.httpcall import BrokenAnswerError, http_call
+from toucanspindle_standins.fleet import Fleet
 
-from tests.fleetcase import SERVICE, FleetTestCase, ejected_targets
+from tests.fleetcase import SERVICE, ejected_targets, look_up
+from tests.grayfleet import EjectionWatch, GrayFleetTestCase, entry_past_links
 from tests.harness import wait_until
 
-CALLERS: Final = 6
-ACCOUNTS: Final = tuple(f"account-{number}" for number in range(24))
-PAUSE_S: Final = 0.02
-DETECTED_WITHIN_S: Final = 60.0
-EAGER: Final = {
-    "false_ejections_per_target_day": 5.0,
-    "account_requests_per_s": 100_000,
-    "retry_budget_percent": 100,
-    "deadline_ms": 2000,
-}
-
-
-class SteadyTraffic:
-    """Lookups of many accounts through all nodes, at a steady pace, until stopped."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self._fleet = fleet
-        self._stop = threading.Event()
-        self._pool = ThreadPoolExecutor(CALLERS)
-        for number in range(CALLERS):
-            self._pool.submit(self._run, number)
-
-    def stop(self) -> None:
-        self._stop.set()
-        self._pool.shutdown()
-
-    def _run(self, number: int) -> None:
-        entries = [node.entry for node in self._fleet.nodes]
-        while not self._stop.wait(PAUSE_S):
-            number += 1
-            headers = {"Toucan-Account": ACCOUNTS[number % len(ACCOUNTS)]}
-            address = entries[number % len(entries)]
-            try:
-                http_call(address, "GET", f"/{SERVICE}/{number}", headers)
-            except BrokenAnswerError:
-                continue
-
-
-class GrayFleetTestCase(FleetTestCase):
-    """A fleet of eight targets under steady traffic."""
-
-    def start_gray(self, **defaults: Any) -> Fleet:
-        options = FleetOptions(
-            target_options={"service_ms": 5}, node_overrides={"report_interval_s": 0.25}
-        )
-        fleet = self.start_lotbook(targets=8, options=options, **(EAGER | defaults))
-        traffic = SteadyTraffic(fleet)
-        self.addCleanup(traffic.stop)
-        wait_until(lambda: all(t.runs() for t in fleet.targets.values()), what="all get work")
-        return fleet
-
-    def wait_ejected(self, fleet: Fleet, *names: str) -> None:
-        def ejected_everywhere() -> bool:
-            return all(set(names) <= ejected_targets(node) for node in fleet.nodes)
-
-        wait_until(ejected_everywhere, DETECTED_WITHIN_S, f"{names} are ejected on all nodes")
+LOOKUPS_WITHOUT_SICK: Final = 100
+POISON: Final = "poison"
+RESENDS: Final = 20
+LOOKUPS_WATCHED: Final = 500
+FLAP_PERIOD_MS: Final = 3000
+# Less than the first interval of readmission.py by the time in which nodes hear of an ejection.
+FIRST_OUT_S: Final = 8.0
 
 
 def granted(fleet: Fleet) -> int:
@@ -101,45 +51,88 @@
     def test_wrong_for_one_bucket_of_accounts(self) -> None:
         self.check_loses_traffic(wrong_account_bucket=3, account_buckets=4)
 
+    def test_unreachable_from_one_failure_domain(self) -> None:
+        fleet = self.start_gray(behind_faults=True)
+        near, sick = fleet.nodes[0], fleet.targets[f"{SERVICE}-1"]
+        fleet.links.set_rules([self.cut_off(fleet, near.name, sick.name)])
+        watch = EjectionWatch(fleet.nodes)
+
+        def none_sent_there() -> bool:
+            held = fleet.links.held()
+            told = {look_up(entry_past_links(near)).kind for _ in range(LOOKUPS_WITHOUT_SICK)}
+            return told == {OutcomeKind.ANSWERED} and fleet.links.held() == held
+
+        def lose_traffic() -> None:
+            self.wait_ejected(fleet, sick.name)
+            wait_until(none_sent_there, what="the node sends nothing to the target it can't reach")
+
+        watch.during(lose_traffic)
+        self.assertEqual({sick.name}, watch.ever)
+        self.assertEqual({OutcomeKind.ANSWERED}, set(self.traffic.told))
+
+    def test_flapping_target_stays_out_longer_each_time(self) -> None:
+        fleet = self.start_gray()
+        sick = fleet.targets[f"{SERVICE}-1"]
+        watch = EjectionWatch(fleet.nodes)
+        sick.set_faults(wrong_share=1.0, flap_period_ms=FLAP_PERIOD_MS)
+
+        def stays_out_longer() -> bool:
+            starts = [run.started for run in sick.runs()] + [time.time()]
+            gaps = [later - earlier for earlier, later in pairwise(starts)]
+            first = next((n for n, gap in enumerate(gaps) if gap >= FIRST_OUT_S), len(gaps))
+            return any(gap >= 2 * FIRST_OUT_S for gap in gaps[first + 1 :])
+
+        watch.during(partial(wait_until, stays_out_longer, 90.0, "the target stays out longer"))
+        self.assertEqual({sick.name}, watch.ever)
+
+
+class HealthyTargetTests(GrayFleetTestCase):
+    """What isn't a target's fault ejects no target."""
+
+    def test_whole_service_slow_and_then_wrong(self) -> None:
+        fleet = self.start_gray()
+        watch = EjectionWatch(fleet.nodes)
+        for faults in ({"slow_factor": 5.0}, {"wrong_share": 0.3}):
+            for target in fleet.targets.values():
+                target.set_faults(**faults)
+            watch.during(partial(self.wait_more_told, LOOKUPS_WATCHED))
+        self.assertEqual(set(), watch.ever)
+
+    def test_poison_request_beside_traffic(self) -> None:
+        fleet = self.start_gray()
+        for target in fleet.targets.values():
+            target.set_faults(crash_marker=POISON)
+        crashed: set[str] = set()
+
+        def resend() -> None:
+            for number in range(RESENDS):
+                node = fleet.nodes[number % len(fleet.nodes)]
+                look_up(node.entry, path=f"/{SERVICE}/{POISON}")
+                crashed.update(self.restart_crashed(fleet))
+            self.wait_more_told(LOOKUPS_WATCHED)
+
+        watch = EjectionWatch(fleet.nodes)
+        watch.during(resend)
+        self.assertIn(len(crashed), {1, 2}, crashed)
+        self.assertEqual(set(), watch.ever - crashed)
+
+    def restart_crashed(self, fleet: Fleet) -> list[str]:
+        """Start the targets that crashed anew, without faults, and return their names."""
+        crashed = [t for t in fleet.targets.values() if not (t.process and t.process.running)]
+        for target in crashed:
+            target.start(fleet.options.target_options)
+        return [target.name for target in crashed]
+
 
 class FloorTests(GrayFleetTestCase):
     """Three of eight targets are sick with a floor of six."""
 
-    def check_floor_while(self, fleet: Fleet, action: Callable[[], None]) -> None:
-        """Assert, while `action` runs, that the nodes together eject at most two targets."""
-        most: set[str] = set()
-        done = threading.Event()
-
-        def watch() -> None:
-            while not done.is_set():
-                union = set().union(*(ejected_targets(node) for node in fleet.nodes))
-                if len(union) > len(most):
-                    most.clear()
-                    most.update(union)
-                time.sleep(PAUSE_S)
-
-        watcher = threading.Thread(target=watch)
-        watcher.start()
-        try:
-            action()
-        finally:
-            done.set()
-            watcher.join()
-        self.assertLessEqual(len(most), 2, most)
-
     def test_union_of_ejections_respects_the_floor(self) -> None:
         fleet = self.start_gray()
         for number in (1, 2, 3):
             fleet.targets[f"{SERVICE}-{number}"].set_faults(wrong_share=0.5)
         self.check_floor_while(fleet, partial(self.wait_two_ejected, fleet))
 
-    def wait_two_ejected(self, fleet: Fleet) -> None:
-        wait_until(
-            lambda: all(len(ejected_targets(node)) == 2 for node in fleet.nodes),
-            DETECTED_WITHIN_S,
-            "two targets are ejected on all nodes",
-        )
-
     def test_ejections_go_on_while_the_platform_is_away(self) -> None:
         fleet = self.start_gray()
         fleet.targets[f"{SERVICE}-1"].set_faults(wrong_share=0.5)
