Read a target's run log past a line that is being written

Cause: a reader of the log can see a line that is being written in part; the reader took it for whole. Seen once in test_unreachable_from_one_failure_domain, which reads the logs while the targets serve (JSONDecodeError). What follows the last line end is now left for the next read.

Ruled out: a target killed in the middle of a line (none was).

--- a/packages/toucanspindle-standins/toucanspindle_standins/runlog.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/runlog.py
@@ -93,11 +93,13 @@
 def read_run_file(path: Path) -> list[Run]:
     """Return the runs of a log file; one that never finished has `finished` 0.
 
-    A target that was started again numbers its runs from 1 again; starts are kept apart.
+    A target that was started again numbers its runs from 1 again; starts are kept apart.  A reader
+    may see a line that is being written in part; what follows the last line end is left out.
     """
     runs: list[Run] = []
     open_runs: dict[int, Run] = {}
-    for line in path.read_text(encoding="utf-8").splitlines():
+    whole_lines = path.read_text(encoding="utf-8").rpartition("\n")[0]
+    for line in whole_lines.splitlines():
         values = json.loads(line)
         event = values.pop("event")
         run = Run(**values)
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from toucanspindle_core.hostport import HostPort
-from toucanspindle_standins.runlog import read_run_file
+from toucanspindle_standins.httpserver import HttpRequest
+from toucanspindle_standins.runlog import RunLog, read_run_file
 from toucanspindle_standins.targetfaults import account_bucket
 
 from tests.harness import (
@@ -195,3 +196,17 @@
     path = folder / "fleet.toml"
     path.write_text("\n".join(lines) + "\n", encoding="utf-8")
     return path, addresses
+
+
+class RunFileTests(ProcessTestCase):
+    """Reading a log that a target is writing at the same time."""
+
+    def test_line_that_is_not_written_out_is_left_for_the_next_read(self) -> None:
+        path = self.folder / "lotbook-1.runs"
+        log = RunLog("lotbook-1", path)
+        log.start()
+        self.addCleanup(log.close)
+        log.begin(HttpRequest("GET", "/lotbook/1", "", {}, b""))
+        whole = path.read_bytes()
+        path.write_bytes(whole + whole[: len(whole) // 2])
+        self.assertEqual(["/lotbook/1"], [run.path for run in read_run_file(path)])
