Keep the date line and the phrases of answers, and bind the filters once

Cause: each answer formatted the date anew and looked its phrase up through an Enum, each filter was called through a closure of its own, and the count of requests in flight went through a generator and woke its waiters at each request, not only when none was left.

--- a/packages/toucanspindle-node/toucanspindle_node/entryserver.py
+++ b/packages/toucanspindle-node/toucanspindle_node/entryserver.py
@@ -12,9 +12,9 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from email.utils import formatdate
+from functools import lru_cache
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -64,6 +64,7 @@
 LIST_HEADERS: Final = frozenset(comma_separated_headers)
 MAX_CHUNK_LINE_BYTES: Final = 1024
 CHUNK_LINE: Final = re.compile(rb"[0-9A-Fa-f]{1,8}[ \t]*(?:;[^\r\n]*)?\r\n")
+PHRASES: Final = {status.value: status.phrase for status in HTTPStatus}
 HANDLE = Callable[[CallerRequest], Outcome]
 
 
@@ -207,8 +208,11 @@
             body,
             request.conn.ready_at or time.monotonic(),
         )
-        with server.count_in_flight():
+        server.begin_request()
+        try:
             self._answer(server, caller_request)
+        finally:
+            server.end_request()
 
     def _answer(self, server: "EntryServer", caller_request: CallerRequest) -> None:
         request = self.req
@@ -259,16 +263,16 @@
         """Answer one request."""
         return self._handle(request)
 
-    @contextmanager
-    def count_in_flight(self) -> Iterator[None]:
-        """Count a request as in flight until its answer was written."""
+    def begin_request(self) -> None:
+        """Count a request as in flight until `end_request`."""
         with self._idle:
             self._in_flight += 1
-        try:
-            yield
-        finally:
-            with self._idle:
-                self._in_flight -= 1
+
+    def end_request(self) -> None:
+        """Count the end of a request, after its answer was written."""
+        with self._idle:
+            self._in_flight -= 1
+            if not self._in_flight:
                 self._idle.notify_all()
 
     def process_conn(self, conn: EntryConnection) -> None:
@@ -332,14 +336,16 @@
     close: bool,
     include_body: bool = True,
 ) -> bytes:
-    try:
-        phrase = HTTPStatus(status).phrase
-    except ValueError:
-        phrase = "Status"
-    lines = [f"HTTP/1.1 {status} {phrase}", f"Date: {formatdate(usegmt=True)}"]
+    phrase = PHRASES.get(status, "Status")
+    lines = [f"HTTP/1.1 {status} {phrase}", f"Date: {_date_text(int(time.time()))}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
     lines.append(f"Content-Length: {len(body)}")
     if close:
         lines.append("Connection: close")
     head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
     return head + body if include_body else head
+
+
+@lru_cache(maxsize=1)
+def _date_text(second: int) -> str:
+    return formatdate(second, usegmt=True)
--- a/packages/toucanspindle-node/toucanspindle_node/exchange.py
+++ b/packages/toucanspindle-node/toucanspindle_node/exchange.py
@@ -7,6 +7,7 @@
 import secrets
 import time
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final, Protocol
 
 from toucanspindle_core.errors import RequestError
@@ -133,17 +134,10 @@
 
     handler: Handler = end
     for current in reversed(filters):
-        handler = _connect(current, handler)
+        handler = partial(current.handle, forward=handler)
     return handler
 
 
-def _connect(current: Filter, forward: Handler) -> Handler:
-    def handle(exchange: Exchange) -> Outcome:
-        return current.handle(exchange, forward)
-
-    return handle
-
-
 def new_request_id() -> str:
     """Return a random id for a request or an attempt."""
     return secrets.token_hex(REQUEST_ID_BYTES)
