Refuse undecodable and oversized messages between agents

Cause: the link between agents read whatever came, of up to 4 GB, and ended as an internal error without a code on bytes that it couldn't decode. It now receives through the bounded reader that the link between proxies has; 4 MB is far above a table of members, the largest message it takes.

Before: the new test got 'Inter(nal)' in place of TS502. After: 8 passed in test_agent_borders and test_issuerlink_border. Their raw calls moved to tests/rawmessages.py; no case changed.

--- a/packages/toucanspindle-node/toucanspindle_node/peerlink.py
+++ b/packages/toucanspindle-node/toucanspindle_node/peerlink.py
@@ -1,6 +1,10 @@
-"""Server of the link between agents: hands each call to the part of the agent it concerns."""
+"""Server of the link between agents: hands each call to the part of the agent it concerns.
 
-from typing import Protocol, TypeVar
+The largest message that an agent sends on is a table of members, about 170 KB at the two-year size;
+what exceeds `MAX_MESSAGE_BYTES` is refused before it is read.
+"""
+
+from typing import Final, Protocol
 
 from grpclib.server import Stream
 from toucanspindle_core.control_grpc import PeerLinkBase
@@ -24,13 +28,13 @@
 
 from toucanspindle_node.agent_counters import AgentCounters, AgentEvent
 from toucanspindle_node.agent_evidence import EvidenceRouter
+from toucanspindle_node.boundedmessage import receive_message
 from toucanspindle_node.configcache import ConfigCache
 from toucanspindle_node.configspread import ConfigSpread
 from toucanspindle_node.memberloop import MemberLoop
 from toucanspindle_node.proxylink import refusal
 
-Request = TypeVar("Request")
-Answer = TypeVar("Answer")
+MAX_MESSAGE_BYTES: Final = 4 << 20
 
 
 class PeerHandlers(Protocol):
@@ -74,7 +78,7 @@
 
     async def Ping(self, stream: "Stream[PingRequest, PingAnswer]") -> None:  # noqa: N802
         """Answer a probe."""
-        request = await _receive(stream)
+        request = await receive_message(stream, PingRequest, MAX_MESSAGE_BYTES)
         try:
             answer = self._handlers.members.answer_ping(request)
         except ControlError as error:
@@ -86,14 +90,14 @@
         self, stream: "Stream[IndirectPing, IndirectAnswer]"
     ) -> None:
         """Probe another agent for a peer."""
-        request = await _receive(stream)
+        request = await receive_message(stream, IndirectPing, MAX_MESSAGE_BYTES)
         await stream.send_message(await self._handlers.members.answer_indirect(request))
 
     async def ExchangeMembers(  # noqa: N802
         self, stream: "Stream[MemberTable, MemberTable]"
     ) -> None:
         """Compare member tables."""
-        request = await _receive(stream)
+        request = await receive_message(stream, MemberTable, MAX_MESSAGE_BYTES)
         try:
             members = self._handlers.members.exchange.answer(list(request.members))
         except ControlError as error:
@@ -105,7 +109,7 @@
         self, stream: "Stream[GenerationNotice, Empty]"
     ) -> None:
         """Hear of a generation."""
-        notice = await _receive(stream)
+        notice = await receive_message(stream, GenerationNotice, MAX_MESSAGE_BYTES)
         self._handlers.spread.hear_generation(notice.generation, notice.from_agent_address)
         await stream.send_message(Empty())
 
@@ -113,30 +117,25 @@
         self, stream: "Stream[BundleRequest, ConfigBundle]"
     ) -> None:
         """Give out the configuration."""
-        request = await _receive(stream)
+        request = await receive_message(stream, BundleRequest, MAX_MESSAGE_BYTES)
         bundle = self._handlers.cache.bundle_above(request.above_generation)
         await stream.send_message(bundle)
 
     async def SendEvidence(self, stream: "Stream[EvidenceBatch, Empty]") -> None:  # noqa: N802
         """Take in evidence."""
-        self._handlers.evidence.accept_batch(await _receive(stream))
+        self._handlers.evidence.accept_batch(
+            await receive_message(stream, EvidenceBatch, MAX_MESSAGE_BYTES)
+        )
         await stream.send_message(Empty())
 
     async def FetchEjections(  # noqa: N802
         self, stream: "Stream[PullEjections, EjectionSets]"
     ) -> None:
         """Give out this node's ejections."""
-        request = await _receive(stream)
+        request = await receive_message(stream, PullEjections, MAX_MESSAGE_BYTES)
         await stream.send_message(self._handlers.evidence.answer_pull(request))
 
     async def Status(self, stream: "Stream[StatusRequest, NodeStatus]") -> None:  # noqa: N802
         """Show this node to operators."""
-        request = await _receive(stream)
+        request = await receive_message(stream, StatusRequest, MAX_MESSAGE_BYTES)
         await stream.send_message(self._handlers.node_status(request))
-
-
-async def _receive(stream: "Stream[Request, Answer]") -> Request:
-    request = await stream.recv_message()
-    if request is None:
-        raise ConnectionError("the peer ended the call before its request")
-    return request
--- a/tests/test_agent_borders.py
+++ b/tests/test_agent_borders.py
@@ -1,14 +1,13 @@
 """Tests of what agents refuse from peers, and of leaving targets in the platform's host list."""
 
-from typing import Any
-
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError
+from google.protobuf.message import Message
 from toucanspindle_core.control_grpc import PeerLinkStub
 from toucanspindle_core.control_pb2 import LEFT, LIVE, Member, MemberTable, PingRequest
+from toucanspindle_node.peerlink import MAX_MESSAGE_BYTES
 
 from tests.agentfleet import AgentFleetCase, AgentNode, listen_address
 from tests.harness import put_json, wait_until
+from tests.rawmessages import refusal_of, refusal_of_length
 
 LEAVING_S = 5.0
 
@@ -22,9 +21,10 @@
         self.wait_for_members(self.nodes_up)
         self.node = self.nodes_up[0]
 
-    def refusal_of(self, method: str, request: Any) -> str:
-        """Call the first agent and return the start of its refusal."""
-        return self.loop.call(_refusal_of(self.node, method, request))
+    def refusal_of(self, method: str, request: Message | bytes) -> str:
+        """Call the first agent and return the code of its refusal."""
+        address = listen_address(self.node.settings)
+        return self.loop.call(refusal_of(address, PeerLinkStub, method, request))
 
     def assert_unharmed(self) -> None:
         self.wait_for_members(self.nodes_up)
@@ -52,6 +52,14 @@
         self.assertEqual("TS502", self.refusal_of("ExchangeMembers", table))
         self.assert_unharmed()
 
+    def test_bytes_that_are_no_message_and_messages_too_long(self) -> None:
+        for method in ("Ping", "ExchangeMembers", "SendEvidence", "Status"):
+            self.assertEqual("TS502", self.refusal_of(method, b"\xff" * 64), method)
+        address, path = listen_address(self.node.settings), "/toucanspindle.PeerLink/SendEvidence"
+        refusal = self.loop.call(refusal_of_length(address, path, MAX_MESSAGE_BYTES + 1))
+        self.assertEqual("TS502", refusal)
+        self.assert_unharmed()
+
 
 class LeavingTargetTests(AgentFleetCase):
     """Targets that the host list shows as leaving."""
@@ -76,15 +84,3 @@
 
 def _leaving_at(node: AgentNode) -> list[str]:
     return list(node.proxy.states[-1].leaving_targets)
-
-
-async def _refusal_of(node: AgentNode, method: str, request: Any) -> str:
-    address = listen_address(node.settings)
-    channel = Channel(address.ip, address.port)
-    try:
-        await getattr(PeerLinkStub(channel), method)(request)
-    except GRPCError as error:
-        return (error.message or "")[:5]
-    finally:
-        channel.close()
-    return "no refusal"
--- a/tests/test_issuerlink_border.py
+++ b/tests/test_issuerlink_border.py
@@ -5,13 +5,8 @@
 
 import asyncio
 import socket
-import struct
 from typing import Any, Final, cast
 
-from grpclib.client import Channel
-from grpclib.const import Cardinality
-from grpclib.encoding.base import CodecBase
-from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 from testtools import TestCase
 from toucanspindle_core import control_pb2 as pb
@@ -31,27 +26,14 @@
 
 from tests.fleetcase import ACCOUNT, FleetTestCase, Reservation, reserve, runs_of
 from tests.harness import ADDRESSES
+from tests.rawmessages import CALL_TIMEOUT_S, RawCodec, refusal_of, refusal_of_length
 
-CALL_TIMEOUT_S: Final = 10.0
+SUBMIT: Final = "/toucanspindle.IssuerLink/Submit"
 REFUSED: Final = "TS502"
 ALIEN: Final = "someone-else"
 ALIEN_TOKEN: Final = f"{ALIEN}.0." + "x" * 24
 
 
-class RawCodec(CodecBase):
-    """Sends bytes as they are, in place of an encoded message."""
-
-    __content_subtype__ = "proto"
-
-    def encode(self, message: Any, message_type: Any) -> bytes:  # noqa: ARG002
-        """Return the bytes."""
-        return bytes(message)
-
-    def decode(self, data: bytes, message_type: Any) -> Any:  # noqa: ARG002
-        """Return the bytes."""
-        return data
-
-
 def submit_of(reservation: Reservation, **changes: Any) -> pb.SubmitRequest:
     """Return the message by which an honest proxy sends a reservation, with changes."""
     headers = {
@@ -72,40 +54,6 @@
     return pb.SubmitRequest(**(values | changes))
 
 
-async def refusal_of(address: HostPort, method: str, message: Any) -> str:
-    """Call a proxy; return the start of its refusal, or "taken"."""
-    raw = isinstance(message, bytes)
-    channel = Channel(address.ip, address.port, codec=RawCodec() if raw else None)
-    try:
-        await getattr(IssuerLinkStub(channel), method)(message, timeout=CALL_TIMEOUT_S)
-    except GRPCError as error:
-        return (error.message or "")[: len(REFUSED)]
-    finally:
-        channel.close()
-    return "taken"
-
-
-async def announce_length(address: HostPort, size_bytes: int) -> str:
-    """Announce a message of a size, send only its start, and return the refusal's start."""
-    channel = Channel(address.ip, address.port)
-    try:
-        async with channel.request(
-            "/toucanspindle.IssuerLink/Submit",
-            Cardinality.UNARY_UNARY,
-            pb.SubmitRequest,
-            pb.SubmitAnswer,
-            timeout=CALL_TIMEOUT_S,
-        ) as stream:
-            await stream.send_request()
-            await stream._stream.send_data(struct.pack(">?I", False, size_bytes) + b"x" * 1000)
-            await stream.recv_message()
-    except GRPCError as error:
-        return (error.message or "")[: len(REFUSED)]
-    finally:
-        channel.close()
-    return "taken"
-
-
 class RefusedMessageTests(FleetTestCase):
     """What a running proxy refuses from others."""
 
@@ -154,11 +102,13 @@
         refused |= {name: self.refusal("HandOver", message) for name, message in batches.items()}
         refused |= {name: self.refusal("NoteCrash", message) for name, message in crashes.items()}
         address = control_address(self.issuer)
-        refused["too long"] = asyncio.run(announce_length(address, MAX_MESSAGE_BYTES + 1))
+        refused["too long"] = asyncio.run(refusal_of_length(address, SUBMIT, MAX_MESSAGE_BYTES + 1))
         return refused
 
     def refusal(self, method: str, message: Any) -> str:
-        return asyncio.run(refusal_of(control_address(self.issuer), method, message))
+        return asyncio.run(
+            refusal_of(control_address(self.issuer), IssuerLinkStub, method, message)
+        )
 
     def assert_unharmed(self) -> None:
         address = control_address(self.issuer)
