Hold no target slow for a change of shape that all targets share

Cause: when a whole service slows down, its answers bunch where the peers' histogram is thin or skewed. The common shift of the mean is taken out, but the ratio per answer may still speak for 'slower' at every target alike, and the target with most answers in a report is over the threshold before half of the others are suspect. Seen as 'lotbook-3 took 1.0 times as long as its peers for 22 answers', ratio 17.5, threshold 14.5.

The median over the targets of the ratio per answer is now taken off, per failure domain, and a verdict of slowness must name a slowdown of at least 1.3.

--- a/packages/toucanspindle-core/toucanspindle_core/sequentialdetector.py
+++ b/packages/toucanspindle-core/toucanspindle_core/sequentialdetector.py
@@ -18,6 +18,7 @@
 from typing import Final, TypeAlias
 
 from toucanspindle_core.clock import Clock
+from toucanspindle_core.commonmode import take_out_common_slowness
 from toucanspindle_core.cusum import (
     ALTERNATIVES,
     RUN_LENGTH_GAIN,
@@ -40,6 +41,7 @@
 CAUTIOUS_SHARE: Final = 0.35
 CAUTION_S: Final = 30.0
 REST_IS_WELL: Final = -1.5
+MIN_SLOWDOWN: Final = 1.3
 
 # Shares of the allowed false ejections: two whole-target tests (wrong, slow), one per account
 # bucket (wrong) and two per failure domain add up to 1.
@@ -184,6 +186,7 @@
                 cells[outcomes.domain, outcomes.counts.account_bucket] = tally
             else:
                 known.add(tally)
+        take_out_common_slowness(tallies.values())
         return tallies
 
     def _add_evidence(self, state: _TargetState, scopes: dict[_Scope, ScopeTally]) -> None:
@@ -236,7 +239,10 @@
             for scope, cusums in state.cusums.items()
             for cusum in cusums
             if cusum.statistic >= self._threshold(scope, cusum.alternative)
+            and not _contradicts_itself(cusum)
         ]
+        if not over:
+            return None
         scope, cusum = max(over, key=lambda pair: pair[1].statistic)
         domain = self._affected_domain(state, scope, cusum)
         if domain is None:
@@ -273,7 +279,7 @@
                 f" {peers_percent:.1f}% of the same kind"
             )
         else:
-            ratio = BIN_RATIO ** (total.deviation / max(1, total.answers))
+            ratio = _slowdown(total)
             what = f"took {ratio:.1f} times as long as its peers for {total.answers} answers{where}"
         return (
             f"{target} {what}, within {cusum.steps * STEP_S:.1f} s; log-likelihood ratio"
@@ -292,3 +298,18 @@
         requests = sum(o.requests() for o in same_kind)
         expected = sum(o.requests() * self._reference.expected_failure_rate(o) for o in same_kind)
         return expected / max(1, requests)
+
+
+def _slowdown(tally: Tally) -> float:
+    """Return how many times as long as its peers a target took in the mean."""
+    return float(BIN_RATIO ** (tally.deviation / max(1, tally.answers)))
+
+
+def _contradicts_itself(cusum: Cusum) -> bool:
+    """Whether the evidence says "slower" though the answers took about as long as the peers'.
+
+    That is a change in the shape of the latencies, not in what they are on the whole.
+    """
+    if ALTERNATIVES[cusum.alternative].kind is not FaultKind.SLOW:
+        return False
+    return _slowdown(cusum.sums.total) < MIN_SLOWDOWN
