--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -5,10 +5,11 @@
 
 Real node processes, stand-in targets and the load generator, each in a process of its own.
 `latency`: one node takes all the load; each request through it is paired with one that goes to a
-target directly in the same run.  `goodput`: three nodes before four targets, at 0.5, 1, 2 and 3
-times the targets' capacity; goodput is answers over the time from the first run to the end of the
-last; work amplification is runs at the targets over answers.  Results are
-written into bench/results/ as JSON and a table.
+target directly in the same run.  That target serves no request of the node, and all have slots to
+spare, so that neither side waits for the other.  `goodput`: three nodes before four targets, at
+0.5, 1, 2 and 3 times the targets' capacity; goodput is answers over the time from the first run to
+the end of the last; work amplification is runs at the targets over answers.  Results are written
+into bench/results/ as JSON and a table.
 """
 
 import argparse
@@ -31,7 +32,11 @@
 
 RESULTS: Final = Path(__file__).parent / "results"
 SERVICE: Final = "lotbook"
+DIRECT_SERVICE: Final = "direct"
 LATENCY_SERVICE_MS: Final = 5
+LATENCY_SLOTS: Final = 16
+LATENCY_TARGETS: Final = 8
+DIRECT_TARGETS: Final = 4
 GOODPUT_SERVICE_MS: Final = 40
 GOODPUT_SLOTS: Final = 2
 GOODPUT_TARGETS: Final = 4
@@ -72,9 +77,12 @@
 
 def measure_latency(rates: Sequence[int], seeds: Sequence[int], seconds: float) -> list[LatencyRow]:
     """Run each rate with each seed through one node of a fleet of two."""
-    options = FleetOptions(node_count=2, target_options={"service_ms": LATENCY_SERVICE_MS})
+    target_options = {"service_ms": LATENCY_SERVICE_MS, "slots": LATENCY_SLOTS}
+    options = FleetOptions(node_count=2, target_options=target_options)
     with tempfile.TemporaryDirectory() as folder:
-        fleet = _start(8, options, Path(folder))
+        fleet = _start(
+            {SERVICE: LATENCY_TARGETS, DIRECT_SERVICE: DIRECT_TARGETS}, options, Path(folder)
+        )
         try:
             return [_latency_row(fleet, rate, seed, seconds) for rate in rates for seed in seeds]
         finally:
@@ -91,19 +99,17 @@
     return rows
 
 
-def _start(targets: int, options: FleetOptions, folder: Path, **defaults: Any) -> Fleet:
+def _start(targets: dict[str, int], options: FleetOptions, folder: Path, **defaults: Any) -> Fleet:
     addresses = AddressPool()
     defaults = {"account_requests_per_s": MANY_REQUESTS_PER_S} | defaults
-    fleet = Fleet(
-        small_fleet(addresses, {SERVICE: targets}, **defaults), folder, addresses, options
-    )
+    fleet = Fleet(small_fleet(addresses, targets, **defaults), folder, addresses, options)
     fleet.start()
     return fleet
 
 
 def _latency_row(fleet: Fleet, rate: int, seed: int, seconds: float) -> LatencyRow:
     node = fleet.nodes[0]
-    target = next(iter(fleet.targets.values()))
+    target = fleet.targets[f"{DIRECT_SERVICE}-1"]
     cpu_before = _cpu_s(node.proxy.pid)
     report = _load(node.entry, rate, seed, seconds, "--paired-direct", str(target.bind))
     cpu_s = _cpu_s(node.proxy.pid) - cpu_before
@@ -128,7 +134,11 @@
         target_options={"service_ms": GOODPUT_SERVICE_MS, "slots": GOODPUT_SLOTS},
     )
     fleet = _start(
-        GOODPUT_TARGETS, options, folder, slots_per_target=GOODPUT_SLOTS, deadline_ms=1000
+        {SERVICE: GOODPUT_TARGETS},
+        options,
+        folder,
+        slots_per_target=GOODPUT_SLOTS,
+        deadline_ms=1000,
     )
     try:
         rate = load * CAPACITY_PER_S / GOODPUT_NODES
