Leave a target that another judge holds for one domain to that judge

Cause: a judge whose verdict was on the whole target ejected it though another judge held it ejected from one failure domain, on a second permit; another sick target could then find none. The judges see the same evidence, so the holder widens its ejection on the permit it has. A judge that holds the target itself still widens, also when both hold it for one domain.

Before: test_a_target_that_another_judge_holds_for_one_domain_costs_no_second_permit failed.

--- a/packages/toucanspindle-core/toucanspindle_core/servicejudge.py
+++ b/packages/toucanspindle-core/toucanspindle_core/servicejudge.py
@@ -1,9 +1,10 @@
 """Judges the targets of one service: detection, permits, floor and re-admission together.
 
 Each step the detector names sick targets.  One that no other judge has ejected is ejected if a
-permit is free; judges further down the service's list wait a little first, so that two judges
-don't spend two permits on one target.  Ejected targets come back by stages.  When the
-permits that may be used fall below the ejections, the newest are taken back at once.
+permit is free.  Judges further down the service's list wait a little first, and a target that
+another judge holds ejected, if only from one failure domain, is left to it, so that two judges
+don't spend two permits on one target.  Ejected targets come back by stages.  When the permits that
+may be used fall below the ejections, the newest are taken back at once.
 
 Steps of spec/permits.py: Eject, Readmit, LearnLeaving.
 """
@@ -202,8 +203,12 @@
         self._note(f"{target} is ejected{where} for {interval_s:.0f} s: {verdict.evidence}")
 
     def _is_ejected(self, scope: EjectedFrom, view: ServiceView) -> bool:
-        held = self._ejections.keys() | view.ejected_by_others
-        return scope in held or EjectedFrom(scope.target) in held
+        if scope in self._ejections or EjectedFrom(scope.target) in self._ejections:
+            return True
+        if any(own.target == scope.target for own in self._ejections):
+            return False
+        # Its holder sees the same evidence and widens the ejection without another permit.
+        return any(other.target == scope.target for other in view.ejected_by_others)
 
     def _withdraw(self, ejection: ActiveEjection, lease_s: float, why: str) -> None:
         target = ejection.verdict.target
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -100,6 +100,18 @@
         self.assertIn(EjectedFrom("t1"), self.detector.ejected)
         self.assertEqual(["t1"], self.step(rank=1))
 
+    def test_a_target_that_another_judge_holds_for_one_domain_costs_no_second_permit(self) -> None:
+        self.detector.sick = {"t1": ALL_DOMAINS, "t2": ALL_DOMAINS}
+        self.assertEqual(["t2"], self.step(others=(EjectedFrom("t1", "graaff"),)))
+        self.assertEqual(["t2"], self.step())
+
+    def test_a_target_that_two_judges_hold_for_one_domain_is_widened(self) -> None:
+        self.detector.sick = {"t1": "graaff"}
+        self.step()
+        self.detector.sick = {"t1": ALL_DOMAINS}
+        self.step(others=(EjectedFrom("t1", "graaff"),))
+        self.assertEqual([EjectedFrom("t1")], [e.scope for e in self.judge.ejections()])
+
     def test_a_target_comes_back_by_stages(self) -> None:
         self.detector.sick = {"t1": ALL_DOMAINS}
         self.step()
