Write three loops of the fleet's view, two decayed sums and the choice of judges once each

No behaviour changes, no test does.

- toucanctl's view took the newest of members, ejections and quarantined requests in three loops that differed in key and rank; they share one function.
- peerlatency.py had two classes of the same decayed sum that differed in their decay.
- An agent made the list of members that may judge anew for each of its services; JudgeChoice keeps it with the judges until a member changes its state, and takes that state out of agent.py.
- servicejudge.py asked three questions about one target's ejections where two do.

--- a/packages/toucanspindle-core/toucanspindle_core/peerlatency.py
+++ b/packages/toucanspindle-core/toucanspindle_core/peerlatency.py
@@ -83,42 +83,31 @@
 
 
 @dataclass(slots=True)
-class _Recent:
-    """Decayed number of a target's answers in one operation, and their summed deviation."""
+class _Deviation:
+    """Decayed number of answers and their summed deviation in bins; `decay` is per step."""
 
+    decay: float
     step: int
     count: float = 0.0
-    deviation: float = 0.0
+    total: float = 0.0
 
     def add(self, step: int, count: int, deviation: float) -> None:
-        decay = SHORT_DECAY ** (step - self.step)
+        decay = self.decay ** (step - self.step)
         self.count = self.count * decay + count
-        self.deviation = self.deviation * decay + deviation
+        self.total = self.total * decay + deviation
         self.step = step
 
-
-@dataclass(slots=True)
-class _Offset:
-    step: int = 0
-    count: float = 0.0
-    deviation: float = 0.0
-
-    def add(self, step: int, count: int, deviation: float) -> None:
-        decay = _OFFSET_DECAY ** (step - self.step)
-        self.count = self.count * decay + count
-        self.deviation = self.deviation * decay + deviation
-        self.step = step
-
-    def bins(self) -> float:
-        mean = self.deviation / (self.count + OFFSET_PRIOR_COUNT)
+    def offset_bins(self) -> float:
+        """Return it as the target's own offset."""
+        mean = self.total / (self.count + OFFSET_PRIOR_COUNT)
         return max(0.0, min(MAX_OFFSET_BINS, mean))
 
 
 @dataclass
 class _Operation:
     common_shift: float = 0.0
-    recent: dict[str, _Recent] = field(default_factory=dict)
-    latest: dict[str, _Recent] = field(default_factory=dict)
+    recent: dict[str, _Deviation] = field(default_factory=dict)
+    latest: dict[str, _Deviation] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +132,7 @@
         self._step = 0
         self._histograms: dict[tuple[str, str], _Histogram] = {}
         self._operations: dict[str, _Operation] = {}
-        self._offsets: dict[str, _Offset] = {}
+        self._offsets: dict[str, _Deviation] = {}
 
     def advance(self) -> None:
         """Begin the next step."""
@@ -164,10 +153,12 @@
             return
         count, deviation = _deviation(bins, histogram.mean)
         known = self._operations.setdefault(operation, _Operation())
-        known.recent.setdefault(target, _Recent(self._step)).add(self._step, count, deviation)
+        known.recent.setdefault(target, _Deviation(SHORT_DECAY, self._step)).add(
+            self._step, count, deviation
+        )
         latest = known.latest.get(target)
         if latest is None or latest.step != self._step:
-            latest = known.latest[target] = _Recent(self._step)
+            latest = known.latest[target] = _Deviation(SHORT_DECAY, self._step)
         latest.add(self._step, count, deviation)
 
     def settle_common_shifts(self) -> None:
@@ -196,8 +187,8 @@
 
     def learn_offset(self, target: str, score: LatencyScore) -> None:
         """Count answers of a target that isn't suspect towards its own offset."""
-        offset = self._offsets.setdefault(target, _Offset(self._step))
-        known = offset.bins() * score.count
+        offset = self._offsets.setdefault(target, _Deviation(_OFFSET_DECAY, self._step))
+        known = offset.offset_bins() * score.count
         offset.add(self._step, score.count, score.deviation + known)
 
     def drop_target(self, target: str) -> None:
@@ -209,7 +200,7 @@
 
     def _offset(self, target: str) -> float:
         offset = self._offsets.get(target)
-        return offset.bins() if offset else 0.0
+        return offset.offset_bins() if offset else 0.0
 
     def _reference(self, operation: str, domain: str) -> _Histogram | None:
         histogram = self._histograms.get((operation, domain))
@@ -219,11 +210,9 @@
         return histogram if histogram.tables else None
 
 
-def _median_deviation(recent: Iterable[_Recent], oldest_step: int) -> float:
+def _median_deviation(recent: Iterable[_Deviation], oldest_step: int) -> float:
     means = [
-        r.deviation / r.count
-        for r in recent
-        if r.step > oldest_step and r.count >= MIN_RECENT_COUNT
+        r.total / r.count for r in recent if r.step > oldest_step and r.count >= MIN_RECENT_COUNT
     ]
     return median(means) if means else 0.0
 
--- a/packages/toucanspindle-core/toucanspindle_core/servicejudge.py
+++ b/packages/toucanspindle-core/toucanspindle_core/servicejudge.py
@@ -203,12 +203,11 @@
         self._note(f"{target} is ejected{where} for {interval_s:.0f} s: {verdict.evidence}")
 
     def _is_ejected(self, scope: EjectedFrom, view: ServiceView) -> bool:
-        if scope in self._ejections or EjectedFrom(scope.target) in self._ejections:
-            return True
-        if any(own.target == scope.target for own in self._ejections):
-            return False
+        own = [held for held in self._ejections if held.target == scope.target]
+        if own:
+            return scope in own or EjectedFrom(scope.target) in own
         # Its holder sees the same evidence and widens the ejection without another permit.
-        return any(other.target == scope.target for other in view.ejected_by_others)
+        return any(held.target == scope.target for held in view.ejected_by_others)
 
     def _withdraw(self, ejection: ActiveEjection, lease_s: float, why: str) -> None:
         target = ejection.verdict.target
--- a/packages/toucanspindle-ctl/toucanctl/fleetview.py
+++ b/packages/toucanspindle-ctl/toucanctl/fleetview.py
@@ -9,9 +9,9 @@
 """
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final, TypeVar
 
 from toucanspindle_core.control_pb2 import (
     EjectionSet,
@@ -30,6 +30,8 @@
 SAMPLE_NODES: Final = 5
 SERVING_STATES: Final = frozenset({MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING})
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True)
 class NodeView:
@@ -74,33 +76,21 @@
 
     def members(self) -> list[Member]:
         """Return the newest record of each member that any node knows, by node name."""
-        newest: dict[str, Member] = {}
-        for status in self.heard():
-            for member in [status.member, *status.members]:
-                known = newest.get(member.node)
-                if known is None or known.version < member.version:
-                    newest[member.node] = member
-        return [newest[name] for name in sorted(newest) if name]
+        said = [m for status in self.heard() for m in [status.member, *status.members]]
+        newest = _newest(said, lambda m: m.node, lambda m: m.version)
+        return [member for member in newest if member.node]
 
     def ejections(self) -> list[EjectionSet]:
         """Return the newest set of ejections of each service and holder."""
-        newest: dict[tuple[str, str], EjectionSet] = {}
-        for status in self.heard():
-            for item in status.ejections:
-                known = newest.get((item.service, item.holder))
-                if known is None or known.epoch < item.epoch:
-                    newest[item.service, item.holder] = item
-        return [newest[key] for key in sorted(newest)]
+        said = [item for status in self.heard() for item in status.ejections]
+        return _newest(said, lambda item: (item.service, item.holder), lambda item: item.epoch)
 
     def quarantine(self) -> list[QuarantineEntry]:
         """Return the quarantined requests, the entry of the most crashes of each."""
-        entries: dict[tuple[str, str], QuarantineEntry] = {}
-        for status in self.heard():
-            for entry in status.quarantine:
-                known = entries.get((entry.service, entry.fingerprint))
-                if known is None or known.crashed_targets < entry.crashed_targets:
-                    entries[entry.service, entry.fingerprint] = entry
-        return [entries[key] for key in sorted(entries)]
+        said = [entry for status in self.heard() for entry in status.quarantine]
+        return _newest(
+            said, lambda e: (e.service, e.fingerprint), lambda entry: entry.crashed_targets
+        )
 
     def leaving_targets(self) -> list[str]:
         """Return the targets that are leaving, as "service/target"."""
@@ -182,3 +172,13 @@
     if isinstance(answer, ControlError):
         return NodeView(name or address, address, None, answer.text)
     return NodeView(answer.member.node or name or address, address, answer)
+
+
+def _newest(said: Iterable[T], key: Callable[[T], Any], rank: Callable[[T], int]) -> list[T]:
+    """Return the item of the highest rank for each key, by key; of equal ones the first said."""
+    newest: dict[Any, T] = {}
+    for item in said:
+        known = newest.get(key(item))
+        if known is None or rank(known) < rank(item):
+            newest[key(item)] = item
+    return [newest[name] for name in sorted(newest)]
--- a/packages/toucanspindle-node/toucanspindle_node/agent.py
+++ b/packages/toucanspindle-node/toucanspindle_node/agent.py
@@ -12,7 +12,6 @@
 
 from grpclib.server import Server
 from logbook import Logger
-from toucanspindle_core.assignment import assign_judges
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.control_pb2 import (
     LEAVING,
@@ -45,7 +44,7 @@
 from toucanspindle_node.configcache import ConfigCache
 from toucanspindle_node.configspread import ConfigSpread
 from toucanspindle_node.judge import EvidenceJudge
-from toucanspindle_node.judgechoice import judge_candidates
+from toucanspindle_node.judgechoice import JudgeChoice
 from toucanspindle_node.leavinghosts import LeavingHosts, agent_addresses, leaving_names
 from toucanspindle_node.listening import explain_bind_error
 from toucanspindle_node.memberloop import MemberLoop
@@ -105,8 +104,7 @@
         )
         self._servers = [Server([PeerLink(self)]), Server([self._proxy])]
         self._tasks = TaskSet()
-        self._judges: dict[str, list[Member]] = {}
-        self._judges_at = 0
+        self._judges = JudgeChoice(self._membership)
         self.members.generation = lambda: self.cache.generation
         self.members.on_generation = self.spread.hear_generation
         self.members.on_change = self._feed.bump
@@ -224,16 +222,11 @@
 
     def judge_candidates(self) -> list[Member]:
         """Return the members that may judge services; see `judgechoice`."""
-        return judge_candidates(self._membership.all_members())
+        return self._judges.candidates()
 
     def judges_of(self, service: str) -> list[Member]:
         """Return the members that judge a service."""
-        if self._judges_at != self._membership.state_changes:
-            self._judges_at = self._membership.state_changes
-            self._judges.clear()
-        if service not in self._judges:
-            self._judges[service] = assign_judges(service, self.judge_candidates())
-        return self._judges[service]
+        return self._judges.judges_of(service)
 
     def leaving_targets(self) -> frozenset[str]:
         """Return the targets known to be leaving, as "service/target"."""
