Forget a grant that was given back, with the wait for its next read

A judge that had been short of permits for long, lost its service and got it again went on waiting for the rest of its last pause, up to 60 s, before it looked for a permit. A grant that was given back, or never held, is now dropped when it is released, so judging again begins anew; nothing had to be reset by name.

Before: the new test failed.

--- a/packages/toucanspindle-node/toucanspindle_node/permitkeeper.py
+++ b/packages/toucanspindle-node/toucanspindle_node/permitkeeper.py
@@ -154,9 +154,21 @@
             self._plan_short_read(grant, wanted)
 
     async def release(self, service: str) -> None:
-        """Give the grant back; only for a holder whose ejections have all lapsed."""
+        """Give the grant back; only for a holder whose ejections have all lapsed.
+
+        Nothing is kept of a grant that was given back, so that a holder that judges the service
+        again looks for permits at once.
+        """
         grant = self._grants.get(service)
-        if grant is None or grant.released or self._clock.now() < grant.retry_at_s:
+        if grant is None:
+            return
+        if not grant.released:
+            await self._give_back(service, grant)
+        if grant.released:
+            del self._grants[service]
+
+    async def _give_back(self, service: str, grant: _ServiceGrant) -> None:
+        if self._clock.now() < grant.retry_at_s:
             return
         try:
             await self._read(service, grant)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -298,6 +298,16 @@
             self.clock.advance(1)
         self.assertTrue(self.platform.reads - before <= 16, self.platform.reads - before)
 
+    def test_a_holder_that_was_short_and_released_looks_at_once_when_it_judges_again(self) -> None:
+        first, second = self.keeper("a"), self.keeper("b")
+        self.keep(first, 2)
+        for _ in range(60):
+            self.keep(second, 1)
+            self.clock.advance(1)
+        asyncio.run(second.release("s"))
+        asyncio.run(first.release("s"))
+        self.assertEqual(1, self.keep(second, 1))
+
     def test_a_holder_whose_write_was_overtaken_tries_again_at_once(self) -> None:
         keeper = self.keeper("a")
         self.platform.is_overtaken = True
