--- a/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
+++ b/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
@@ -90,6 +90,8 @@
 UNKNOWN_FORGOTTEN: Final = _register("TS322", 504, "The token is older than the records kept.")
 QUARANTINED_NOW: Final = _register("TS323", 504, "The request crashed targets that ran it.")
 UNKNOWN_PROXY_FAILED: Final = _register("TS324", 504, "The proxy failed amid the request.")
+RETRIES_SPENT: Final = _register("TS325", 502, "It failed, and no retry is left for the service.")
+TARGET_FAILED: Final = _register("TS326", 502, "The target's answer was broken or unusable.")
 
 # 4xx: the platform.
 PLATFORM_AWAY: Final = _register("TS401", 503, "The platform can't be reached.")
--- /dev/null
+++ b/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
@@ -0,0 +1,117 @@
+"""The broker of one service at this host: takes over from a predecessor, then grants slots.
+
+On its first ask, or after a pause, the seat asks all hosts what they hold and saw of the service,
+waits a few milliseconds for their answers, and only then decides.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+from logbook import Logger
+from toucanspindle_core.clock import Clock
+
+from toucanspindle_entry.model import TargetEntry
+from toucanspindle_entry.posterior import AttemptEnd
+from toucanspindle_entry.settings import FleetBounds
+from toucanspindle_entry.slotbroker import AttemptReport, Decision, SlotAsk, SlotBroker
+
+TAKEOVER_WAIT_S: Final = 0.008  # Hosts answer within 2 ms unless their link or core is slow.
+SEAT_IDLE_S: Final = 3.0  # After so long without an ask, what the seat holds is taken for old.
+TICK_S: Final = 0.1
+
+log = Logger("broker")
+
+
+class BrokerSeat:
+    """One service's broker at this host; `deliver` passes decisions to the hosts that asked."""
+
+    def __init__(
+        self,
+        service: str,
+        bounds: FleetBounds,
+        clock: Clock,
+        rng: random.Random,
+        deliver: Callable[[Decision], None],
+        request_sync: Callable[[str], None],
+    ) -> None:
+        """Create a seat that isn't in use yet."""
+        self._service = service
+        self._clock = clock
+        self._deliver = deliver
+        self._request_sync = request_sync
+        self._broker = SlotBroker(service, bounds, clock.now(), rng)
+        self._asked_at = float("-inf")
+        self._held: list[SlotAsk] | None = None
+        self._tick_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def broker(self) -> SlotBroker:
+        """The decisions."""
+        return self._broker
+
+    @property
+    def is_active(self) -> bool:
+        """Whether hosts have asked lately."""
+        return self._clock.now() - self._asked_at < SEAT_IDLE_S
+
+    def set_targets(self, entries: Iterable[TargetEntry], unconfirmed: frozenset[str]) -> None:
+        """Take over the service's registered targets."""
+        self._emit(self._broker.set_targets(entries, unconfirmed, self._clock.now()))
+
+    def ask(self, ask: SlotAsk) -> None:
+        """Decide on an ask, at once or after the takeover."""
+        if not self.is_active and self._held is None:
+            self._begin_takeover()
+        self._asked_at = self._clock.now()
+        self._arm_tick()
+        if self._held is not None:
+            if all(held.id != ask.id for held in self._held):
+                self._held.append(ask)
+            return
+        self._deliver(self._broker.ask(ask, self._asked_at))
+
+    def report(self, report: AttemptReport) -> None:
+        """Take the end of an attempt."""
+        self._emit(self._broker.report(report, self._clock.now()))
+
+    def adopt(self, host: str, leases: list[list[Any]], results: list[list[Any]]) -> None:
+        """Take over what a host holds and saw."""
+        now = self._clock.now()
+        self._broker.adopt(
+            host, [(str(i), str(t), left / 1000, str(f)) for i, t, left, f in leases], now
+        )
+        for target, end, age_ms in sorted(results, key=lambda result: -result[2]):
+            self._broker.adopt_result(str(target), AttemptEnd(end), now - age_ms / 1000)
+
+    def drop_host(self, host: str) -> None:
+        """Free what a host held that has ended."""
+        self._emit(self._broker.drop_host(host, self._clock.now()))
+
+    def _begin_takeover(self) -> None:
+        log.info("event=broker_takeover service={}", self._service)
+        self._held = []
+        self._broker.forget_leases()
+        self._request_sync(self._service)
+        asyncio.get_running_loop().call_later(TAKEOVER_WAIT_S, self._end_takeover)
+
+    def _end_takeover(self) -> None:
+        held, self._held = self._held or [], None
+        now = self._clock.now()
+        for ask in held:
+            self._deliver(self._broker.ask(ask, now))
+
+    def _arm_tick(self) -> None:
+        if self._tick_timer is None:
+            self._tick_timer = asyncio.get_running_loop().call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._tick_timer = None
+        self._emit(self._broker.tick(self._clock.now()))
+        if self.is_active or self._broker.in_use or self._broker.waiting:
+            self._arm_tick()
+
+    def _emit(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            self._deliver(decision)
--- /dev/null
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -0,0 +1,426 @@
+"""Grants the slots of one service's targets to requests of all hosts.
+
+Every host asks the service's broker for a slot before it sends a request, and reports how the
+attempt ended.  So one place knows all slots in use, all results, and all retries spent.  The
+broker's state is soft: a new broker rebuilds it from what hosts report (`adopt`).
+
+A request goes to the free slot of least expected cost: probability that the target is sick, how
+full and how slow it is.  When none is free it waits in a queue ordered by priority and arrival;
+when it can't be reached in time it is refused at once.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Final
+
+from toucanspindle_entry.fleetbudget import FleetRetryBudget
+from toucanspindle_entry.model import TargetEntry, TargetState
+from toucanspindle_entry.posterior import OVERDUE_RATIO, AttemptEnd, SickBelief
+from toucanspindle_entry.settings import FleetBounds
+
+LEASE_SLACK_S: Final = 0.5  # A grant whose end was never reported is freed this long after its end.
+INITIAL_WORK_S: Final = 0.3  # Work time assumed before the first answer.
+WORK_SMOOTHING: Final = 0.05  # Weight of a new work time: about the last 20 answers.
+SPEED_SMOOTHING: Final = 0.2  # Weight of a new work time in a target's relative speed.
+FULL_COST: Final = 0.08  # Cost of the last slot of a target, as a probability of failure.
+SLOW_COST: Final = 0.10  # Cost of a target twice as slow as the service.
+WARMUP_COST: Final = 0.10
+UNCONFIRMED_COST: Final = 0.3  # An entry that lapsed while the store was away may have ended.
+JITTER_COST: Final = 0.02  # Spreads requests over targets of about the same cost.
+HOLD_BACK_SICK: Final = 0.55  # A target this likely sick isn't used while better ones come free.
+OVERDUE_FACTOR: Final = 5.0  # An attempt this many times the usual work is taken as a bad sign.
+SHED_PAUSE_S: Final = 0.3  # A target that refused for lack of room gets nothing for this long.
+UNREACHED_PAUSE_S: Final = 1.0
+MAX_QUEUE: Final = 2000
+CRASHES_OF_POISON: Final = 3  # Distinct targets that a request broke before it is refused.
+POISON_MEMORY_S: Final = 120.0
+MAX_POISON: Final = 4096
+MIN_RETRY_AFTER_S: Final = 0.2
+
+
+class RefusalReason(Enum):
+    """Why a request gets no slot."""
+
+    OVERLOADED = "overloaded"
+    NO_TARGET = "no-target"
+    NO_RETRY = "no-retry"
+    POISON = "poison"
+    TOO_LATE = "too-late"
+
+
+@dataclass(frozen=True)
+class SlotAsk:
+    """A host's wish for a slot.
+
+    `id` is unique over all hosts and attempts.  Times are seconds that are left: until the answer
+    is of no use at all, and until it is of less use.  `excluded` are targets tried before.
+    """
+
+    id: str
+    host: str
+    priority: int
+    time_left_s: float
+    goal_left_s: float
+    is_retry: bool
+    excluded: tuple[str, ...]
+    fingerprint: str
+
+
+@dataclass(frozen=True)
+class Grant:
+    """A slot for an ask."""
+
+    ask_id: str
+    host: str
+    target: str
+    sick: float
+
+
+@dataclass(frozen=True)
+class Refused:
+    """An ask that gets no slot; `retry_after_s` is when it is worth coming back."""
+
+    ask_id: str
+    host: str
+    reason: RefusalReason
+    retry_after_s: float
+
+
+@dataclass(frozen=True)
+class Queued:
+    """An ask that waits."""
+
+    ask_id: str
+    host: str
+
+
+Decision = Grant | Refused | Queued
+
+
+@dataclass(frozen=True)
+class AttemptReport:
+    """How a granted attempt ended; `work_s` is its time at the target."""
+
+    ask_id: str
+    target: str
+    end: AttemptEnd
+    work_s: float
+    fingerprint: str
+
+
+@dataclass
+class _Lease:
+    host: str
+    target: str
+    granted_at: float
+    expires_at: float
+    fingerprint: str
+    is_overdue: bool = False
+
+
+@dataclass
+class _Waiting:
+    ask: SlotAsk
+    arrived_at: float
+    deadline_at: float
+
+
+@dataclass
+class _TargetBook:
+    entry: TargetEntry
+    belief: SickBelief = field(default_factory=SickBelief)
+    leases: set[str] = field(default_factory=set)
+    slowness: float = 1.0
+    paused_until: float = 0.0
+    warm_at: float = 0.0
+    confirmed: bool = True
+
+    def cost(self, now: float, rng: random.Random) -> float:
+        fullness = len(self.leases) / max(1, self.entry.slots)
+        cost = self.belief.at(now) + FULL_COST * fullness
+        cost += SLOW_COST * min(3.0, max(0.0, self.slowness - 1.0))
+        if now < self.warm_at:
+            cost += WARMUP_COST
+        if not self.confirmed:
+            cost += UNCONFIRMED_COST
+        return cost + JITTER_COST * rng.random()
+
+
+class SlotBroker:
+    """The slots of one service.
+
+    Invariant: a target has at most as many leases as slots, but for those adopted from hosts.
+    """
+
+    def __init__(
+        self, service: str, bounds: FleetBounds, now: float, rng: random.Random
+    ) -> None:
+        """Create a broker that knows no target yet."""
+        self.service = service
+        self._rng = rng
+        self._targets: dict[str, _TargetBook] = {}
+        self._leases: dict[str, _Lease] = {}
+        self._queue: list[_Waiting] = []
+        self._budget = FleetRetryBudget(
+            bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s, now
+        )
+        self._work_s = INITIAL_WORK_S
+        self._crashes: dict[str, tuple[set[str], float]] = {}
+        self._answered: dict[str, float] = {}
+
+    @property
+    def in_use(self) -> int:
+        """Slots that are granted."""
+        return len(self._leases)
+
+    @property
+    def waiting(self) -> int:
+        """Asks in the queue."""
+        return len(self._queue)
+
+    @property
+    def mean_work_s(self) -> float:
+        """Smoothed time of an attempt at a target, in seconds."""
+        return self._work_s
+
+    def beliefs(self, now: float) -> dict[str, float]:
+        """Return the probability of being sick by target."""
+        return {name: book.belief.at(now) for name, book in self._targets.items()}
+
+    def set_targets(
+        self, entries: Iterable[TargetEntry], unconfirmed: frozenset[str], now: float
+    ) -> list[Decision]:
+        """Take over the service's registered targets; return grants that became possible."""
+        known = self._targets
+        self._targets = {}
+        for entry in entries:
+            book = known.get(entry.name)
+            if book is None or book.entry.started_ms != entry.started_ms:
+                book = _TargetBook(entry, warm_at=now + entry.warmup_s)
+                book.belief.updated_at = now
+            book.entry = entry
+            book.confirmed = entry.name not in unconfirmed
+            self._targets[entry.name] = book
+        for lease_id, lease in self._leases.items():
+            if lease.target in self._targets:
+                self._targets[lease.target].leases.add(lease_id)
+        return self.grant_waiting(now)
+
+    def ask(self, ask: SlotAsk, now: float) -> Decision:
+        """Answer an ask; one that was answered before gets the same answer again."""
+        lease = self._leases.get(ask.id)
+        if lease is not None:
+            return Grant(ask.id, ask.host, lease.target, self._sick_of(lease.target, now))
+        if any(waiting.ask.id == ask.id for waiting in self._queue):
+            return Queued(ask.id, ask.host)
+        refusal = self._refusal(ask, now)
+        if refusal is not None:
+            return refusal
+        if not ask.is_retry and not ask.excluded:
+            self._budget.record_first_attempt()
+        waiting = _Waiting(ask, now, now + ask.time_left_s)
+        if not self._is_overtaking(waiting):
+            target = self._pick(ask, now)
+            if target is not None:
+                return self._grant(waiting, target, now)
+        return self._enqueue(waiting, now)
+
+    def report(self, report: AttemptReport, now: float) -> list[Decision]:
+        """Take the end of an attempt into account; return grants that became possible."""
+        lease = self._leases.pop(report.ask_id, None)
+        self._queue = [w for w in self._queue if w.ask.id != report.ask_id]
+        book = self._targets.get(report.target)
+        if book is not None:
+            book.leases.discard(report.ask_id)
+            if lease is not None or report.end is not AttemptEnd.WITHDRAWN:
+                self._learn(book, report, now)
+        return self.grant_waiting(now)
+
+    def adopt(
+        self, host: str, leases: Iterable[tuple[str, str, float, str]], now: float
+    ) -> None:
+        """Take over a host's attempts under way: (ask id, target, seconds left, fingerprint)."""
+        for ask_id, target, left_s, fingerprint in leases:
+            if ask_id in self._leases:
+                continue
+            expires_at = now + left_s + LEASE_SLACK_S
+            self._leases[ask_id] = _Lease(host, target, now, expires_at, fingerprint)
+            if target in self._targets:
+                self._targets[target].leases.add(ask_id)
+
+    def adopt_result(self, target: str, end: AttemptEnd, at: float) -> None:
+        """Take over a past result, told by a host when this broker was new."""
+        book = self._targets.get(target)
+        if book is not None and at > book.belief.updated_at - 1:
+            book.belief.observe(end, max(at, book.belief.updated_at))
+
+    def forget_leases(self) -> None:
+        """Drop all leases, before they are adopted anew from the hosts."""
+        self._leases.clear()
+        for book in self._targets.values():
+            book.leases.clear()
+
+    def drop_host(self, host: str, now: float) -> list[Decision]:
+        """Free what a host held that has ended."""
+        gone = [ask_id for ask_id, lease in self._leases.items() if lease.host == host]
+        for ask_id in gone:
+            self._free(ask_id)
+        self._queue = [w for w in self._queue if w.ask.host != host]
+        return self.grant_waiting(now)
+
+    def tick(self, now: float) -> list[Decision]:
+        """Expire leases, note overdue attempts, and refuse what can't be served in time."""
+        for ask_id, lease in list(self._leases.items()):
+            if now > lease.expires_at:
+                self._free(ask_id)
+            elif not lease.is_overdue and now - lease.granted_at > self._overdue_s():
+                lease.is_overdue = True
+                book = self._targets.get(lease.target)
+                if book is not None:
+                    book.belief.weigh(OVERDUE_RATIO, now)
+        decisions = self.grant_waiting(now)
+        return decisions + self._refuse_hopeless(now)
+
+    def grant_waiting(self, now: float) -> list[Decision]:
+        """Grant free slots to the asks that wait."""
+        decisions: list[Decision] = []
+        left: list[_Waiting] = []
+        for waiting in self._queue:
+            target = self._pick(waiting.ask, now)
+            if target is None:
+                left.append(waiting)
+            else:
+                decisions.append(self._grant(waiting, target, now))
+        self._queue = left
+        return decisions
+
+    def _refusal(self, ask: SlotAsk, now: float) -> Refused | None:
+        crash = self._crashes.get(ask.fingerprint)
+        if crash is not None and now < crash[1] and len(crash[0]) >= CRASHES_OF_POISON:
+            return Refused(ask.id, ask.host, RefusalReason.POISON, 0.0)
+        if ask.time_left_s <= 0:
+            return Refused(ask.id, ask.host, RefusalReason.TOO_LATE, 0.0)
+        usable = [b for b in self._targets.values() if self._is_usable(b, ask)]
+        if not usable:
+            return Refused(ask.id, ask.host, RefusalReason.NO_TARGET, self._retry_after(now))
+        if ask.is_retry and not self._budget.try_spend(now):
+            return Refused(ask.id, ask.host, RefusalReason.NO_RETRY, 0.0)
+        return None
+
+    def _enqueue(self, waiting: _Waiting, now: float) -> Decision:
+        ask = waiting.ask
+        ahead = sum(1 for w in self._queue if w.ask.priority <= ask.priority)
+        wait_s = (ahead + 1) * self._work_s / max(1.0, self._good_slots(now))
+        if len(self._queue) >= MAX_QUEUE or wait_s > self._patience(ask):
+            after = max(self._retry_after(now), wait_s / 2)
+            return Refused(ask.id, ask.host, RefusalReason.OVERLOADED, after)
+        position = len(self._queue)
+        while position and self._queue[position - 1].ask.priority > ask.priority:
+            position -= 1
+        self._queue.insert(position, waiting)
+        return Queued(ask.id, ask.host)
+
+    def _patience(self, ask: SlotAsk) -> float:
+        """Return how long an ask may wait: a slot must leave time for the usual work."""
+        return max(0.0, max(ask.goal_left_s, ask.time_left_s * 0.5) - self._work_s)
+
+    def _refuse_hopeless(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        left: list[_Waiting] = []
+        for waiting in self._queue:
+            if waiting.deadline_at - now < self._work_s / 2:
+                ask = waiting.ask
+                after = self._retry_after(now)
+                decisions.append(Refused(ask.id, ask.host, RefusalReason.OVERLOADED, after))
+            else:
+                left.append(waiting)
+        self._queue = left
+        return decisions
+
+    def _is_overtaking(self, waiting: _Waiting) -> bool:
+        return any(w.ask.priority <= waiting.ask.priority for w in self._queue)
+
+    def _is_usable(self, book: _TargetBook, ask: SlotAsk) -> bool:
+        return book.entry.state is TargetState.READY and book.entry.name not in ask.excluded
+
+    def _pick(self, ask: SlotAsk, now: float) -> _TargetBook | None:
+        """Return the target of least cost with a free slot; None when waiting is better."""
+        best: _TargetBook | None = None
+        best_cost = 0.0
+        better_exists = False
+        for book in self._targets.values():
+            if not self._is_usable(book, ask):
+                continue
+            is_free = len(book.leases) < book.entry.slots and now >= book.paused_until
+            if not is_free:
+                better_exists = better_exists or book.belief.at(now) < HOLD_BACK_SICK / 2
+                continue
+            cost = book.cost(now, self._rng)
+            if best is None or cost < best_cost:
+                best, best_cost = book, cost
+        if best is None:
+            return None
+        if best.belief.at(now) > HOLD_BACK_SICK and better_exists:
+            return None
+        return best
+
+    def _grant(self, waiting: _Waiting, book: _TargetBook, now: float) -> Grant:
+        ask = waiting.ask
+        expires_at = waiting.deadline_at + LEASE_SLACK_S
+        self._leases[ask.id] = _Lease(
+            ask.host, book.entry.name, now, expires_at, ask.fingerprint
+        )
+        book.leases.add(ask.id)
+        return Grant(ask.id, ask.host, book.entry.name, book.belief.at(now))
+
+    def _learn(self, book: _TargetBook, report: AttemptReport, now: float) -> None:
+        end = report.end
+        book.belief.observe(end, now)
+        if end is AttemptEnd.ANSWERED:
+            self._work_s += WORK_SMOOTHING * (report.work_s - self._work_s)
+            relative = report.work_s / max(self._work_s, 0.001)
+            book.slowness += SPEED_SMOOTHING * (min(relative, 10.0) - book.slowness)
+            if report.fingerprint:
+                self._answered[report.fingerprint] = now
+                self._crashes.pop(report.fingerprint, None)
+                _trim(self._answered)
+        elif end is AttemptEnd.SHED:
+            book.paused_until = now + SHED_PAUSE_S
+        elif end in {AttemptEnd.UNREACHED, AttemptEnd.MISDIRECTED}:
+            book.paused_until = now + UNREACHED_PAUSE_S
+        elif end is AttemptEnd.BROKEN and report.fingerprint not in self._answered:
+            targets, _ = self._crashes.get(report.fingerprint, (set(), 0.0))
+            targets.add(f"{report.target}@{book.entry.started_ms}")
+            self._crashes[report.fingerprint] = (targets, now + POISON_MEMORY_S)
+            _trim(self._crashes)
+
+    def _free(self, ask_id: str) -> None:
+        lease = self._leases.pop(ask_id, None)
+        if lease is not None and lease.target in self._targets:
+            self._targets[lease.target].leases.discard(ask_id)
+
+    def _good_slots(self, now: float) -> float:
+        return sum(
+            book.entry.slots * (1 - book.belief.at(now))
+            for book in self._targets.values()
+            if book.entry.state is TargetState.READY
+        )
+
+    def _overdue_s(self) -> float:
+        return max(0.5, OVERDUE_FACTOR * self._work_s)
+
+    def _retry_after(self, now: float) -> float:
+        backlog_s = len(self._queue) * self._work_s / max(1.0, self._good_slots(now))
+        return MIN_RETRY_AFTER_S + backlog_s * self._rng.uniform(0.5, 1.0)
+
+    def _sick_of(self, target: str, now: float) -> float:
+        book = self._targets.get(target)
+        return book.belief.at(now) if book else 0.0
+
+
+def _trim(table: dict[str, Any]) -> None:
+    """Drop the oldest entry of a table that has grown over its bound."""
+    if len(table) > MAX_POISON:
+        del table[next(iter(table))]
