--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -23,7 +23,8 @@
 LEASE_SLACK_S: Final = 0.5  # A grant whose end was never reported is freed this long after its end.
 INITIAL_WORK_S: Final = 0.3  # Work time assumed before the first answer.
 WORK_SMOOTHING: Final = 0.05  # Weight of a new work time: about the last 20 answers.
-SPEED_SMOOTHING: Final = 0.2  # Weight of a new work time in a target's relative speed.
+SPEED_SMOOTHING: Final = 0.06  # Weight of a new work time in a target's relative speed.
+MAX_RELATIVE_WORK: Final = 5.0  # Work times have long tails; one of them says little of a target.
 FULL_COST: Final = 0.08  # Cost of the last slot of a target, as a probability of failure.
 SLOW_COST: Final = 0.10  # Cost of a target twice as slow as the service.
 WARMUP_COST: Final = 0.10
@@ -381,7 +382,7 @@
         if end is AttemptEnd.ANSWERED:
             self._work_s += WORK_SMOOTHING * (report.work_s - self._work_s)
             relative = report.work_s / max(self._work_s, 0.001)
-            book.slowness += SPEED_SMOOTHING * (min(relative, 10.0) - book.slowness)
+            book.slowness += SPEED_SMOOTHING * (min(relative, MAX_RELATIVE_WORK) - book.slowness)
             if report.fingerprint:
                 self._answered[report.fingerprint] = now
                 self._crashes.pop(report.fingerprint, None)
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import itertools
 import random
 from collections import deque
@@ -115,6 +116,7 @@
 
     async def acquire(self, service: str, ask: SlotAsk) -> SlotGrant | Refused:
         """Wait for a slot or a refusal; a cancellation withdraws the ask."""
+        ask = dataclasses.replace(ask, host=self._own_ip)
         pending = _Pending(
             service, ask, asyncio.get_running_loop().create_future(), asyncio.Event()
         )
