--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -357,7 +357,7 @@
         if self._hosts.answered(ip, now):
             log.info("event=host_alive host={}", ip)
         if plan_version > self._plan_version():
-            self._plan_watch.hurry()
+            self._plan_watch.refresh()
 
     def _plan_version(self) -> int:
         routes = self._path.routes
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -183,6 +183,7 @@
         ask = SlotAsk(
             id=self._slots.next_ask_id(),
             host="",
+            failure_domain="",
             priority=progress.route.priority,
             time_left_s=progress.end_at - now,
             goal_left_s=max(0.0, goal_at - now),
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -27,6 +27,7 @@
 MAX_RELATIVE_WORK: Final = 5.0  # Work times have long tails; one of them says little of a target.
 FULL_COST: Final = 0.08  # Cost of the last slot of a target, as a probability of failure.
 SLOW_COST: Final = 0.10  # Cost of a target twice as slow as the service.
+DOMAIN_COST: Final = 0.04  # Bytes between failure domains are priced, and take a little longer.
 WARMUP_COST: Final = 0.10
 UNCONFIRMED_COST: Final = 0.3  # An entry that lapsed while the store was away may have ended.
 JITTER_COST: Final = 0.02  # Spreads requests over targets of about the same cost.
@@ -55,12 +56,13 @@
 class SlotAsk:
     """A host's wish for a slot.
 
-    `id` is unique over all hosts and attempts.  Times are seconds that are left: until the answer
+    `id` is unique over all hosts and attempts; `failure_domain` is the host's.  Times are seconds that are left: until the answer
     is of no use at all, and until it is of less use.  `excluded` are targets tried before.
     """
 
     id: str
     host: str
+    failure_domain: str
     priority: int
     time_left_s: float
     goal_left_s: float
@@ -359,6 +361,8 @@
                 better_exists = better_exists or book.belief.at(now) < HOLD_BACK_SICK / 2
                 continue
             cost = book.cost(now, self._rng)
+            if book.entry.failure_domain != ask.failure_domain:
+                cost += DOMAIN_COST
             if best is None or cost < best_cost:
                 best, best_cost = book, cost
         if best is None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -116,7 +116,8 @@
 
     async def acquire(self, service: str, ask: SlotAsk) -> SlotGrant | Refused:
         """Wait for a slot or a refusal; a cancellation withdraws the ask."""
-        ask = dataclasses.replace(ask, host=self._own_ip)
+        own = self._hosts.own
+        ask = dataclasses.replace(ask, host=own.ip, failure_domain=own.failure_domain)
         pending = _Pending(
             service, ask, asyncio.get_running_loop().create_future(), asyncio.Event()
         )
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -1,6 +1,6 @@
 """Messages between a host that needs slots and the broker of a service, as datagram arrays.
 
-    ["ask", id, service, priority, time left ms, goal left ms, is retry, excluded, fingerprint]
+    ["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry, excluded, fingerprint]
     ["grant", id, target, sick, address, started ms]    ["queued", id]
     ["refused", id, reason, retry after ms]
     ["end", service, id, target, end, work ms, fingerprint]    ["noted", id]
@@ -28,6 +28,7 @@
         "ask",
         ask.id,
         service,
+        ask.failure_domain,
         ask.priority,
         int(ask.time_left_s * MS_PER_S),
         int(ask.goal_left_s * MS_PER_S),
@@ -39,10 +40,13 @@
 
 def decode_ask(host: str, message: Message) -> tuple[str, SlotAsk]:
     """Return the service and the ask of a host's message."""
-    _, ask_id, service, priority, left_ms, goal_ms, is_retry, excluded, fingerprint = message
+    _, ask_id, service, domain, priority, left_ms, goal_ms, is_retry, excluded, fingerprint = (
+        message
+    )
     ask = SlotAsk(
         id=str(ask_id),
         host=host,
+        failure_domain=str(domain),
         priority=int(priority),
         time_left_s=left_ms / MS_PER_S,
         goal_left_s=goal_ms / MS_PER_S,
--- a/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
@@ -1,6 +1,8 @@
 """Follows one kind of objects in the platform's store: lists it, then watches for changes.
 
-Errors lead to another try after a wait that doubles; a lost history leads to a new listing.  The
+Errors lead to another try after a wait that doubles.  After an error or a lost history the kind is
+listed anew: a watch that was cut may have missed changes whose history is gone.  Changes are
+taken in at most a few times a second, since each call to the store is priced.  The
 reader learns whether the store was away before a listing, since what is missing then may only have
 lapsed.
 """
@@ -19,13 +21,16 @@
     ObjectKind,
     ObjectStore,
     StoreChange,
+    StoreChanges,
     StoreItem,
 )
 
 FIRST_WAIT_S: Final = 0.1
 MAX_WAIT_S: Final = 1.0  # A change must be in force about 2 s after the store's return.
+COALESCE_S: Final = 0.4  # Pause between two watch calls; drains must be heeded within 2 s.
 OUTAGE_S: Final = 1.0  # Entries can lapse when the store was unreachable for longer than this.
-AFTER_OUTAGE_S: Final = 2.0  # Live targets register again this soon after the store's return.
+AFTER_COALESCE_S: Final = 0.4  # Pause between two watch calls; drains must be heeded within 2 s.
+OUTAGE_S: Final = 2.0  # Live targets register again this soon after the store's return.
 
 log = Logger("store")
 
@@ -62,6 +67,7 @@
         self._revision: int | None = None
         self._lost_at: float | None = None
         self._lapses_until = float("-inf")
+        self._listed_at = float("-inf")
         self._wait_s = FIRST_WAIT_S
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
@@ -86,9 +92,10 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def hurry(self) -> None:
-        """Try again now, if waiting after an error."""
-        self._wake.set()
+    def refresh(self) -> None:
+        """List the kind anew, soon: another host knows something newer."""
+        if self._clock.now() - self._listed_at > REFRESH_S:
+            self._wake.set()
 
     async def _run(self) -> None:
         while True:
@@ -102,16 +109,35 @@
 
     async def _step(self) -> None:
         if self._revision is None:
+            self._wake.clear()
             listing = await self._store.list_all(self._kind)
+            self._listed_at = self._clock.now()
             self._note_reached()
             self._revision = listing.revision
             self._reader.take_listing(listing.items, self._may_have_lapsed())
             return
-        changes = await self._store.watch(self._kind, self._revision)
+        changes = await self._next_changes(self._revision)
+        if changes is None:
+            self._revision = None
+            return
         self._note_reached()
         self._revision = changes.revision
         if changes.changes:
             self._reader.take_changes(changes.changes, self._may_have_lapsed())
+            await self._sleep(COALESCE_S)
+
+    async def _next_changes(self, revision: int) -> StoreChanges | None:
+        """Wait for changes; return None when a new listing was asked for first."""
+        loop = asyncio.get_running_loop()
+        watching = loop.create_task(self._store.watch(self._kind, revision))
+        waking = loop.create_task(self._wake.wait())
+        try:
+            await asyncio.wait({watching, waking}, return_when=asyncio.FIRST_COMPLETED)
+            return watching.result() if watching.done() else None
+        finally:
+            waking.cancel()
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
 
     def _may_have_lapsed(self) -> bool:
         """Return whether entries may be missing only because the store was away."""
@@ -130,11 +156,15 @@
         if self._lost_at is None:
             log.warning("event=store_lost kind={} error={}", self._kind.value, error)
             self._lost_at = self._clock.now()
+        self._revision = None
         wait_s = self._wait_s * self._rng.uniform(0.5, 1.0)
         self._wait_s = min(MAX_WAIT_S, self._wait_s * 2)
-        self._wake.clear()
+        await self._sleep(wait_s)
+
+    async def _sleep(self, seconds: float) -> None:
+        """Wait, or until a new listing is asked for."""
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(seconds):
                 await self._wake.wait()
         except TimeoutError:
             pass
