--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -96,11 +96,15 @@
     def __init__(self, node: "EntryNode") -> None:
         self._node = node
 
-    def take_listing(self, items: tuple[StoreItem, ...], after_outage: bool) -> None:  # noqa: ARG002
+    def take_listing(
+        self, items: tuple[StoreItem, ...], after_outage: bool
+    ) -> None:  # noqa: ARG002
         for item in items:
             self._node.take_plan(item.value)
 
-    def take_changes(self, changes: tuple[StoreChange, ...], after_outage: bool) -> None:  # noqa: ARG002
+    def take_changes(
+        self, changes: tuple[StoreChange, ...], after_outage: bool
+    ) -> None:  # noqa: ARG002
         for change in changes:
             if not change.removed:
                 self._node.take_plan(change.value)
@@ -144,9 +148,7 @@
         self._clock: Clock = MonotonicClock()
         self._rng = random.Random(secrets.randbits(64))
         incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self._own = HostEntry(
-            settings.node, settings.ip, settings.failure_domain, incarnation
-        )
+        self._own = HostEntry(settings.node, settings.ip, settings.failure_domain, incarnation)
         self._hosts = LiveHosts(self._own, self._rng)
         self._targets = TargetTable(self._clock)
         self._pool = TargetPool(self._clock)
@@ -160,9 +162,7 @@
         self._port = DatagramPort(settings.ip, settings.peer_port, self._receive)
         self._slots.attach(self._port)
         self._plan_watch = self._watch(ObjectKind.PLAN, _PlanReader(self))
-        self._target_watch = self._watch(
-            ObjectKind.TARGETS, _TargetReader(self, self._targets)
-        )
+        self._target_watch = self._watch(ObjectKind.TARGETS, _TargetReader(self, self._targets))
         self._targets_known = False
         self._announced = False
         self._stopping = False
@@ -228,7 +228,9 @@
         self._target_watch.start()
         loop = asyncio.get_running_loop()
         for work in (self._register, self._meet_hosts, self._probe_hosts, self._keep_house):
-            self._tasks.append(loop.create_task(work()))
+            task = loop.create_task(work())
+            task.add_done_callback(_log_failure)
+            self._tasks.append(task)
         gc.collect()
         gc.freeze()
         log.info(
@@ -454,6 +456,12 @@
         return CallerAnswer(200, headers, self._metrics.text())
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    """Report a background task that ended by an error, which nobody awaits."""
+    if not task.cancelled() and task.exception() is not None:
+        log.error("event=task_failed task={} error={!r}", task.get_name(), task.exception())
+
+
 def _suspended_s() -> float:
     """Return how long this host has been suspended since it booted, in seconds."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -223,9 +223,7 @@
         except TimeoutError:
             return _Attempt(AttemptEnd.SILENT, None, "no answer in time")
 
-    async def _exchange(
-        self, progress: _Progress, grant: SlotGrant, address: HostPort
-    ) -> _Attempt:
+    async def _exchange(self, progress: _Progress, grant: SlotGrant, address: HostPort) -> _Attempt:
         request = progress.request
         try:
             connection, reused = await self._pool.take(address, progress.route.idempotent)
@@ -301,9 +299,7 @@
 
     # The end without an answer from a target.
 
-    def _give_up(
-        self, progress: _Progress, refused: Refused | None, reason: str
-    ) -> CallerAnswer:
+    def _give_up(self, progress: _Progress, refused: Refused | None, reason: str) -> CallerAnswer:
         answer = self._failure_answer(progress, refused)
         log.warning(
             "event=request_failed id={} service={} status={} reason={} sent={} unsent={} age_ms={}",
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -157,9 +157,7 @@
     Invariant: a target has at most as many leases as slots, but for those adopted from hosts.
     """
 
-    def __init__(
-        self, service: str, bounds: FleetBounds, now: float, rng: random.Random
-    ) -> None:
+    def __init__(self, service: str, bounds: FleetBounds, now: float, rng: random.Random) -> None:
         """Create a broker that knows no target yet."""
         self.service = service
         self._rng = rng
@@ -241,9 +239,7 @@
                 self._learn(book, report, now)
         return self.grant_waiting(now)
 
-    def adopt(
-        self, host: str, leases: Iterable[tuple[str, str, float, str]], now: float
-    ) -> None:
+    def adopt(self, host: str, leases: Iterable[tuple[str, str, float, str]], now: float) -> None:
         """Take over a host's attempts under way: (ask id, target, seconds left, fingerprint)."""
         for ask_id, target, left_s, fingerprint in leases:
             if ask_id in self._leases:
@@ -374,9 +370,7 @@
     def _grant(self, waiting: _Waiting, book: _TargetBook, now: float) -> Grant:
         ask = waiting.ask
         expires_at = waiting.deadline_at + LEASE_SLACK_S
-        self._leases[ask.id] = _Lease(
-            ask.host, book.entry.name, now, expires_at, ask.fingerprint
-        )
+        self._leases[ask.id] = _Lease(ask.host, book.entry.name, now, expires_at, ask.fingerprint)
         book.leases.add(ask.id)
         return Grant(ask.id, ask.host, book.entry.name, book.belief.at(now))
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from typing import Final, Protocol
 
 from logbook import Logger
@@ -29,8 +28,8 @@
 MAX_WAIT_S: Final = 1.0  # A change must be in force about 2 s after the store's return.
 COALESCE_S: Final = 0.4  # Pause between two watch calls; drains must be heeded within 2 s.
 OUTAGE_S: Final = 1.0  # Entries can lapse when the store was unreachable for longer than this.
-AFTER_COALESCE_S: Final = 0.4  # Pause between two watch calls; drains must be heeded within 2 s.
-OUTAGE_S: Final = 2.0  # Live targets register again this soon after the store's return.
+AFTER_OUTAGE_S: Final = 2.0  # Live targets register again this soon after the store's return.
+REFRESH_S: Final = 0.3  # Least time between two listings that other hosts' news lead to.
 
 log = Logger("store")
 
@@ -106,6 +105,10 @@
                 self._revision = None
             except PlatformError as error:
                 await self._back_off(error)
+            except Exception as error:
+                # Without its watch a host would go stale unseen: report the fault and go on.
+                log.exception("event=watch_failed kind={} error={!r}", self._kind.value, error)
+                await self._back_off(error)
 
     async def _step(self) -> None:
         if self._revision is None:
@@ -146,13 +149,15 @@
     def _note_reached(self) -> None:
         now = self._clock.now()
         if self._lost_at is not None:
-            log.info("event=store_regained kind={} away_s={:.2f}", self._kind.value, now - self._lost_at)
+            log.info(
+                "event=store_regained kind={} away_s={:.2f}", self._kind.value, now - self._lost_at
+            )
             if now - self._lost_at > OUTAGE_S:
                 self._lapses_until = now + AFTER_OUTAGE_S
         self._lost_at = None
         self._wait_s = FIRST_WAIT_S
 
-    async def _back_off(self, error: PlatformError) -> None:
+    async def _back_off(self, error: Exception) -> None:
         if self._lost_at is None:
             log.warning("event=store_lost kind={} error={}", self._kind.value, error)
             self._lost_at = self._clock.now()
