Test the entry process's decisions and borders; refuse an unfinished head that is too long

The parser reports a header only once it is whole, so a head without an end was read on until its time-out; found by the table of refusals.

--- a/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
-from typing import Any, Final
+from collections.abc import Iterable
+from typing import Any, Final, Protocol
 
 from logbook import Logger
 from toucanspindle_core.clock import Clock
@@ -24,8 +24,20 @@
 log = Logger("broker")
 
 
+class SeatLink(Protocol):
+    """How a seat reaches the other hosts."""
+
+    def deliver(self, decision: Decision) -> None:
+        """Pass a decision to the host that asked."""
+        ...
+
+    def request_sync(self, service: str) -> None:
+        """Ask all hosts what they hold and saw of a service."""
+        ...
+
+
 class BrokerSeat:
-    """One service's broker at this host; `deliver` passes decisions to the hosts that asked."""
+    """One service's broker at this host."""
 
     def __init__(
         self,
@@ -33,14 +45,13 @@
         bounds: FleetBounds,
         clock: Clock,
         rng: random.Random,
-        deliver: Callable[[Decision], None],
-        request_sync: Callable[[str], None],
+        link: "SeatLink",
     ) -> None:
         """Create a seat that isn't in use yet."""
         self._service = service
         self._clock = clock
-        self._deliver = deliver
-        self._request_sync = request_sync
+        self._deliver = link.deliver
+        self._request_sync = link.request_sync
         self._broker = SlotBroker(service, bounds, clock.now(), rng)
         self._asked_at = float("-inf")
         self._held: list[SlotAsk] | None = None
--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -129,6 +129,8 @@
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        self._in_head = True
+        self._unfinished_bytes = 0
         self._chunks: list[bytes] = []
         self._size = 0
         self._began_at: float | None = None
@@ -176,7 +178,9 @@
                 raise
         except httptools.HttpParserError:
             self._refuse(400)
-        if not self._refused and self._header_bytes > self._host.limits.header_bytes:
+        # The parser reports a header only once it is whole.
+        self._unfinished_bytes = self._unfinished_bytes + len(data) if self._in_head else 0
+        if not self._refused and self._unfinished_bytes > self._host.limits.header_bytes:
             self._refuse(431)
 
     def eof_received(self) -> bool:
@@ -199,6 +203,7 @@
         """Start a request."""
         if self._began_at is None:
             self._began_at = self._clock.now()
+        self._in_head = True
         self._url = b""
         self._headers = []
         self._header_bytes = 0
@@ -217,6 +222,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the head; let a caller that waits for it send its body."""
+        self._in_head = False
         if self._refused:
             return
         if self._header_bytes > self._host.limits.header_bytes:
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -30,7 +30,7 @@
     TargetState,
 )
 from toucanspindle_entry.objectstore import ObjectKind, ObjectStore, StoreChange, StoreItem
-from toucanspindle_entry.requestpath import HeaderNames, RequestPath
+from toucanspindle_entry.requestpath import HeaderNames, PathParts, RequestPath
 from toucanspindle_entry.routeindex import RouteIndex
 from toucanspindle_entry.settings import EntrySettings
 from toucanspindle_entry.slotclient import SlotClient
@@ -157,7 +157,7 @@
             self._hosts, self._targets, settings.bounds, self._clock, self._rng
         )
         self._path = RequestPath(
-            names, self._slots, self._targets, self._pool, self._metrics, self._clock
+            PathParts(names, self._slots, self._targets, self._pool, self._metrics, self._clock)
         )
         self._port = DatagramPort(settings.ip, settings.peer_port, self._receive)
         self._slots.attach(self._port)
@@ -411,9 +411,10 @@
                 log.warning("event=host_list_failed error={}", error)
                 continue
             for item in listing.items:
-                if isinstance(item.value, HostEntry) and item.value.ip not in self._hosts.peers:
-                    if item.value.ip != self._own.ip:
-                        self._port.send(item.value.ip, self._hello("hello"))
+                entry = item.value
+                known = {self._own.ip, *self._hosts.peers}
+                if isinstance(entry, HostEntry) and entry.ip not in known:
+                    self._port.send(entry.ip, self._hello("hello"))
 
     async def _register(self) -> None:
         while True:
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -84,25 +84,29 @@
     detail: str = ""
 
 
+@dataclass(frozen=True)
+class PathParts:
+    """What the path of a request uses."""
+
+    names: HeaderNames
+    slots: SlotClient
+    targets: TargetTable
+    pool: TargetPool
+    metrics: EntryMetrics
+    clock: Clock
+
+
 class RequestPath:
     """Answers callers' requests."""
 
-    def __init__(
-        self,
-        names: HeaderNames,
-        slots: SlotClient,
-        targets: TargetTable,
-        pool: TargetPool,
-        metrics: EntryMetrics,
-        clock: Clock,
-    ) -> None:
+    def __init__(self, parts: PathParts) -> None:
         """Create a path without routes."""
-        self._names = names
-        self._slots = slots
-        self._targets = targets
-        self._pool = pool
-        self._metrics = metrics
-        self._clock = clock
+        self._names = parts.names
+        self._slots = parts.slots
+        self._targets = parts.targets
+        self._pool = parts.pool
+        self._metrics = parts.metrics
+        self._clock = parts.clock
         self.routes: RouteIndex | None = None
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -56,8 +56,9 @@
 class SlotAsk:
     """A host's wish for a slot.
 
-    `id` is unique over all hosts and attempts; `failure_domain` is the host's.  Times are seconds that are left: until the answer
-    is of no use at all, and until it is of less use.  `excluded` are targets tried before.
+    `id` is unique over all hosts and attempts; `failure_domain` is the host's.  Times are seconds
+    that are left: until the answer is of no use at all, and until it is of less use.  `excluded`
+    are targets tried before.
     """
 
     id: str
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -257,14 +257,13 @@
     def _seat(self, service: str) -> BrokerSeat:
         seat = self._seats.get(service)
         if seat is None:
-            seat = BrokerSeat(
-                service, self._bounds, self._clock, self._rng, self._deliver, self._request_sync
-            )
+            seat = BrokerSeat(service, self._bounds, self._clock, self._rng, self)
             self._seats[service] = seat
             seat.set_targets(self._targets.of_service(service), self._targets.unconfirmed)
         return seat
 
-    def _deliver(self, decision: Decision) -> None:
+    def deliver(self, decision: Decision) -> None:
+        """Pass a decision of a seat to the host that asked."""
         target_name = getattr(decision, "target", "")
         target = self._targets.get(target_name) if target_name else None
         message = slotmessages.encode_decision(decision, target)
@@ -273,7 +272,8 @@
         elif self._port is not None:
             self._port.send(decision.host, message)
 
-    def _request_sync(self, service: str) -> None:
+    def request_sync(self, service: str) -> None:
+        """Ask all hosts what they hold and saw of a service."""
         if self._port is None:
             return
         for ip in self._hosts.alive():
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -1,6 +1,6 @@
 """Messages between a host that needs slots and the broker of a service, as datagram arrays.
-
-["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry, excluded, fingerprint]
+    ["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry,
+     excluded, fingerprint]
 ["grant", id, target, sick, address, started ms]    ["queued", id]
 ["refused", id, reason, retry after ms]
 ["end", service, id, target, end, work ms, fingerprint]    ["noted", id]
--- /dev/null
+++ b/tests/entrycase.py
@@ -0,0 +1,85 @@
+"""Builders of the data that tests of the entry process use."""
+
+import random
+
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.model import FleetPlan, Route, RoutePart, TargetEntry, TargetState
+from toucanspindle_entry.settings import FleetBounds
+from toucanspindle_entry.slotbroker import Grant, SlotAsk, SlotBroker
+
+BOUNDS = FleetBounds(
+    drain_s=2.0,
+    shutdown_s=6.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_burst=60.0,
+    directory_ttl_s=3.0,
+    floor_share=0.7,
+)
+
+
+def target(
+    name: str,
+    slots: int = 2,
+    state: TargetState = TargetState.READY,
+    started_ms: int = 1,
+    domain: str = "beaufort",
+    service: str = "orders",
+) -> TargetEntry:
+    """Return a registered target."""
+    address = HostPort("127.0.0.1", 9000)
+    return TargetEntry(name, service, address, domain, slots, state, started_ms, 0.0)
+
+
+def ask(
+    ask_id: str,
+    host: str = "10.0.0.1",
+    priority: int = 1,
+    time_left_s: float = 4.0,
+    goal_left_s: float = 1.5,
+    is_retry: bool = False,
+    excluded: tuple[str, ...] = (),
+    fingerprint: str = "",
+) -> SlotAsk:
+    """Return an ask for a slot."""
+    return SlotAsk(
+        ask_id,
+        host,
+        "beaufort",
+        priority,
+        time_left_s,
+        goal_left_s,
+        is_retry,
+        excluded,
+        fingerprint,
+    )
+
+
+def broker(*targets: TargetEntry, now: float = 0.0, seed: int = 1) -> SlotBroker:
+    """Return a broker that knows some targets."""
+    made = SlotBroker("orders", BOUNDS, now, random.Random(seed))
+    made.set_targets(targets, frozenset(), now)
+    return made
+
+
+def granted(decision: object) -> str:
+    """Return the target of a grant; fail on any other decision."""
+    assert isinstance(decision, Grant), decision
+    return decision.target
+
+
+def route(
+    name: str,
+    host: str,
+    prefix: str,
+    *parts: tuple[str, float],
+) -> Route:
+    """Return a route to one service or more."""
+    made = tuple(RoutePart(service, weight) for service, weight in parts)
+    return Route(name, host, prefix, True, 3.0, 1.5, 2, 1, made)
+
+
+def plan(version: int, *routes: Route) -> FleetPlan:
+    """Return a plan of some routes."""
+    services = {part.service for r in routes for part in r.parts}
+    return FleetPlan(version, routes, frozenset(services))
--- /dev/null
+++ b/tests/test_entry_slotbroker.py
@@ -0,0 +1,209 @@
+"""Grants of a service's slots: choice, queue, refusals, retries, poison, and takeover."""
+
+import itertools
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+from toucanspindle_entry.model import TargetState
+from toucanspindle_entry.posterior import AttemptEnd
+from toucanspindle_entry.slotbroker import (
+    AttemptReport,
+    Grant,
+    Queued,
+    RefusalReason,
+    Refused,
+    SlotBroker,
+)
+
+from tests.entrycase import BOUNDS, ask, broker, granted, target
+
+
+def end(
+    ask_id: str, name: str, how: AttemptEnd, work_s: float = 0.1, fp: str = ""
+) -> AttemptReport:
+    return AttemptReport(ask_id, name, how, work_s, fp)
+
+
+class ChoiceTests(TestCase):
+    def test_failed_target_is_avoided_by_all_hosts_at_once(self) -> None:
+        """Gray spell: after one failure, reported by one host, no host is sent there."""
+        made = broker(target("a"), target("b"), target("c"))
+        made.ask(ask("1"), 0.0)
+        first = granted(made.ask(ask("1"), 0.0))
+        made.report(end("1", first, AttemptEnd.FAILED), 0.1)
+        chosen = {granted(made.ask(ask(f"x{n}", host=f"10.0.0.{n}"), 0.1)) for n in range(4)}
+        self.assertNotIn(first, chosen)
+
+    def test_failed_target_is_used_again_when_the_spell_may_be_over(self) -> None:
+        made = broker(target("a"), target("b"))
+        granted(made.ask(ask("1"), 0.0))
+        made.report(end("1", "a", AttemptEnd.FAILED), 0.0)
+        sick_at_once = made.beliefs(0.0)["a"]
+        sick_later = made.beliefs(12.0)["a"]
+        self.assertGreater(sick_at_once, 0.8)
+        self.assertLess(sick_later, 0.3)
+
+    def test_draining_target_gets_nothing(self) -> None:
+        made = broker(target("a", state=TargetState.DRAINING), target("b", slots=5))
+        chosen = {granted(made.ask(ask(str(n)), 0.0)) for n in range(5)}
+        self.assertEqual({"b"}, chosen)
+
+    def test_own_failure_domain_goes_first(self) -> None:
+        made = broker(target("far", domain="graaff"), target("near"))
+        self.assertEqual("near", granted(made.ask(ask("1"), 0.0)))
+
+    def test_new_incarnation_starts_with_no_history(self) -> None:
+        made = broker(target("a"))
+        granted(made.ask(ask("1"), 0.0))
+        made.report(end("1", "a", AttemptEnd.BROKEN), 0.1)
+        made.set_targets([target("a", started_ms=2)], frozenset(), 0.2)
+        self.assertLess(made.beliefs(0.2)["a"], 0.25)
+
+    def test_one_long_answer_is_no_reason_to_leave_a_well_target(self) -> None:
+        """Exploring costs a failure where the other targets' state is unknown."""
+        made = broker(target("a", slots=4), target("b", slots=4))
+        for n in range(12):
+            name = granted(made.ask(ask(f"a{n}", excluded=("b",)), 0.0))
+            made.report(end(f"a{n}", name, AttemptEnd.ANSWERED, 0.3), 0.0)
+        granted(made.ask(ask("long", excluded=("b",)), 0.0))
+        made.report(end("long", "a", AttemptEnd.ANSWERED, 5.0), 0.0)
+        self.assertEqual("a", granted(made.ask(ask("next"), 0.0)))
+
+
+class QueueTests(TestCase):
+    def test_slots_are_never_granted_twice(self) -> None:
+        made = broker(target("a", slots=2))
+        decisions = [made.ask(ask(str(n)), 0.0) for n in range(4)]
+        kinds = [type(decision) for decision in decisions]
+        self.assertEqual([Grant, Grant, Queued, Queued], kinds)
+
+    def test_urgent_request_overtakes(self) -> None:
+        made = broker(target("a", slots=1))
+        made.ask(ask("held"), 0.0)
+        made.ask(ask("usual", priority=2), 0.0)
+        made.ask(ask("urgent", priority=0), 0.0)
+        decisions = made.report(end("held", "a", AttemptEnd.ANSWERED), 0.1)
+        self.assertEqual(["urgent"], [decision.ask_id for decision in decisions])
+
+    def test_burst_beyond_what_can_be_served_is_refused_at_once(self) -> None:
+        """Burst: with one slot and 300 ms of work, the 40th request can't make its goal."""
+        made = broker(target("a", slots=1))
+        decisions = [made.ask(ask(str(n)), 0.0) for n in range(40)]
+        refused = [decision for decision in decisions if isinstance(decision, Refused)]
+        self.assertGreater(len(refused), 20)
+        self.assertTrue(all(d.reason is RefusalReason.OVERLOADED for d in refused))
+
+    def test_retry_after_spreads_returns(self) -> None:
+        made = broker(target("a", slots=1))
+        decisions = [made.ask(ask(str(n)), 0.0) for n in range(60)]
+        waits = {d.retry_after_s for d in decisions if isinstance(d, Refused)}
+        self.assertGreater(len(waits), 10)
+
+    def test_hopeless_request_is_refused_before_its_deadline(self) -> None:
+        made = broker(target("a", slots=1))
+        made.ask(ask("held", time_left_s=30.0), 0.0)
+        made.ask(ask("waits", time_left_s=2.0, goal_left_s=2.0), 0.0)
+        decisions = made.tick(1.9)
+        self.assertEqual(["waits"], [d.ask_id for d in decisions if isinstance(d, Refused)])
+
+    def test_same_ask_gets_the_same_answer(self) -> None:
+        """An answer may be lost, and the host asks again."""
+        made = broker(target("a", slots=1), target("b", slots=1))
+        first = granted(made.ask(ask("1"), 0.0))
+        self.assertEqual(first, granted(made.ask(ask("1"), 0.01)))
+        self.assertEqual(1, made.in_use)
+
+    def test_withdrawn_ask_frees_its_slot(self) -> None:
+        made = broker(target("a", slots=1))
+        made.ask(ask("left"), 0.0)
+        made.ask(ask("waits"), 0.0)
+        decisions = made.report(end("left", "a", AttemptEnd.WITHDRAWN), 0.1)
+        self.assertEqual(["waits"], [decision.ask_id for decision in decisions])
+
+    def test_lost_report_frees_the_slot_after_the_deadline(self) -> None:
+        made = broker(target("a", slots=1))
+        made.ask(ask("lost", time_left_s=1.0), 0.0)
+        made.tick(2.0)
+        self.assertEqual(0, made.in_use)
+
+
+class RetryTests(TestCase):
+    def test_new_broker_grants_no_retry_that_its_predecessor_may_have_spent(self) -> None:
+        made = broker(target("a", slots=50))
+        decision = made.ask(ask("1", is_retry=True), 0.0)
+        self.assertEqual(RefusalReason.NO_RETRY, getattr(decision, "reason", None))
+
+    @given(
+        seed=st.integers(0, 10_000),
+        per_s=st.integers(1, 200),
+        failing=st.floats(0.05, 1.0),
+        takeover_at=st.floats(1.0, 25.0),
+    )
+    def test_budget_holds_on_every_window_over_a_takeover(
+        self, seed: int, per_s: int, failing: float, takeover_at: float
+    ) -> None:
+        """Retry abuse and a killed broker: no window holds more retries than allowed."""
+        rng = random.Random(seed)
+        made = broker(target("a", slots=100_000))
+        requests: list[float] = []
+        retries: list[float] = []
+        taken_over = False
+        for step in range(30 * per_s):
+            now = step / per_s
+            if not taken_over and now >= takeover_at:
+                made = SlotBroker("orders", BOUNDS, now, random.Random(seed))
+                made.set_targets([target("a", slots=100_000)], frozenset(), now)
+                taken_over = True
+            requests.append(now)
+            made.ask(ask(f"r{step}"), now)
+            if rng.random() < failing:
+                again = made.ask(ask(f"s{step}", is_retry=True), now)
+                if isinstance(again, Grant):
+                    retries.append(now)
+        for start in itertools.chain([0.0], retries):
+            until = start + BOUNDS.retry_window_s
+            spent = sum(1 for at in retries if start <= at < until)
+            asked = sum(1 for at in requests if start <= at < until)
+            allowed = BOUNDS.retry_ratio * asked + BOUNDS.retry_burst
+            # The window's last requests may come after its last retry.
+            self.assertLessEqual(spent, allowed + BOUNDS.retry_ratio * per_s)
+
+
+class PoisonTests(TestCase):
+    def test_request_that_broke_three_targets_is_refused(self) -> None:
+        made = broker(*(target(name, slots=4) for name in "abcdef"))
+        for n in range(3):
+            name = granted(made.ask(ask(str(n), fingerprint="bad"), n * 1.0))
+            made.report(end(str(n), name, AttemptEnd.BROKEN, fp="bad"), n * 1.0)
+        decision = made.ask(ask("again", fingerprint="bad"), 3.0)
+        self.assertEqual(RefusalReason.POISON, getattr(decision, "reason", None))
+
+    def test_popular_lookup_that_is_answered_elsewhere_is_no_poison(self) -> None:
+        made = broker(*(target(name, slots=4) for name in "abcdef"))
+        made.ask(ask("ok", fingerprint="popular"), 0.0)
+        made.report(end("ok", "a", AttemptEnd.ANSWERED, fp="popular"), 0.1)
+        for n in range(5):
+            name = granted(made.ask(ask(str(n), fingerprint="popular"), n * 1.0))
+            made.report(end(str(n), name, AttemptEnd.BROKEN, fp="popular"), n * 1.0)
+        granted(made.ask(ask("again", fingerprint="popular"), 6.0))
+
+
+class TakeoverTests(TestCase):
+    def test_adopted_attempts_hold_their_slots(self) -> None:
+        made = broker(target("a", slots=1))
+        made.adopt("10.0.0.9", [("old", "a", 2.0, "")], 0.0)
+        self.assertIsInstance(made.ask(ask("new"), 0.0), Queued)
+
+    def test_adopted_failure_is_heeded(self) -> None:
+        made = broker(target("a"), target("b"), now=10.0)
+        made.adopt_result("a", AttemptEnd.FAILED, 9.5)
+        self.assertEqual("b", granted(made.ask(ask("1"), 10.0)))
+
+    def test_ended_host_frees_what_it_held(self) -> None:
+        made = broker(target("a", slots=1))
+        made.ask(ask("1", host="10.0.0.1"), 0.0)
+        made.ask(ask("2", host="10.0.0.2"), 0.0)
+        decisions = made.drop_host("10.0.0.1", 0.1)
+        self.assertEqual(["2"], [decision.ask_id for decision in decisions])
