Pause a target that shed for 20 ms, serve feasible goals first, use 3/4 of the retry burst

Each refusal kept its target from use for 300 ms, so requests queued for a second and were then refused all the same.

--- a/packages/toucanspindle-entry/toucanspindle_entry/fleetbudget.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/fleetbudget.py
@@ -8,10 +8,10 @@
 
 from typing import Final
 
-# Shares of the burst.  One bucket uses 1/4 + 1/3 of it in a window, so that two brokers that serve
-# at once during a partition stay within about the whole.
+# Shares of the burst.  One bucket uses 3/4 of it in a window; the rest is for hosts that a partition
+# keeps from the broker, and that serve with a broker of their own.
 CAPACITY_SHARE: Final = 0.25
-REFILL_SHARE: Final = 1 / 3
+REFILL_SHARE: Final = 0.5
 
 
 class FleetRetryBudget:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -33,8 +33,9 @@
 JITTER_COST: Final = 0.02  # Spreads requests over targets of about the same cost.
 HOLD_BACK_SICK: Final = 0.55  # A target this likely sick isn't used while better ones come free.
 OVERDUE_FACTOR: Final = 5.0  # An attempt this many times the usual work is taken as a bad sign.
-SHED_PAUSE_S: Final = 0.3  # A target that refused for lack of room gets nothing for this long.
+SHED_PAUSE_S: Final = 0.02  # A target that refused for lack of room gets nothing for this long.
 UNREACHED_PAUSE_S: Final = 1.0
+LATE_PATIENCE_SHARE: Final = 0.25  # Share of its time for which a late request may still wait.
 MAX_QUEUE: Final = 2000
 CRASHES_OF_POISON: Final = 3  # Distinct targets that a request broke before it is refused.
 POISON_MEMORY_S: Final = 120.0
@@ -129,6 +130,7 @@
     ask: SlotAsk
     arrived_at: float
     deadline_at: float
+    goal_at: float
 
 
 @dataclass
@@ -222,7 +224,7 @@
             return refusal
         if not ask.is_retry and not ask.excluded:
             self._budget.record_first_attempt()
-        waiting = _Waiting(ask, now, now + ask.time_left_s)
+        waiting = _Waiting(ask, now, now + ask.time_left_s, now + ask.goal_left_s)
         if not self._is_overtaking(waiting):
             target = self._pick(ask, now)
             if target is not None:
@@ -286,16 +288,25 @@
     def grant_waiting(self, now: float) -> list[Decision]:
         """Grant free slots to the asks that wait."""
         decisions: list[Decision] = []
-        left: list[_Waiting] = []
-        for waiting in self._queue:
+        granted: set[str] = set()
+        for waiting in self._in_order(now):
             target = self._pick(waiting.ask, now)
-            if target is None:
-                left.append(waiting)
-            else:
+            if target is not None:
                 decisions.append(self._grant(waiting, target, now))
-        self._queue = left
+                granted.add(waiting.ask.id)
+        if granted:
+            self._queue = [w for w in self._queue if w.ask.id not in granted]
         return decisions
 
+    def _in_order(self, now: float) -> list[_Waiting]:
+        """Return the queue by priority; those that can still reach their goal go first."""
+        if len(self._queue) < 2:
+            return list(self._queue)
+        return sorted(
+            self._queue,
+            key=lambda w: (w.ask.priority, w.goal_at - now < self._work_s / 2, w.arrived_at),
+        )
+
     def _refusal(self, ask: SlotAsk, now: float) -> Refused | None:
         crash = self._crashes.get(ask.fingerprint)
         if crash is not None and now < crash[1] and len(crash[0]) >= CRASHES_OF_POISON:
@@ -316,15 +327,12 @@
         if len(self._queue) >= MAX_QUEUE or wait_s > self._patience(ask):
             after = max(self._retry_after(now), wait_s / 2)
             return Refused(ask.id, ask.host, RefusalReason.OVERLOADED, after)
-        position = len(self._queue)
-        while position and self._queue[position - 1].ask.priority > ask.priority:
-            position -= 1
-        self._queue.insert(position, waiting)
+        self._queue.append(waiting)
         return Queued(ask.id, ask.host)
 
     def _patience(self, ask: SlotAsk) -> float:
-        """Return how long an ask may wait: a slot must leave time for the usual work."""
-        return max(0.0, max(ask.goal_left_s, ask.time_left_s * 0.5) - self._work_s)
+        """Return how long an ask may wait: it should reach its goal, or else not wait long."""
+        return max(ask.goal_left_s - self._work_s / 2, ask.time_left_s * LATE_PATIENCE_SHARE)
 
     def _refuse_hopeless(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
