--- a/packages/toucanspindle-entry/toucanspindle_entry/fleetbudget.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/fleetbudget.py
@@ -8,8 +8,8 @@
 
 from typing import Final
 
-# Shares of the burst.  One bucket uses 3/4 of it in a window; the rest is for hosts that a partition
-# keeps from the broker, and that serve with a broker of their own.
+# Shares of the burst.  One bucket uses 3/4 of it in a window; the rest is for hosts that a
+# partition keeps from the broker, and that serve with a broker of their own.
 CAPACITY_SHARE: Final = 0.25
 REFILL_SHARE: Final = 0.5
 
--- /dev/null
+++ b/packages/toucanspindle-entry/toucanspindle_entry/floorcover.py
@@ -0,0 +1,58 @@
+"""Keeps a share of a service's targets in use while many of its requests fail.
+
+Fleeing to the few targets that answered last starves the others of the traffic that would show
+them well again.  So while more than a few in a hundred of the recent requests end badly, targets
+that got nothing lately are due for one request each, until the floor share of them is in use.
+"""
+
+import math
+from collections import deque
+from collections.abc import Collection, Iterable
+from typing import Final
+
+WINDOW_S: Final = 2.0  # The operators judge the floor over spans of this length.
+COVER_S: Final = 1.2  # A target counts as in use for so long after a request; 2 s less a margin.
+STRESS_SHARE: Final = 0.05  # Half of the share of bad ends at which the floor is judged.
+MIN_ENDS: Final = 8  # Fewer ends than that say little of a share.
+SPACING_S: Final = 0.05  # Requests that are spent on cover are spread over time.
+
+
+class FloorCover:
+    """What one broker knows of its targets' use; times are in seconds of its clock."""
+
+    def __init__(self, floor_share: float) -> None:
+        """Create a cover that keeps `floor_share` of the targets in use under stress."""
+        self._floor_share = floor_share
+        self._ends: deque[tuple[float, bool]] = deque()
+        self._granted_at: dict[str, float] = {}
+        self._spent_at = float("-inf")
+
+    def record_end(self, is_bad: bool, now: float) -> None:
+        """Count the end of a request: served, or failed or refused."""
+        self._ends.append((now, is_bad))
+
+    def record_grant(self, target: str, now: float) -> None:
+        """Note that a target gets a request."""
+        self._granted_at[target] = now
+
+    def due(self, targets: Collection[str], now: float) -> list[str]:
+        """Return the targets that should get the next request; empty when there is no need."""
+        if now - self._spent_at < SPACING_S or not self._is_stressed(now):
+            return []
+        idle = [t for t in targets if now - self._granted_at.get(t, float("-inf")) > COVER_S]
+        needed = math.ceil(self._floor_share * len(targets))
+        return idle if len(targets) - len(idle) < needed else []
+
+    def spend(self, now: float) -> None:
+        """Note that a due target was chosen."""
+        self._spent_at = now
+
+    def retain(self, targets: Iterable[str]) -> None:
+        """Forget targets that are no longer registered."""
+        self._granted_at = {t: at for t, at in self._granted_at.items() if t in set(targets)}
+
+    def _is_stressed(self, now: float) -> bool:
+        while self._ends and now - self._ends[0][0] > WINDOW_S:
+            self._ends.popleft()
+        bad = sum(is_bad for _, is_bad in self._ends)
+        return len(self._ends) >= MIN_ENDS and bad > STRESS_SHARE * len(self._ends)
--- a/packages/toucanspindle-entry/toucanspindle_entry/posterior.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/posterior.py
@@ -10,9 +10,10 @@
 from enum import Enum
 from typing import Final
 
-USUAL_SICK_SHARE: Final = 0.2  # Share of targets that are in a spell at any time, as users report.
-SPELL_S: Final = 4.0  # Spells last several seconds; a belief older than two of them says little.
-MIN_SICK: Final = 0.001
+USUAL_SICK_SHARE: Final = 0.3  # Share of targets that are in a spell at any time, as measured.
+SPELL_S: Final = 5.0  # 80% of targets fail again 3 s after a failure, 50% after 5 s, few after 8 s.
+# However long a target has answered, a failure may begin a spell: half of such failures did.
+MIN_SICK: Final = 0.03
 MAX_SICK: Final = 0.995
 
 
@@ -34,10 +35,10 @@
 LIKELIHOOD_RATIO: Final[dict[AttemptEnd, float]] = {
     AttemptEnd.ANSWERED: 0.15,
     AttemptEnd.FAILED: 30.0,
-    AttemptEnd.SHED: 4.0,
+    AttemptEnd.SHED: 1.5,
     AttemptEnd.BROKEN: 30.0,
     AttemptEnd.GARBLED: 6.0,
-    AttemptEnd.SILENT: 20.0,
+    AttemptEnd.SILENT: 8.0,
     AttemptEnd.UNREACHED: 60.0,
     AttemptEnd.MISDIRECTED: 60.0,
 }
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -16,6 +16,7 @@
 from typing import Any, Final
 
 from toucanspindle_entry.fleetbudget import FleetRetryBudget
+from toucanspindle_entry.floorcover import FloorCover
 from toucanspindle_entry.model import TargetEntry, TargetState
 from toucanspindle_entry.posterior import OVERDUE_RATIO, AttemptEnd, SickBelief
 from toucanspindle_entry.settings import FleetBounds
@@ -31,7 +32,9 @@
 WARMUP_COST: Final = 0.10
 UNCONFIRMED_COST: Final = 0.3  # An entry that lapsed while the store was away may have ended.
 JITTER_COST: Final = 0.02  # Spreads requests over targets of about the same cost.
-HOLD_BACK_SICK: Final = 0.55  # A target this likely sick isn't used while better ones come free.
+HOLD_BACK_SICK: Final = 0.4  # A target this likely sick isn't used while a better one comes free,
+HOLD_BACK_GAIN: Final = 0.25  # one that is less likely sick by this much,
+HOLD_BACK_WORK: Final = 1.5  # and while this many times the usual work is left until the goal.
 OVERDUE_FACTOR: Final = 5.0  # An attempt this many times the usual work is taken as a bad sign.
 SHED_PAUSE_S: Final = 0.02  # A target that refused for lack of room gets nothing for this long.
 UNREACHED_PAUSE_S: Final = 1.0
@@ -170,6 +173,7 @@
         self._budget = FleetRetryBudget(
             bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s, now
         )
+        self._cover = FloorCover(bounds.floor_share)
         self._work_s = INITIAL_WORK_S
         self._crashes: dict[str, tuple[set[str], float]] = {}
         self._answered: dict[str, float] = {}
@@ -210,6 +214,7 @@
         for lease_id, lease in self._leases.items():
             if lease.target in self._targets:
                 self._targets[lease.target].leases.add(lease_id)
+        self._cover.retain(self._targets)
         return self.grant_waiting(now)
 
     def ask(self, ask: SlotAsk, now: float) -> Decision:
@@ -221,12 +226,13 @@
             return Queued(ask.id, ask.host)
         refusal = self._refusal(ask, now)
         if refusal is not None:
+            self._cover.record_end(True, now)
             return refusal
         if not ask.is_retry and not ask.excluded:
             self._budget.record_first_attempt()
         waiting = _Waiting(ask, now, now + ask.time_left_s, now + ask.goal_left_s)
         if not self._is_overtaking(waiting):
-            target = self._pick(ask, now)
+            target = self._pick(waiting, now)
             if target is not None:
                 return self._grant(waiting, target, now)
         return self._enqueue(waiting, now)
@@ -290,7 +296,7 @@
         decisions: list[Decision] = []
         granted: set[str] = set()
         for waiting in self._in_order(now):
-            target = self._pick(waiting.ask, now)
+            target = self._pick(waiting, now)
             if target is not None:
                 decisions.append(self._grant(waiting, target, now))
                 granted.add(waiting.ask.id)
@@ -353,17 +359,19 @@
     def _is_usable(self, book: _TargetBook, ask: SlotAsk) -> bool:
         return book.entry.state is TargetState.READY and book.entry.name not in ask.excluded
 
-    def _pick(self, ask: SlotAsk, now: float) -> _TargetBook | None:
+    def _pick(self, waiting: _Waiting, now: float) -> _TargetBook | None:
         """Return the target of least cost with a free slot; None when waiting is better."""
         best: _TargetBook | None = None
         best_cost = 0.0
-        better_exists = False
-        for book in self._targets.values():
-            if not self._is_usable(book, ask):
-                continue
-            is_free = len(book.leases) < book.entry.slots and now >= book.paused_until
-            if not is_free:
-                better_exists = better_exists or book.belief.at(now) < HOLD_BACK_SICK / 2
+        least_sick_busy = 1.0
+        ask = waiting.ask
+        usable = [book for book in self._targets.values() if self._is_usable(book, ask)]
+        due = self._due(usable, now)
+        if due is not None:
+            return due
+        for book in usable:
+            if len(book.leases) >= book.entry.slots or now < book.paused_until:
+                least_sick_busy = min(least_sick_busy, book.belief.at(now))
                 continue
             cost = book.cost(now, self._rng)
             if book.entry.failure_domain != ask.failure_domain:
@@ -372,20 +380,38 @@
                 best, best_cost = book, cost
         if best is None:
             return None
-        if best.belief.at(now) > HOLD_BACK_SICK and better_exists:
+        sick = best.belief.at(now)
+        has_time = waiting.goal_at - now > HOLD_BACK_WORK * self._work_s
+        if has_time and sick > HOLD_BACK_SICK and least_sick_busy < sick - HOLD_BACK_GAIN:
             return None
         return best
 
+    def _due(self, usable: list[_TargetBook], now: float) -> _TargetBook | None:
+        """Return the least sick free target that the floor calls for, if any."""
+        names = self._cover.due([book.entry.name for book in usable], now)
+        free = [
+            book
+            for book in usable
+            if book.entry.name in names and len(book.leases) < book.entry.slots
+        ]
+        if not free:
+            return None
+        self._cover.spend(now)
+        return min(free, key=lambda book: book.belief.at(now))
+
     def _grant(self, waiting: _Waiting, book: _TargetBook, now: float) -> Grant:
         ask = waiting.ask
         expires_at = waiting.deadline_at + LEASE_SLACK_S
         self._leases[ask.id] = _Lease(ask.host, book.entry.name, now, expires_at, ask.fingerprint)
         book.leases.add(ask.id)
+        self._cover.record_grant(book.entry.name, now)
         return Grant(ask.id, ask.host, book.entry.name, book.belief.at(now))
 
     def _learn(self, book: _TargetBook, report: AttemptReport, now: float) -> None:
         end = report.end
         book.belief.observe(end, now)
+        if end is not AttemptEnd.WITHDRAWN:
+            self._cover.record_end(end is not AttemptEnd.ANSWERED, now)
         if end is AttemptEnd.ANSWERED:
             self._work_s += WORK_SMOOTHING * (report.work_s - self._work_s)
             relative = report.work_s / max(self._work_s, 0.001)
