--- a/packages/toucanspindle-standins/toucanspindle_standins/processes.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/processes.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from typing import BinaryIO, Final
 
@@ -83,11 +83,21 @@
     Invariant: after `close` the process is gone.
     """
 
-    def __init__(self, name: str, argv: Sequence[str], folder: Path) -> None:
-        """Describe `python -m argv...`; output goes to files named after `name` in `folder`."""
+    def __init__(
+        self,
+        name: str,
+        argv: Sequence[str],
+        folder: Path,
+        variables: Mapping[str, str] | None = None,
+    ) -> None:
+        """Describe `python -m argv...`; output goes to files named after `name` in `folder`.
+
+        `variables` are added to the environment.
+        """
         self.name = name
         self.argv = list(argv)
         self._folder = folder
+        self._variables = dict(variables or {})
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -110,7 +120,11 @@
         """Start the process; with `ready_at`, wait until it listens there."""
         with self._output("out") as out, self._output("err") as err:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", *self.argv], stdin=subprocess.DEVNULL, stdout=out, stderr=err
+                [sys.executable, "-m", *self.argv],
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+                env=os.environ | self._variables,
             )
         if ready_at is not None:
             wait_until(lambda: self._ready(ready_at), what=f"{self.name} listens at {ready_at}")
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,149 @@
+"""What the platform stores, decoded: good entries, and entries of any other shape."""
+
+import copy
+import importlib
+from typing import Any
+
+from testtools import TestCase
+from toucanspindle_core.errors import SettingsError
+from toucanspindle_entry.model import FleetPlan, HostEntry, TargetEntry, TargetState
+from toucanspindle_entry.objectstore import ObjectKind
+
+from platformsettings import load_settings
+from platformwire import decode_object, encode_host
+from tests.tempfolder import temporary_folder
+
+TARGET: dict[str, Any] = {
+    "Metadata": {"Name": "i-1", "Revision": 5},
+    "Spec": {
+        "Address": "10.128.0.9:8080",
+        "Info": {"Service": "s", "Version": "v1", "Zone": "beaufort", "MaxConcurrency": 4},
+        "Status": {"State": "ready", "Seq": 4, "WarmupLeftMs": 1500},
+        "born": 1_700_000_000_000,
+    },
+    "Status": None,
+}
+PLAN: dict[str, Any] = {
+    "Metadata": {"Name": "main"},
+    "Spec": {
+        "Version": 7,
+        "Routes": {
+            "r1": {
+                "Host": "Hulo84.example",
+                "PathPrefix": "/leny/",
+                "Kind": "safe",
+                "TimeoutMs": 4000,
+                "TargetLatencyMs": 1500,
+                "Priority": 2,
+                "Backends": [{"Service": "a", "Weight": 90}, {"Service": "b", "Weight": 10}],
+                "MaxAttempts": 2,
+            },
+            "r2": {"Host": "j.example", "PathPrefix": "/", "Kind": "unsafe", "Service": "a"},
+        },
+        "Services": {"a": {}, "b": {}},
+        "Limits": {"MaxHeaderBytes": 100, "IdleTimeoutMs": 15000},
+    },
+}
+
+
+def changed(original: dict[str, Any], path: str, value: Any) -> dict[str, Any]:
+    """Return a copy with one field set; a value of ... removes it."""
+    copied = copy.deepcopy(original)
+    *parents, last = path.split(".")
+    place = copied
+    for parent in parents:
+        place = place[parent]
+    if value is ...:
+        del place[last]
+    else:
+        place[last] = value
+    return copied
+
+
+class TargetEntryTests(TestCase):
+    def test_entry(self) -> None:
+        name, entry = decode_object(ObjectKind.TARGETS, TARGET)
+        assert isinstance(entry, TargetEntry)
+        self.assertEqual(
+            ("i-1", "s", "10.128.0.9:8080", "beaufort", 4, TargetState.READY, 1.5),
+            (
+                name,
+                entry.service,
+                str(entry.address),
+                entry.failure_domain,
+                entry.slots,
+                entry.state,
+                entry.warmup_s,
+            ),
+        )
+
+    def test_entries_of_another_shape_name_no_target(self) -> None:
+        for path, value in (
+            ("Spec", None),
+            ("Spec", "text"),
+            ("Spec", []),
+            ("Spec.Address", ...),
+            ("Spec.Address", 5),
+            ("Spec.Address", "name.example:80"),
+            ("Spec.Info", None),
+            ("Spec.Info.Service", 7),
+            ("Spec.Info.MaxConcurrency", "4"),
+            ("Spec.Info.MaxConcurrency", 0),
+            ("Spec.Info.MaxConcurrency", True),
+            ("Spec.Status", None),
+            ("Spec.Status.State", "odd"),
+            ("Spec.Status.State", ["ready"]),
+            ("Spec.born", "yesterday"),
+        ):
+            _, entry = decode_object(ObjectKind.TARGETS, changed(TARGET, path, value))
+            self.assertIsNone(entry, (path, value))
+        for odd in (None, 5, "text", [], {}, {"Metadata": None}, {"Metadata": {"Name": 3}}):
+            self.assertEqual(("", None), decode_object(ObjectKind.TARGETS, odd))
+
+
+class PlanTests(TestCase):
+    def test_plan(self) -> None:
+        _, plan = decode_object(ObjectKind.PLAN, PLAN)
+        assert isinstance(plan, FleetPlan)
+        first, second = plan.routes
+        self.assertEqual(7, plan.version)
+        self.assertEqual("hulo84.example", first.host)
+        self.assertEqual([("a", 90.0), ("b", 10.0)], [(p.service, p.weight) for p in first.parts])
+        self.assertEqual((True, False), (first.idempotent, second.idempotent))
+        self.assertEqual((4.0, 1.5), (first.timeout_s, first.latency_goal_s))
+        self.assertEqual((100, 15.0), (plan.limits.header_bytes, plan.limits.idle_timeout_s))
+
+    def test_other_objects_of_the_kind_are_no_plan(self) -> None:
+        for path, value in (
+            ("Metadata.Name", "draft"),
+            ("Spec.Version", ...),
+            ("Spec.Routes", []),
+            ("Spec.Routes.r2.Service", ...),
+        ):
+            _, plan = decode_object(ObjectKind.PLAN, changed(PLAN, path, value))
+            self.assertIsNone(plan, (path, value))
+
+
+class HostEntryTests(TestCase):
+    def test_round_trip(self) -> None:
+        entry = HostEntry("edge-1", "10.1.0.15", "beaufort", "ab12")
+        self.assertEqual(("edge-1", entry), decode_object(ObjectKind.HOSTS, encode_host(entry)))
+
+
+class SettingsTests(TestCase):
+    def test_wrong_files_name_a_remedy(self) -> None:
+        folder = temporary_folder(self)
+        for name, text in (("missing", None), ("syntax", "a = ["), ("empty", "")):
+            path = folder / name
+            if text is not None:
+                path.write_text(text)
+            error = self.assertRaises(SettingsError, load_settings, path)
+            self.assertIn("Remedy:", str(error), name)
+
+
+class FolderTests(TestCase):
+    def test_standard_library_module_of_the_same_name_is_found(self) -> None:
+        """Libraries import the module `platform`; the adapter's folder must not hide it."""
+        module = importlib.import_module("platform")
+        self.assertTrue(module.python_version())
+        self.assertIsNotNone(importlib.import_module("platformstore").PlatformStore)
