--- a/tests/test_platform_deployed.py
+++ b/tests/test_platform_deployed.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from typing import Literal
 
 from testtools import TestCase
 from toucanspindle_standins.httpcall import BrokenAnswerError, HttpResult
@@ -46,6 +47,19 @@
             lambda n: self.fleet.request(n % self.hosts, f"/reserve/{n}", "POST"), count
         )
 
+    def wait_log(self, n: int, text: str) -> None:
+        """Wait until a host has logged a text."""
+        wait_until(lambda: text in self.fleet.log(n), what=f"host {n} logs {text}")
+
+    def wait_served(self, n: int, path: str = "/lookup/1") -> None:
+        """Wait until a host serves a path."""
+        wait_until(
+            lambda: self.fleet.request(n, path).status == 200, what=f"host {n} serves {path}"
+        )
+
+    def set_away(self, away: Literal["no", "busy", "silent"]) -> None:
+        self.fleet.apply(lambda: self.fleet.store.set_away(away))
+
     def runs(self) -> Counter[str]:
         return Counter(attempt for target in self.fleet.targets for attempt in target.ran)
 
@@ -102,19 +116,17 @@
     def test_newer_plan_is_in_force_everywhere(self) -> None:
         self.fleet.put_plan(3, PathPrefix="/moved/")
         for n in range(self.hosts):
-            wait_until(
-                lambda n=n: self.fleet.request(n, "/moved/1").status == 200, what=f"host {n}"
-            )
+            self.wait_served(n, "/moved/1")
             self.assertEqual(404, self.fleet.request(n, "/lookup/1").status)
 
     def test_older_plan_is_never_in_force_again(self) -> None:
         self.fleet.put_plan(5, PathPrefix="/moved/")
         for n in range(self.hosts):
-            wait_until(lambda n=n: "version=5" in self.fleet.log(n), what=f"host {n}")
+            self.wait_log(n, "version=5")
         self.fleet.put_plan(4)
         self.fleet.put_plan(6, PathPrefix="/again/")
         for n in range(self.hosts):
-            wait_until(lambda n=n: "version=6" in self.fleet.log(n), what=f"host {n}")
+            self.wait_log(n, "version=6")
             self.assertNotIn("version=4", self.fleet.log(n))
 
     def test_plan_written_while_watches_are_cut_and_history_is_lost(self) -> None:
@@ -122,16 +134,17 @@
         self.fleet.put_plan(2, PathPrefix="/moved/")
         self.fleet.apply(self.fleet.store.forget_history)
         for n in range(self.hosts):
-            wait_until(lambda n=n: "version=2" in self.fleet.log(n), what=f"host {n}")
+            self.wait_log(n, "version=2")
 
     def test_store_outage_serves_on_and_is_made_up_for(self) -> None:
-        for away in ("busy", "silent"):
-            self.fleet.apply(lambda away=away: self.fleet.store.set_away(away))
+        outages: tuple[Literal["busy", "silent"], ...] = ("busy", "silent")
+        for away in outages:
+            self.set_away(away)
             self.assertEqual({200: 40}, self.lookups(40))
-            self.fleet.apply(lambda: self.fleet.store.set_away("no"))
+            self.set_away("no")
         self.fleet.put_plan(9)
         for n in range(self.hosts):
-            wait_until(lambda n=n: "version=9" in self.fleet.log(n), what=f"host {n}")
+            self.wait_log(n, "version=9")
             self.assertIn("event=store_regained", self.fleet.log(n))
 
 
@@ -141,7 +154,7 @@
         self.lookups(20)
         self.fleet.apply(lambda: leaving.register("draining"))
         for n in range(self.hosts):
-            wait_until(lambda n=n: "event=target_draining" in self.fleet.log(n), what=f"host {n}")
+            self.wait_log(n, "event=target_draining")
         arrivals = leaving.arrivals
         self.assertEqual({200: 60}, self.lookups())
         self.assertEqual(arrivals, leaving.arrivals)
@@ -157,7 +170,7 @@
         stale = self.fleet.targets[0].entry() | {"Address": str(self.fleet.targets[1].address)}
         self.fleet.apply(lambda: self.fleet.store.put("servers", "gone", stale))
         for n in range(self.hosts):
-            wait_until(lambda n=n: "target=gone" in self.fleet.log(n), what=f"host {n}")
+            self.wait_log(n, "target=gone")
         self.assertEqual({200: 60}, self.lookups())
         self.assertEqual(1, max(self.runs().values()))
 
@@ -179,7 +192,7 @@
             self.fleet.processes[n].pause()
             self.assertEqual({200: 30}, self.lookups(30, *others))
             self.fleet.processes[n].resume()
-            wait_until(lambda n=n: self.fleet.request(n).status == 200, what=f"host {n} serves")
+            self.wait_served(n)
 
     def test_stopped_host_finishes_what_it_runs(self) -> None:
         results: list[int] = []
@@ -208,10 +221,10 @@
 
     def test_host_that_starts_while_the_store_is_away_refuses_as_not_run(self) -> None:
         self.fleet.processes[0].kill()
-        self.fleet.apply(lambda: self.fleet.store.set_away("busy"))
+        self.set_away("busy")
         self.fleet.start_host(0)
         wait_until(lambda: self.fleet.request(0).status == 503, what="the host answers")
         self.assertFalse(self.fleet.is_ready(0))
-        self.fleet.apply(lambda: self.fleet.store.set_away("no"))
+        self.set_away("no")
         self.fleet.wait_ready(0)
         self.assertEqual({200: 20}, self.lookups(20, 0))
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -97,7 +97,8 @@
         ):
             _, entry = decode_object(ObjectKind.TARGETS, changed(TARGET, path, value))
             self.assertIsNone(entry, (path, value))
-        for odd in (None, 5, "text", [], {}, {"Metadata": None}, {"Metadata": {"Name": 3}}):
+        odd_items: list[Any] = [None, 5, "text", [], {}, {"Metadata": None}]
+        for odd in [*odd_items, {"Metadata": {"Name": 3}}]:
             self.assertEqual(("", None), decode_object(ObjectKind.TARGETS, odd))
 
 
