--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -41,9 +41,12 @@
 INCARNATION_BYTES: Final = 4
 PROBE_S: Final = 0.25  # One probe of another host in each; a dead host is noticed in 1 to 2 s.
 PROBE_ANSWER_S: Final = 0.12  # Round trips take 2 ms; slow hosts need some more.
-HOST_LIST_S: Final = (0.4, 1.5, 15.0)  # Waits before listing the hosts; the last one repeats.
+HOST_LIST_S: Final = (0.05, 0.6, 2.0, 15.0)  # Waits before listing the hosts; the last repeats.
 HOUSEKEEPING_S: Final = 0.5
 REGISTER_WAIT_S: Final = 0.5  # Between tries to register while the store is away.
+DIRECTORY_TTL_S: Final = (
+    3.0  # A stopped host serves on for 2 s, and some callers keep answers longer.
+)
 DIRECTORY_SIZE: Final = 64  # Addresses that a caller takes from one answer.
 STOP_ACCEPT_S: Final = 2.0  # Serves new connections after SIGTERM while callers learn of it.
 STOP_MARGIN_S: Final = 0.6  # Ends this long before the platform kills the process.
@@ -193,7 +196,7 @@
     @property
     def directory_ttl_s(self) -> float:
         """How long a caller may keep an answer of the directory."""
-        return self._settings.bounds.directory_ttl_s
+        return min(DIRECTORY_TTL_S, self._settings.bounds.directory_ttl_max_s)
 
     def caller_addresses(self) -> list[HostPort]:
         """Return the addresses that callers may use, at most DIRECTORY_SIZE of them."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -18,7 +18,7 @@
     retry_ratio: float
     retry_window_s: float
     retry_burst: float
-    directory_ttl_s: float
+    directory_ttl_max_s: float
     floor_share: float
 
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -409,6 +409,9 @@
 
     def _learn(self, book: _TargetBook, report: AttemptReport, now: float) -> None:
         end = report.end
+        if end is AttemptEnd.SILENT and report.work_s < self._overdue_s():
+            # The request's time was short: its end says nothing of the target.
+            return
         book.belief.observe(end, now)
         if end is not AttemptEnd.WITHDRAWN:
             self._cover.record_end(end is not AttemptEnd.ANSWERED, now)
--- a/tests/entrycase.py
+++ b/tests/entrycase.py
@@ -13,7 +13,7 @@
     retry_ratio=0.2,
     retry_window_s=10.0,
     retry_burst=60.0,
-    directory_ttl_s=3.0,
+    directory_ttl_max_s=3.0,
     floor_share=0.7,
 )
 
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -82,6 +82,16 @@
         made.report(end("bad", "a", AttemptEnd.FAILED), 4.0)
         self.assertEqual("b", granted(made.ask(ask("next"), 4.0)))
 
+    def test_short_time_out_of_a_route_says_nothing_of_the_target(self) -> None:
+        """A route whose time-out is shorter than the work ends all its requests unanswered."""
+        made = broker(target("a", slots=9))
+        made.ask(ask("1"), 0.0)
+        made.report(end("1", "a", AttemptEnd.SILENT, 0.4), 0.4)
+        self.assertEqual(USUAL_SICK_SHARE, made.beliefs(0.4)["a"])
+        made.ask(ask("2"), 0.4)
+        made.report(end("2", "a", AttemptEnd.SILENT, 4.0), 4.4)
+        self.assertGreater(made.beliefs(4.4)["a"], 0.7)
+
     def test_sick_target_is_no_refuge_while_good_ones_come_free(self) -> None:
         """Peak load in a gray spell: waiting 100 ms is better than a failure that is final."""
         made = broker(target("good", slots=1), target("sick", slots=4))
