--- a/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
@@ -96,6 +96,10 @@
         for target, end, age_ms in sorted(results, key=lambda result: -result[2]):
             self._broker.adopt_result(str(target), AttemptEnd(end), now - age_ms / 1000)
 
+    def lapse(self) -> None:
+        """Take what the seat holds for old; the next ask leads to a takeover."""
+        self._asked_at = float("-inf")
+
     def drop_host(self, host: str) -> None:
         """Free what a host held that has ended."""
         self._emit(self._broker.drop_host(host, self._clock.now()))
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -227,6 +227,7 @@
         await self._listen("ready", settings.ready_address, self._pages.ready)
         await self._listen("directory", settings.directory_address, self._pages.directory)
         await self._listen("control", settings.control_address, self._metrics_page)
+        await self._listen("metrics", settings.metrics_address, self._metrics_page)
         self._plan_watch.start()
         self._target_watch.start()
         loop = asyncio.get_running_loop()
@@ -441,6 +442,11 @@
             now_lag_s = _suspended_s()
             if now_lag_s - lag_s > SUSPEND_S:
                 log.warning("event=was_suspended seconds={:.1f}", now_lag_s - lag_s)
+                # The steady clock stood still: what is held looks younger than it is.
+                self._slots.forget_brokerage()
+                self._pool.close()
+                self._plan_watch.refresh()
+                self._target_watch.refresh()
             lag_s = now_lag_s
 
     def _watch(self, kind: ObjectKind, reader: _PlanReader | _TargetReader) -> StoreWatch:
--- a/packages/toucanspindle-entry/toucanspindle_entry/processlog.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/processlog.py
@@ -6,7 +6,7 @@
 
 import os
 import time
-from typing import Any, Final
+from typing import Final
 
 from logbook import Handler, LogRecord
 
@@ -27,6 +27,11 @@
         self._filled_at = time.monotonic()
         self._left_out = 0
 
+    @property
+    def left_out(self) -> int:
+        """Lines that were left out since the last one that was written."""
+        return self._left_out
+
     def emit(self, record: LogRecord) -> None:
         """Write a record, or count it as left out."""
         now = time.monotonic()
@@ -44,7 +49,7 @@
         else:
             self._left_out += 1
 
-    def _write(self, data: bytes) -> Any:
+    def _write(self, data: bytes) -> bool:
         try:
             return os.write(self._fd, data) == len(data)
         except BlockingIOError:
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -34,6 +34,7 @@
 NO_PLAN_RETRY_AFTER_S: Final = 0.5
 SHED_RETRY_AFTER_S: Final = 0.3
 MAX_UNSENT_TRIES: Final = 6  # Grants that led to no request, because the target wasn't there.
+SERVED_SAMPLE: Final = 20  # One served request in so many is logged; every failed one is.
 FINGERPRINT_CHARS: Final = 16
 BODY_METHODS: Final = frozenset({"POST", "PUT", "PATCH"})
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
@@ -108,6 +109,7 @@
         self._metrics = parts.metrics
         self._clock = parts.clock
         self.routes: RouteIndex | None = None
+        self._served = 0
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to a request."""
@@ -348,6 +350,7 @@
     def _log_attempt(self, progress: _Progress, grant: SlotGrant, attempt: _Attempt) -> None:
         self._metrics.count_attempt(progress.service, attempt.end.value)
         if attempt.end is AttemptEnd.ANSWERED:
+            self._log_served(progress, grant)
             return
         log.info(
             "event=attempt_failed id={} service={} target={} end={} sick={:.2f} broker={}"
@@ -364,6 +367,23 @@
         if attempt.end is not AttemptEnd.WITHDRAWN:
             progress.excluded.append(grant.target)
 
+    def _log_served(self, progress: _Progress, grant: SlotGrant) -> None:
+        """Log one in SERVED_SAMPLE of the requests that were served."""
+        self._served += 1
+        if self._served % SERVED_SAMPLE == 0:
+            log.info(
+                "event=request_served id={} service={} target={} sick={:.2f} broker={} sent={}"
+                " age_ms={} sample={}",
+                progress.request_id,
+                progress.service,
+                grant.target,
+                grant.sick,
+                grant.broker,
+                progress.sent,
+                int((self._clock.now() - progress.request.received_at) * 1000),
+                SERVED_SAMPLE,
+            )
+
 
 def _deadline_s(text: str) -> float:
     return int(text) / 1000 if text.isdecimal() else DEFAULT_DEADLINE_S
--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -37,6 +37,7 @@
     ready_address: HostPort
     directory_address: HostPort
     control_address: HostPort
+    metrics_address: HostPort
     peer_port: int
     seeds: tuple[str, ...]
     bounds: FleetBounds
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -109,6 +109,11 @@
         for service, seat in self._seats.items():
             seat.set_targets(self._targets.of_service(service), self._targets.unconfirmed)
 
+    def forget_brokerage(self) -> None:
+        """Have the brokers at this host ask the others anew before they decide again."""
+        for seat in self._seats.values():
+            seat.lapse()
+
     def host_ended(self, ip: str) -> None:
         """Free what an ended host held here."""
         for seat in self._seats.values():
