--- a/packages/toucanspindle-entry/toucanspindle_entry/datagrams.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/datagrams.py
@@ -7,12 +7,11 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Final, cast
+from typing import Any, cast
 
 import orjson
 from logbook import Logger
 
-MAX_DATAGRAM_BYTES: Final = 60_000
 Message = list[Any]
 Receiver = Callable[[str, Message], None]
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/httpclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/httpclient.py
@@ -78,12 +78,10 @@
         self._answer = Answer()
         self._chunks: list[bytes] = []
         self._size = 0
-        self._in_headers = False
         self._until_close = False
         self._completed = False
         self._closed = False
         self._reusable = True
-        self._unsent = False
 
     @classmethod
     async def connect(cls, address: HostPort, timeout_s: float) -> "HttpConnection":
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -23,7 +23,7 @@
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.posterior import AttemptEnd
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import AttemptReport, Decision, Refused, SlotAsk
+from toucanspindle_entry.slotbroker import AttemptReport, Decision, Grant, Refused, SlotAsk
 from toucanspindle_entry.targettable import TargetTable
 
 RESEND_S: Final = (0.015, 0.03, 0.06)  # Waits for an answer; a round trip takes about 2 ms.
@@ -269,8 +269,7 @@
 
     def deliver(self, decision: Decision) -> None:
         """Pass a decision of a seat to the host that asked."""
-        target_name = getattr(decision, "target", "")
-        target = self._targets.get(target_name) if target_name else None
+        target = self._targets.get(decision.target) if isinstance(decision, Grant) else None
         message = slotmessages.encode_decision(decision, target)
         if decision.host == self._own_ip:
             self._take_answer(self._own_ip, message)
