Give back a slot that came too late, at its own service, and withdraw an ask from a broker that is passed over

A new test with one message in ten lost found slots that stayed taken until the deadline: a grant for a request that had ended was given back to a service of no name; a late copy of an ask took a new slot; a broker that was passed over kept what it had granted; the note of one broker ended the repeats of a report to another.

--- a/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
@@ -27,8 +27,8 @@
 class SeatLink(Protocol):
     """How a seat reaches the other hosts."""
 
-    def deliver(self, decision: Decision) -> None:
-        """Pass a decision to the host that asked."""
+    def deliver(self, service: str, decision: Decision) -> None:
+        """Pass a decision on a service's slots to the host that asked."""
         ...
 
     def request_sync(self, service: str) -> None:
@@ -81,7 +81,7 @@
             if all(held.id != ask.id for held in self._held):
                 self._held.append(ask)
             return
-        self._deliver(self._broker.ask(ask, self._asked_at))
+        self._deliver(self._service, self._broker.ask(ask, self._asked_at))
 
     def report(self, report: AttemptReport) -> None:
         """Take the end of an attempt."""
@@ -115,7 +115,7 @@
         held, self._held = self._held or [], None
         now = self._clock.now()
         for ask in held:
-            self._deliver(self._broker.ask(ask, now))
+            self._deliver(self._service, self._broker.ask(ask, now))
 
     def _arm_tick(self) -> None:
         if self._tick_timer is None:
@@ -129,4 +129,4 @@
 
     def _emit(self, decisions: list[Decision]) -> None:
         for decision in decisions:
-            self._deliver(decision)
+            self._deliver(self._service, decision)
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -43,6 +43,7 @@
 CRASHES_OF_POISON: Final = 3  # Distinct targets that a request broke before it is refused.
 POISON_MEMORY_S: Final = 120.0
 MAX_POISON: Final = 4096
+ENDED_MEMORY_S: Final = 2.0  # A copy of an ask may arrive this long after its request has ended.
 MIN_RETRY_AFTER_S: Final = 0.2
 
 
@@ -177,6 +178,7 @@
         self._work_s = INITIAL_WORK_S
         self._crashes: dict[str, tuple[set[str], float]] = {}
         self._answered: dict[str, float] = {}
+        self._ended: dict[str, float] = {}
 
     @property
     def in_use(self) -> int:
@@ -224,6 +226,9 @@
             return Grant(ask.id, ask.host, lease.target, self._sick_of(lease.target, now))
         if any(waiting.ask.id == ask.id for waiting in self._queue):
             return Queued(ask.id, ask.host)
+        if ask.id in self._ended:
+            # A late copy: nobody waits for it any more.
+            return Refused(ask.id, ask.host, RefusalReason.TOO_LATE, 0.0)
         refusal = self._refusal(ask, now)
         if refusal is not None:
             self._cover.record_end(True, now)
@@ -239,6 +244,7 @@
 
     def report(self, report: AttemptReport, now: float) -> list[Decision]:
         """Take the end of an attempt into account; return grants that became possible."""
+        self._note_ended(report.ask_id, now)
         lease = self._leases.pop(report.ask_id, None)
         self._queue = [w for w in self._queue if w.ask.id != report.ask_id]
         book = self._targets.get(report.target)
@@ -433,6 +439,11 @@
             self._crashes[report.fingerprint] = (targets, now + POISON_MEMORY_S)
             _trim(self._crashes)
 
+    def _note_ended(self, ask_id: str, now: float) -> None:
+        self._ended[ask_id] = now
+        while now - self._ended[oldest := next(iter(self._ended))] > ENDED_MEMORY_S:
+            del self._ended[oldest]
+
     def _free(self, ask_id: str) -> None:
         lease = self._leases.pop(ask_id, None)
         if lease is not None and lease.target in self._targets:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -88,7 +88,7 @@
         self._pending: dict[str, _Pending] = {}
         self._held: dict[str, _Held] = {}
         self._results: deque[tuple[float, str, str, AttemptEnd]] = deque()
-        self._unnoted: dict[str, asyncio.TimerHandle] = {}
+        self._unnoted: dict[tuple[str, str], asyncio.TimerHandle] = {}
         self._passed_over: dict[str, float] = {}
 
     @property
@@ -134,6 +134,8 @@
                 if await self._ask_broker(broker, pending):
                     break
                 self._pass_over(broker, service)
+                # It may have granted a slot, and only its answers were lost.
+                self._send_report(service, broker, _withdrawn(ask.id, ""))
         except asyncio.CancelledError:
             self._pending.pop(ask.id, None)
             self._send_report(service, broker, _withdrawn(ask.id, ""))
@@ -169,7 +171,7 @@
                 self._port.send(ip, ["noted", report.ask_id])
             self._seat(service).report(report)
         elif kind == "noted":
-            timer = self._unnoted.pop(message[1], None)
+            timer = self._unnoted.pop((ip, message[1]), None)
             if timer is not None:
                 timer.cancel()
         elif kind == "sync":
@@ -223,22 +225,18 @@
         pending = self._pending.get(ask_id)
         if pending is None or pending.future.done():
             if message[0] == "grant" and ask_id not in self._held and pending is None:
-                self._return_grant(broker, ask_id, str(message[2]))
+                # The slot came after its request had gone elsewhere: give it back.
+                report = _withdrawn(ask_id, str(message[3]))
+                self._send_report(str(message[2]), broker, report)
             return
         if message[0] == "grant":
-            _, _, target, sick, address, started_ms = message
+            _, _, _, target, sick, address, started_ms = message
             grant = SlotGrant(ask_id, target, address, started_ms, sick, broker)
             pending.future.set_result(grant)
         elif message[0] == "refused":
             pending.future.set_result(slotmessages.decode_refusal(broker, message))
         pending.heard.set()
 
-    def _return_grant(self, broker: str, ask_id: str, target: str) -> None:
-        """Give back a slot that came after its request had gone elsewhere."""
-        if self._port is not None and ask_id not in self._unnoted:
-            report = _withdrawn(ask_id, target)
-            self._port.send(broker, slotmessages.encode_report("", report))
-
     # Reporting.
 
     def _send_report(self, service: str, broker: str, report: AttemptReport) -> None:
@@ -249,11 +247,11 @@
 
     def _resend_report(self, broker: str, message: Message, tries: int) -> None:
         assert self._port is not None
-        ask_id = str(message[2])
+        key = (broker, str(message[2]))
         self._port.send(broker, message)
-        self._unnoted.pop(ask_id, None)
+        self._unnoted.pop(key, None)
         if tries < len(REPORT_RESEND_S):
-            self._unnoted[ask_id] = asyncio.get_running_loop().call_later(
+            self._unnoted[key] = asyncio.get_running_loop().call_later(
                 REPORT_RESEND_S[tries], self._resend_report, broker, message, tries + 1
             )
 
@@ -267,10 +265,10 @@
             seat.set_targets(self._targets.of_service(service), self._targets.unconfirmed)
         return seat
 
-    def deliver(self, decision: Decision) -> None:
+    def deliver(self, service: str, decision: Decision) -> None:
         """Pass a decision of a seat to the host that asked."""
         target = self._targets.get(decision.target) if isinstance(decision, Grant) else None
-        message = slotmessages.encode_decision(decision, target)
+        message = slotmessages.encode_decision(service, decision, target)
         if decision.host == self._own_ip:
             self._take_answer(self._own_ip, message)
         elif self._port is not None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -1,7 +1,7 @@
 """Messages between a host that needs slots and the broker of a service, as datagram arrays.
     ["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry,
      excluded, fingerprint]
-["grant", id, target, sick, address, started ms]    ["queued", id]
+["grant", id, service, target, sick, address, started ms]    ["queued", id]
 ["refused", id, reason, retry after ms]
 ["end", service, id, target, end, work ms, fingerprint]    ["noted", id]
 ["sync", service]    ["held", service, leases, results]
@@ -57,13 +57,13 @@
     return str(service), ask
 
 
-def encode_decision(decision: Decision, target: TargetEntry | None) -> Message:
+def encode_decision(service: str, decision: Decision, target: TargetEntry | None) -> Message:
     """Return the message of a broker's answer; `target` is that of a grant."""
     if isinstance(decision, Grant):
         address = str(target.address) if target else ""
         started_ms = target.started_ms if target else 0
         sick = round(decision.sick, 3)
-        return ["grant", decision.ask_id, decision.target, sick, address, started_ms]
+        return ["grant", decision.ask_id, service, decision.target, sick, address, started_ms]
     if isinstance(decision, Refused):
         after_ms = int(decision.retry_after_s * MS_PER_S)
         return ["refused", decision.ask_id, decision.reason.value, after_ms]
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -163,6 +163,13 @@
         decisions = made.report(end("left", "a", AttemptEnd.WITHDRAWN), 0.1)
         self.assertEqual(["waits"], [decision.ask_id for decision in decisions])
 
+    def test_late_copy_of_an_ask_takes_no_slot(self) -> None:
+        made = broker(target("a", slots=1))
+        made.ask(ask("1"), 0.0)
+        made.report(end("1", "a", AttemptEnd.ANSWERED), 0.1)
+        self.assertIsInstance(made.ask(ask("1"), 0.2), Refused)
+        self.assertEqual(0, made.in_use)
+
     def test_lost_report_frees_the_slot_after_the_deadline(self) -> None:
         made = broker(target("a", slots=1))
         made.ask(ask("lost", time_left_s=1.0), 0.0)
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -109,6 +109,21 @@
 
         self.run_fleet(script, loss=0.1)
 
+    def test_grant_that_comes_too_late_is_given_back(self) -> None:
+        """A grant for a request that has ended meanwhile frees its slot at once."""
+
+        async def script(network: Network) -> None:
+            await acquire(network, OTHERS[0])
+            broker = network.clients[BROKER].seats[SERVICE].broker
+            late = ["ask", "late.1", SERVICE, "beaufort", 1, 8000, 5000, 0, [], ""]
+            network.pass_on(OTHERS[1], BROKER, late)
+            while broker.in_use < 2:
+                await asyncio.sleep(0.001)
+            while broker.in_use > 1:
+                await asyncio.sleep(0.005)
+
+        self.run_fleet(script)
+
     def test_silent_broker_is_passed_over(self) -> None:
         """Killed, frozen or cut off either way: the next in rank takes over."""
 
