Log the age of a belief with each grant's end, beliefs that cross the bound, and why a broker refused

An on-call engineer couldn't tell how old a belief was, nor at which queue a slot was refused. Asks have their id in the host's and the broker's lines, so both are found from the request's id.

--- a/bench/serviceemulator.py
+++ b/bench/serviceemulator.py
@@ -413,7 +413,7 @@
             ),
         )
         self._tell(ask.host, lambda seen: self._count(seen, best.name, 1))
-        answer(Grant(ask.id, ask.host, best.name, 0.0))
+        answer(Grant(ask.id, ask.host, best.name, 0.0, 0.0))
 
     def report(self, report: AttemptReport, host: str) -> None:
         """Learn from an end."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
@@ -15,7 +15,14 @@
 from toucanspindle_entry.model import TargetEntry
 from toucanspindle_entry.posterior import AttemptEnd
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import AttemptReport, Decision, SlotAsk, SlotBroker
+from toucanspindle_entry.slotbroker import (
+    HOLD_BACK_SICK,
+    AttemptReport,
+    Decision,
+    Refused,
+    SlotAsk,
+    SlotBroker,
+)
 
 TAKEOVER_WAIT_S: Final = 0.008  # Hosts answer within 2 ms unless their link or core is slow.
 SEAT_IDLE_S: Final = 3.0  # After so long without an ask, what the seat holds is taken for old.
@@ -81,11 +88,15 @@
             if all(held.id != ask.id for held in self._held):
                 self._held.append(ask)
             return
-        self._deliver(self._service, self._broker.ask(ask, self._asked_at))
+        self._hand_out(self._broker.ask(ask, self._asked_at))
 
     def report(self, report: AttemptReport) -> None:
         """Take the end of an attempt."""
-        self._emit(self._broker.report(report, self._clock.now()))
+        now = self._clock.now()
+        before = self._broker.sick_of(report.target, now)
+        decisions = self._broker.report(report, now)
+        self._log_belief(report, before, self._broker.sick_of(report.target, now))
+        self._emit(decisions)
 
     def adopt(self, host: str, leases: list[list[Any]], results: list[list[Any]]) -> None:
         """Take over what a host holds and saw."""
@@ -104,6 +115,21 @@
         """Free what a host held that has ended."""
         self._emit(self._broker.drop_host(host, self._clock.now()))
 
+    def _log_belief(self, report: AttemptReport, before: float, after: float) -> None:
+        """Log a belief that crosses the bound at which a target is held back."""
+        if (before > HOLD_BACK_SICK) == (after > HOLD_BACK_SICK):
+            return
+        log.info(
+            "event={} service={} target={} sick_before={:.2f} sick={:.2f} end={} ask={}",
+            "target_distrusted" if after > before else "target_trusted",
+            self._service,
+            report.target,
+            before,
+            after,
+            report.end.value,
+            report.ask_id,
+        )
+
     def _begin_takeover(self) -> None:
         log.info("event=broker_takeover service={}", self._service)
         self._held = []
@@ -115,7 +141,7 @@
         held, self._held = self._held or [], None
         now = self._clock.now()
         for ask in held:
-            self._deliver(self._service, self._broker.ask(ask, now))
+            self._hand_out(self._broker.ask(ask, now))
 
     def _arm_tick(self) -> None:
         if self._tick_timer is None:
@@ -129,4 +155,20 @@
 
     def _emit(self, decisions: list[Decision]) -> None:
         for decision in decisions:
-            self._deliver(self._service, decision)
+            self._hand_out(decision)
+
+    def _hand_out(self, decision: Decision) -> None:
+        if isinstance(decision, Refused):
+            log.info(
+                "event=slot_refused service={} ask={} host={} reason={} waiting={} in_use={}"
+                " work_ms={} retry_after_ms={}",
+                self._service,
+                decision.ask_id,
+                decision.host,
+                decision.reason.value,
+                self._broker.waiting,
+                self._broker.in_use,
+                int(self._broker.mean_work_s * 1000),
+                int(decision.retry_after_s * 1000),
+            )
+        self._deliver(self._service, decision)
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -310,11 +310,14 @@
     def _give_up(self, progress: _Progress, refused: Refused | None, reason: str) -> CallerAnswer:
         answer = self._failure_answer(progress, refused)
         log.warning(
-            "event=request_failed id={} service={} status={} reason={} sent={} unsent={} age_ms={}",
+            "event=request_failed id={} service={} plan={} status={} reason={} retry_after_ms={}"
+            " sent={} unsent={} age_ms={}",
             progress.request_id,
             progress.service,
+            self.routes.plan.version if self.routes is not None else 0,
             answer.status,
             reason,
+            int(refused.retry_after_s * 1000) if refused is not None else 0,
             progress.sent,
             progress.unsent,
             int((self._clock.now() - progress.request.received_at) * 1000),
@@ -355,13 +358,15 @@
             self._log_served(progress, grant)
             return
         log.info(
-            "event=attempt_failed id={} service={} target={} end={} sick={:.2f} broker={}"
-            " attempt={} detail={!r}",
+            "event=attempt_failed id={} ask={} service={} target={} end={} sick={:.2f}"
+            " sick_age_ms={} broker={} attempt={} detail={!r}",
             progress.request_id,
+            grant.ask_id,
             progress.service,
             grant.target,
             attempt.end.value,
             grant.sick,
+            grant.sick_age_ms,
             grant.broker,
             progress.sent,
             attempt.detail,
@@ -374,12 +379,13 @@
         self._served += 1
         if self._served % SERVED_SAMPLE == 0:
             log.info(
-                "event=request_served id={} service={} target={} sick={:.2f} broker={} sent={}"
-                " age_ms={} sample={}",
+                "event=request_served id={} service={} target={} sick={:.2f} sick_age_ms={}"
+                " broker={} sent={} age_ms={} sample={}",
                 progress.request_id,
                 progress.service,
                 grant.target,
                 grant.sick,
+                grant.sick_age_ms,
                 grant.broker,
                 progress.sent,
                 int((self._clock.now() - progress.request.received_at) * 1000),
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -88,12 +88,13 @@
 
 @dataclass(frozen=True)
 class Grant:
-    """A slot for an ask."""
+    """A slot for an ask; `sick` is the belief of the target, last changed `sick_age_s` ago."""
 
     ask_id: str
     host: str
     target: str
     sick: float
+    sick_age_s: float
 
 
 @dataclass(frozen=True)
@@ -212,6 +213,11 @@
         """Return the probability of being sick by target."""
         return {name: book.belief.at(now) for name, book in self._targets.items()}
 
+    def sick_of(self, target: str, now: float) -> float:
+        """Return the probability that a target is sick; 0 for one that isn't registered."""
+        book = self._targets.get(target)
+        return book.belief.at(now) if book else 0.0
+
     def set_targets(
         self, entries: Iterable[TargetEntry], unconfirmed: frozenset[str], now: float
     ) -> list[Decision]:
@@ -238,7 +244,7 @@
         """Answer an ask; one that was answered before gets the same answer again."""
         lease = self._leases.get(ask.id)
         if lease is not None:
-            return Grant(ask.id, ask.host, lease.target, self._sick_of(lease.target, now))
+            return self._grant_of(ask, lease.target, now)
         if any(waiting.ask.id == ask.id for waiting in self._queue):
             return Queued(ask.id, ask.host)
         if ask.id in self._ended:
@@ -466,7 +472,14 @@
         book.leases.add(ask.id)
         book.granted_at = now
         self._cover.record_grant(book.entry.name, now)
-        return Grant(ask.id, ask.host, book.entry.name, book.belief.at(now))
+        return self._grant_of(ask, book.entry.name, now)
+
+    def _grant_of(self, ask: SlotAsk, target: str, now: float) -> Grant:
+        book = self._targets.get(target)
+        if book is None:
+            return Grant(ask.id, ask.host, target, 0.0, 0.0)
+        age_s = max(0.0, now - book.belief.updated_at)
+        return Grant(ask.id, ask.host, target, book.belief.at(now), age_s)
 
     def _learn(self, book: _TargetBook, report: AttemptReport, now: float) -> None:
         end = report.end
@@ -526,10 +539,6 @@
         backlog_s = len(self._queue) * self._work_s / max(1.0, self._good_slots(now))
         return MIN_RETRY_AFTER_S + backlog_s * self._rng.uniform(0.5, 1.0)
 
-    def _sick_of(self, target: str, now: float) -> float:
-        book = self._targets.get(target)
-        return book.belief.at(now) if book else 0.0
-
 
 def _trim(table: dict[str, Any]) -> None:
     """Drop the oldest entry of a table that has grown over its bound."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -38,13 +38,17 @@
 
 @dataclass(frozen=True)
 class SlotGrant:
-    """A slot at a target, as told by a broker; `sick` is the broker's belief of the target."""
+    """A slot at a target, as told by a broker.
+
+    `sick` is the broker's belief of the target, and `sick_age_ms` the age of the last result in it.
+    """
 
     ask_id: str
     target: str
     address: str
     started_ms: int
     sick: float
+    sick_age_ms: int
     broker: str
 
 
@@ -230,8 +234,8 @@
                 self._send_report(str(message[2]), broker, report)
             return
         if message[0] == "grant":
-            _, _, _, target, sick, address, started_ms = message
-            grant = SlotGrant(ask_id, target, address, started_ms, sick, broker)
+            _, _, _, target, sick, sick_age_ms, address, started_ms = message
+            grant = SlotGrant(ask_id, target, address, started_ms, sick, sick_age_ms, broker)
             pending.future.set_result(grant)
         elif message[0] == "refused":
             pending.future.set_result(slotmessages.decode_refusal(broker, message))
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -1,7 +1,7 @@
 """Messages between a host that needs slots and the broker of a service, as datagram arrays.
     ["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry, may repeat,
      excluded, fingerprint]
-["grant", id, service, target, sick, address, started ms]    ["queued", id]
+["grant", id, service, target, sick, sick age ms, address, started ms]    ["queued", id]
 ["refused", id, reason, retry after ms]
 ["end", service, id, target, end, work ms, fingerprint]    ["noted", id]
 ["sync", service]    ["held", service, leases, results]
@@ -64,7 +64,9 @@
         address = str(target.address) if target else ""
         started_ms = target.started_ms if target else 0
         sick = round(decision.sick, 3)
-        return ["grant", decision.ask_id, service, decision.target, sick, address, started_ms]
+        age_ms = int(decision.sick_age_s * MS_PER_S)
+        named = [decision.ask_id, service, decision.target]
+        return ["grant", *named, sick, age_ms, address, started_ms]
     if isinstance(decision, Refused):
         after_ms = int(decision.retry_after_s * MS_PER_S)
         return ["refused", decision.ask_id, decision.reason.value, after_ms]
