--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -72,6 +72,7 @@
     request_id: str
     fingerprint: str
     excluded: list[str] = field(default_factory=list)
+    ask_id: str = ""
     sent: int = 0
     unsent: int = 0
     may_have_run: bool = False
@@ -185,9 +186,10 @@
     async def _slot(self, progress: _Progress) -> SlotGrant | Refused | None:
         """Return a slot or a refusal; None when the time was over first."""
         now = self._clock.now()
+        progress.ask_id = self._slots.next_ask_id()
         goal_at = progress.request.received_at + progress.route.latency_goal_s
         ask = SlotAsk(
-            id=self._slots.next_ask_id(),
+            id=progress.ask_id,
             host="",
             failure_domain="",
             priority=progress.route.priority,
@@ -310,9 +312,10 @@
     def _give_up(self, progress: _Progress, refused: Refused | None, reason: str) -> CallerAnswer:
         answer = self._failure_answer(progress, refused)
         log.warning(
-            "event=request_failed id={} service={} plan={} status={} reason={} retry_after_ms={}"
-            " sent={} unsent={} age_ms={}",
+            "event=request_failed id={} ask={} service={} plan={} status={} reason={}"
+            " retry_after_ms={} sent={} unsent={} age_ms={}",
             progress.request_id,
+            progress.ask_id,
             progress.service,
             self.routes.plan.version if self.routes is not None else 0,
             answer.status,
