--- a/packages/toucanspindle-ctl/toucanctl/main.py
+++ b/packages/toucanspindle-ctl/toucanctl/main.py
@@ -16,6 +16,7 @@
 from toucanctl.exceptioncommands import exception_app
 from toucanctl.exitcodes import MEANINGS, ExitCode, exit_code_of
 from toucanctl.explaincommands import explain_app
+from toucanctl.logcommands import beliefs, trace
 from toucanctl.output import Output
 from toucanctl.statuscommand import status, wait
 from toucanctl.targetcommands import drain, undrain
@@ -54,6 +55,8 @@
 app.command(wait)
 app.command(explain_app)
 app.command(ask)
+app.command(trace)
+app.command(beliefs)
 
 
 def execute(arguments: Sequence[str]) -> ExitCode:
