--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -8,13 +8,15 @@
 import sys
 from collections.abc import Iterator
 
-from spec import configuration, dispatch, permits
+from spec import configuration, dispatch, forwarding, permits
 from spec.checking import Specification, check
 
 
 def _faulty() -> Iterator[Specification]:
     for guard in dispatch.Guard:
         yield dispatch.DispatchSpec(guard).specification()
+    for forwarding_guard in forwarding.Guard:
+        yield forwarding.ForwardingSpec(forwarding_guard).specification()
     for configuration_guard in configuration.Guard:
         yield configuration.ConfigurationSpec(configuration_guard).specification()
     for permit_guard in permits.Guard:
@@ -26,6 +28,7 @@
     failed = False
     for specification in (
         dispatch.DispatchSpec().specification(),
+        forwarding.ForwardingSpec().specification(),
         configuration.ConfigurationSpec().specification(),
         permits.PermitSpec(late_writes=late_writes).specification(),
     ):
