Keep the floor in use in calm as well, over targets that aren't believed sick

Ruled out: lost requests that aren't counted as stress (they are, and no broker was left to act). A joiner that still runs attempts gets no more than its slots.

--- a/packages/toucanspindle-entry/toucanspindle_entry/floorcover.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/floorcover.py
@@ -3,6 +3,9 @@
 Fleeing to the few targets that answered last starves the others of the traffic that would show
 them well again.  So while nearly one in ten of the recent requests ends badly, targets that got
 nothing lately are due for one request each, until the floor share of them is in use.
+
+In calm the same holds for the targets that aren't believed sick: when all hosts lose power, what
+was in use in the second before is all that counts, and nobody is left to mend it.
 """
 
 import math
@@ -13,6 +16,7 @@
 WINDOW_S: Final = 2.0  # The operators judge the floor over spans of this length.
 COVER_S: Final = 1.2  # A target counts as in use for so long after a request; 2 s less a margin.
 STRESS_SHARE: Final = 0.08  # The floor is judged while a tenth ends badly; a fifth below that.
+CALM_COVER_S: Final = 0.8  # Hosts may be killed 1 s into a span of 2 s, less a margin.
 MIN_ENDS: Final = 8  # Fewer ends than that say little of a share.
 SPACING_S: Final = 0.05  # Requests that are spent on cover are spread over time.
 
@@ -35,11 +39,19 @@
         """Note that a target gets a request."""
         self._granted_at[target] = now
 
-    def due(self, targets: Collection[str], now: float) -> list[str]:
-        """Return the targets that should get the next request; empty when there is no need."""
-        if now - self._spent_at < SPACING_S or not self._is_stressed(now):
+    def due(self, targets: Collection[str], trusted: Collection[str], now: float) -> list[str]:
+        """Return the targets that should get the next request; empty when there is no need.
+
+        `trusted` are those of the targets that aren't believed sick.
+        """
+        if now - self._spent_at < SPACING_S:
             return []
-        idle = [t for t in targets if now - self._granted_at.get(t, float("-inf")) > COVER_S]
+        if self._is_stressed(now):
+            return self._idle_below_floor(targets, COVER_S, now)
+        return self._idle_below_floor(trusted, CALM_COVER_S, now)
+
+    def _idle_below_floor(self, targets: Collection[str], cover_s: float, now: float) -> list[str]:
+        idle = [t for t in targets if now - self._granted_at.get(t, float("-inf")) > cover_s]
         needed = math.ceil(self._floor_share * len(targets))
         return idle if len(targets) - len(idle) < needed else []
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -43,6 +43,9 @@
 # A target that joins is tried after this long, by a request that can be repeated or by any other.
 JOINER_TRY_S: Final = 1.5
 JOINER_TRY_ANY_S: Final = 3.5  # Operators look for joiners that got nothing after 8 s.
+# In calm the floor is kept over targets less likely sick than this: the first failure of a trusted
+# target, which is mostly an error of its own, leads to 0.48.
+CALM_COVER_SICK: Final = 0.55
 OVERDUE_FACTOR: Final = 5.0  # An attempt this many times the usual work is taken as a bad sign.
 SHED_PAUSE_S: Final = 0.02  # A target that refused for lack of room gets nothing for this long.
 UNREACHED_PAUSE_S: Final = 1.0
@@ -397,16 +400,14 @@
         least_sick_busy = 1.0
         ask = waiting.ask
         usable = [book for book in self._targets.values() if self._is_usable(book, ask)]
-        due = self._due(usable, now) or self._untried_joiner(usable, ask, now)
+        due = self._due(usable, ask, now) or self._untried_joiner(usable, ask, now)
         if due is not None:
             return due
         for book in usable:
             if len(book.leases) >= book.entry.slots or now < book.paused_until:
                 least_sick_busy = min(least_sick_busy, book.belief.at(now))
                 continue
-            cost = book.cost(now, self._rng)
-            if book.entry.failure_domain != ask.failure_domain:
-                cost += DOMAIN_COST
+            cost = book.cost(now, self._rng) + _domain_cost(book, ask)
             if best is None or cost < best_cost:
                 best, best_cost = book, cost
         if best is None:
@@ -446,13 +447,15 @@
         """Return a target that joined a while ago and got nothing yet, if any."""
         wait_s = JOINER_TRY_S if ask.may_repeat else JOINER_TRY_ANY_S
         for book in usable:
-            if book.joined_at > book.granted_at and now - book.joined_at > wait_s:
+            is_untried = book.joined_at > book.granted_at and now - book.joined_at > wait_s
+            if is_untried and len(book.leases) < book.entry.slots:
                 return book
         return None
 
-    def _due(self, usable: list[_TargetBook], now: float) -> _TargetBook | None:
+    def _due(self, usable: list[_TargetBook], ask: SlotAsk, now: float) -> _TargetBook | None:
         """Return the least sick free target that the floor calls for, if any."""
-        names = self._cover.due([book.entry.name for book in usable], now)
+        trusted = [b.entry.name for b in usable if b.belief.at(now) < CALM_COVER_SICK]
+        names = self._cover.due([book.entry.name for book in usable], trusted, now)
         free = [
             book
             for book in usable
@@ -461,7 +464,7 @@
         if not free:
             return None
         self._cover.spend(now)
-        return min(free, key=lambda book: book.belief.at(now))
+        return min(free, key=lambda book: book.belief.at(now) + _domain_cost(book, ask))
 
     def _grant(self, waiting: _Waiting, book: _TargetBook, now: float) -> Grant:
         ask = waiting.ask
@@ -540,6 +543,10 @@
         return MIN_RETRY_AFTER_S + backlog_s * self._rng.uniform(0.5, 1.0)
 
 
+def _domain_cost(book: _TargetBook, ask: SlotAsk) -> float:
+    return 0.0 if book.entry.failure_domain == ask.failure_domain else DOMAIN_COST
+
+
 def _trim(table: dict[str, Any]) -> None:
     """Drop the oldest entry of a table that has grown over its bound."""
     if len(table) > MAX_POISON:
