--- a/bench/serviceemulator.py
+++ b/bench/serviceemulator.py
@@ -72,11 +72,6 @@
     retry_ratio: float = 0.2
     retry_burst: float = 60.0
 
-    @property
-    def load(self) -> float:
-        """Requests' work over the slots of all targets."""
-        return self.rate * self.work_s / (self.targets * self.slots)
-
 
 @dataclass
 class Outcome:
@@ -88,21 +83,12 @@
     refused: int = 0
     attempts: int = 0
     waits: list[float] = field(default_factory=list)
-    latencies: list[float] = field(default_factory=list)
-    ends: Counter[AttemptEnd] = field(default_factory=Counter)
-    uncovered: int = 0
-    windows: int = 0
 
     @property
     def asked(self) -> int:
         """All requests."""
         return self.in_goal + self.late + self.failed + self.refused
 
-    @property
-    def served_share(self) -> float:
-        """Share of the requests that got an answer, in time or late."""
-        return (self.in_goal + self.late) / max(1, self.asked)
-
     @property
     def mean_wait_s(self) -> float:
         """Mean time from arrival until a target began to work."""
@@ -130,7 +116,6 @@
     changes_at: float = 0.0
     running: int = 0
     queue: deque[Callable[[], None]] = field(default_factory=deque)
-    used_at: float = float("-inf")
 
     @property
     def stay_s(self) -> float:
@@ -200,7 +185,6 @@
             arrival += self._rng.expovariate(self.shape.rate)
             self.at(arrival, self._arrival(number))
             number += 1
-        self.at(1.0, lambda: self._look_at_cover(seconds))
         self.at(arrival, self._end_arrivals)
         while self._events:
             self.now, _, action = heapq.heappop(self._events)
@@ -257,7 +241,6 @@
         self.outcome.attempts += 1
         request.sent += 1
         sent_at = self.now
-        target.used_at = self.now
 
         def end(how: AttemptEnd) -> None:
             self._ended(request, ask, target, how, sent_at)
@@ -291,12 +274,10 @@
     def _ended(
         self, request: _Request, ask: SlotAsk, target: _Target, how: AttemptEnd, sent_at: float
     ) -> None:
-        self.outcome.ends[how] += 1
         report = AttemptReport(ask.id, target.entry.name, how, self.now - sent_at, ask.fingerprint)
         self._spread.report(report, request.host)
         latency_s = self.now - request.arrived_at
         if how is AttemptEnd.ANSWERED and latency_s <= self.shape.deadline_s:
-            self.outcome.latencies.append(latency_s)
             if latency_s <= self.shape.goal_s:
                 self.outcome.in_goal += 1
             else:
@@ -317,16 +298,6 @@
     def _end_arrivals(self) -> None:
         self._arriving = False
 
-    def _look_at_cover(self, until: float) -> None:
-        """Count the seconds in which less than 0.7 of the well targets got a request."""
-        well = [t for t in self.targets.values() if not t.is_sick(self.now)]
-        used = sum(self.now - t.used_at < 2.0 for t in well)
-        self.outcome.windows += 1
-        if 0 < used < math.ceil(0.7 * len(well)):
-            self.outcome.uncovered += 1
-        if self.now < until:
-            self.at(1.0, lambda: self._look_at_cover(until))
-
     def _make_target(self, number: int) -> _Target:
         entry = TargetEntry(
             name=f"t{number}",
@@ -453,14 +424,3 @@
 
 def _later(answer: Callable[[Decision], None], decision: Decision) -> Callable[[], None]:
     return lambda: answer(decision)
-
-
-def erlang_c_wait_s(rate: float, work_s: float, servers: int) -> float:
-    """Return the mean wait of M/M/c, in seconds."""
-    offered = rate * work_s
-    blocking = 1.0
-    for count in range(1, servers + 1):
-        blocking = offered * blocking / (count + offered * blocking)
-    load = offered / servers
-    waits = blocking / (1 - load * (1 - blocking))
-    return waits * work_s / (servers * (1 - load))
--- a/bench/serviceload.py
+++ b/bench/serviceload.py
@@ -21,7 +21,8 @@
 
 from matplotlib import pyplot  # noqa: E402
 
-from bench.serviceemulator import Emulator, ServiceShape, erlang_c_wait_s  # noqa: E402
+from bench.fanin import ideal_wait  # noqa: E402
+from bench.serviceemulator import Emulator, ServiceShape  # noqa: E402
 
 RESULTS: Final = Path(__file__).parent / "results"
 SPREADS: Final = ("blind", "told", "broker")
@@ -89,7 +90,11 @@
         "refused": seen.refused,
         "attempts": seen.attempts,
         "wait_s": seen.mean_wait_s,
-        "ideal_wait_s": _ideal_wait_s(shape) if not case.spells else None,
+        "ideal_wait_s": (
+            None
+            if case.spells
+            else shape.work_s * ideal_wait(shape.targets * shape.slots, case.load)
+        ),
     }
 
 
@@ -135,10 +140,6 @@
     figure.savefig(path)
 
 
-def _ideal_wait_s(shape: ServiceShape) -> float:
-    return erlang_c_wait_s(shape.rate, shape.work_s, shape.targets * shape.slots)
-
-
 def _by_spread(
     rows: list[dict[str, Any]], service: str, load: float, spells: bool
 ) -> dict[str, list[dict[str, Any]]]:
--- a/packages/toucanspindle-ctl/toucanctl/hostlog.py
+++ b/packages/toucanspindle-ctl/toucanctl/hostlog.py
@@ -57,9 +57,13 @@
 
 def life_of_request(lines: list[LogLine], request_id: str) -> list[LogLine]:
     """Return the lines of a request: its hosts' own, and the brokers' about its asks."""
-    own = [line for line in lines if line.keys.get("id") == request_id]
-    asks = {line.keys["ask"] for line in own if line.keys.get("ask")}
-    return [line for line in lines if line in own or line.keys.get("ask") in asks]
+    asks = {line.keys.get("ask") for line in lines if line.keys.get("id") == request_id} - {
+        None,
+        "",
+    }
+    return [
+        line for line in lines if line.keys.get("id") == request_id or line.keys.get("ask") in asks
+    ]
 
 
 def around_failures(lines: list[LogLine], life: list[LogLine]) -> list[LogLine]:
--- a/packages/toucanspindle-entry/toucanspindle_entry/floorcover.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/floorcover.py
@@ -10,7 +10,7 @@
 
 import math
 from collections import deque
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 WINDOW_S: Final = 2.0  # The operators judge the floor over spans of this length.
@@ -28,30 +28,39 @@
         """Create a cover that keeps `floor_share` of the targets in use under stress."""
         self._floor_share = floor_share
         self._ends: deque[tuple[float, bool]] = deque()
+        self._bad_ends = 0
         self._granted_at: dict[str, float] = {}
         self._spent_at = float("-inf")
 
     def record_end(self, is_bad: bool, now: float) -> None:
         """Count the end of a request: served, or failed or refused."""
         self._ends.append((now, is_bad))
+        self._bad_ends += is_bad
 
     def record_grant(self, target: str, now: float) -> None:
         """Note that a target gets a request."""
         self._granted_at[target] = now
 
-    def due(self, targets: Collection[str], trusted: Collection[str], now: float) -> list[str]:
+    def granted_at(self, target: str) -> float:
+        """Return when a target last got a request; minus infinity if it got none."""
+        return self._granted_at.get(target, float("-inf"))
+
+    def due(
+        self, targets: Collection[str], is_trusted: Callable[[str], bool], now: float
+    ) -> list[str]:
         """Return the targets that should get the next request; empty when there is no need.
 
-        `trusted` are those of the targets that aren't believed sick.
+        `is_trusted` tells whether a target isn't believed sick; it is asked in calm only.
         """
         if now - self._spent_at < SPACING_S:
             return []
         if self._is_stressed(now):
             return self._idle_below_floor(targets, COVER_S, now)
+        trusted = [t for t in targets if is_trusted(t)]
         return self._idle_below_floor(trusted, CALM_COVER_S, now)
 
     def _idle_below_floor(self, targets: Collection[str], cover_s: float, now: float) -> list[str]:
-        idle = [t for t in targets if now - self._granted_at.get(t, float("-inf")) > cover_s]
+        idle = [t for t in targets if now - self.granted_at(t) > cover_s]
         needed = math.ceil(self._floor_share * len(targets))
         return idle if len(targets) - len(idle) < needed else []
 
@@ -65,6 +74,6 @@
 
     def _is_stressed(self, now: float) -> bool:
         while self._ends and now - self._ends[0][0] > WINDOW_S:
-            self._ends.popleft()
-        bad = sum(is_bad for _, is_bad in self._ends)
-        return len(self._ends) >= MIN_ENDS and bad > STRESS_SHARE * len(self._ends)
+            _, was_bad = self._ends.popleft()
+            self._bad_ends -= was_bad
+        return len(self._ends) >= MIN_ENDS and self._bad_ends > STRESS_SHARE * len(self._ends)
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -159,10 +159,13 @@
     slowness: float = 1.0
     paused_until: float = 0.0
     warm_at: float = 0.0
-    granted_at: float = float("-inf")
     joined_at: float = float("-inf")
     confirmed: bool = True
 
+    @property
+    def has_room(self) -> bool:
+        return len(self.leases) < self.entry.slots
+
     def cost(self, now: float, rng: random.Random) -> float:
         fullness = len(self.leases) / max(1, self.entry.slots)
         cost = self.belief.at(now) + FULL_COST * fullness
@@ -404,7 +407,7 @@
         if due is not None:
             return due
         for book in usable:
-            if len(book.leases) >= book.entry.slots or now < book.paused_until:
+            if not book.has_room or now < book.paused_until:
                 least_sick_busy = min(least_sick_busy, book.belief.at(now))
                 continue
             cost = book.cost(now, self._rng) + _domain_cost(book, ask)
@@ -436,7 +439,7 @@
 
         Without such tries a recovered target stays unused while requests wait for the others.
         """
-        if book.leases or now - book.granted_at < PROBE_S:
+        if book.leases or now - self._cover.granted_at(book.entry.name) < PROBE_S:
             return False
         has_waited = now - waiting.arrived_at > PROBE_WAIT_WORK * self._work_s
         return waiting.ask.may_repeat or has_waited
@@ -447,20 +450,19 @@
         """Return a target that joined a while ago and got nothing yet, if any."""
         wait_s = JOINER_TRY_S if ask.may_repeat else JOINER_TRY_ANY_S
         for book in usable:
-            is_untried = book.joined_at > book.granted_at and now - book.joined_at > wait_s
-            if is_untried and len(book.leases) < book.entry.slots:
+            is_untried = book.joined_at > self._cover.granted_at(book.entry.name)
+            if is_untried and now - book.joined_at > wait_s and book.has_room:
                 return book
         return None
 
     def _due(self, usable: list[_TargetBook], ask: SlotAsk, now: float) -> _TargetBook | None:
         """Return the least sick free target that the floor calls for, if any."""
-        trusted = [b.entry.name for b in usable if b.belief.at(now) < CALM_COVER_SICK]
-        names = self._cover.due([book.entry.name for book in usable], trusted, now)
-        free = [
-            book
-            for book in usable
-            if book.entry.name in names and len(book.leases) < book.entry.slots
-        ]
+        names = self._cover.due(
+            [book.entry.name for book in usable],
+            lambda name: self.sick_of(name, now) < CALM_COVER_SICK,
+            now,
+        )
+        free = [book for book in usable if book.entry.name in names and book.has_room]
         if not free:
             return None
         self._cover.spend(now)
@@ -473,16 +475,13 @@
             ask.host, book.entry.name, now, expires_at, ask.fingerprint, ask.may_repeat
         )
         book.leases.add(ask.id)
-        book.granted_at = now
         self._cover.record_grant(book.entry.name, now)
         return self._grant_of(ask, book.entry.name, now)
 
     def _grant_of(self, ask: SlotAsk, target: str, now: float) -> Grant:
         book = self._targets.get(target)
-        if book is None:
-            return Grant(ask.id, ask.host, target, 0.0, 0.0)
-        age_s = max(0.0, now - book.belief.updated_at)
-        return Grant(ask.id, ask.host, target, book.belief.at(now), age_s)
+        age_s = max(0.0, now - book.belief.updated_at) if book else 0.0
+        return Grant(ask.id, ask.host, target, self.sick_of(target, now), age_s)
 
     def _learn(self, book: _TargetBook, report: AttemptReport, now: float) -> None:
         end = report.end
--- a/tests/test_service_emulator.py
+++ b/tests/test_service_emulator.py
@@ -4,7 +4,8 @@
 
 from testtools import TestCase
 
-from bench.serviceemulator import Emulator, Outcome, ServiceShape, erlang_c_wait_s
+from bench.fanin import ideal_wait
+from bench.serviceemulator import Emulator, Outcome, ServiceShape
 
 ORDERS = ServiceShape("orders", 6, 2, 0.16, 20.0, 0.6, 4.0, idempotent=False)
 LOOKUPS = replace(ORDERS, name="lookups", idempotent=True)
@@ -27,8 +28,8 @@
 
     def test_ideal_queue_of_one_and_two_servers(self) -> None:
         """M/M/1 waits load / (1 - load) times the work; M/M/2 at half load a third of it."""
-        self.assertAlmostEqual(0.25, erlang_c_wait_s(2.0, 0.25, 1), places=6)
-        self.assertAlmostEqual(1 / 3, erlang_c_wait_s(1.0, 1.0, 2), places=6)
+        self.assertAlmostEqual(0.25, 0.25 * ideal_wait(1, 0.5), places=6)
+        self.assertAlmostEqual(1 / 3, ideal_wait(2, 0.5), places=6)
 
 
 class SpreadTests(TestCase):
@@ -56,4 +57,4 @@
             deadline_s=1e6,
         )
         seen = play(shape, "broker", seconds=120.0)
-        self.assertLess(seen.mean_wait_s, 2 * erlang_c_wait_s(shape.rate, 0.16, 12) + 0.004)
+        self.assertLess(seen.mean_wait_s, 2 * 0.16 * ideal_wait(12, 0.8) + 0.004)
