Split poison and the words of hosts and brokers from the slot broker; set up a sick target once in its tests

Nothing else changes; the tests keep their assertions. core.quarantine has the same idea with other bounds (two targets, 60 and 600 s, merged over nodes); one table with the bounds passed in would change what the deployed form does, so it is left for an issue.

--- a/bench/serviceemulator.py
+++ b/bench/serviceemulator.py
@@ -29,14 +29,8 @@
 from toucanspindle_entry.model import TargetEntry, TargetState
 from toucanspindle_entry.posterior import AttemptEnd, SickBelief
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import (
-    AttemptReport,
-    Decision,
-    Grant,
-    Refused,
-    SlotAsk,
-    SlotBroker,
-)
+from toucanspindle_entry.slotbroker import SlotBroker
+from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotAsk
 
 MESSAGE_S: Final = 0.001  # One way between two hosts, with the time to handle it.
 TOLD_LAG_S: Final = 0.005  # What all hosts tell each other is this old when it is used.
--- a/packages/toucanspindle-entry/toucanspindle_entry/answers.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/answers.py
@@ -7,7 +7,7 @@
 from toucanspindle_core.errorcodes import ErrorCode
 
 from toucanspindle_entry.callerconnection import CallerAnswer
-from toucanspindle_entry.slotbroker import RefusalReason
+from toucanspindle_entry.slottypes import RefusalReason
 
 MAX_RETRY_AFTER_S: Final = 5.0
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/brokerseat.py
@@ -15,14 +15,8 @@
 from toucanspindle_entry.model import TargetEntry
 from toucanspindle_entry.posterior import AttemptEnd
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import (
-    HOLD_BACK_SICK,
-    AttemptReport,
-    Decision,
-    Refused,
-    SlotAsk,
-    SlotBroker,
-)
+from toucanspindle_entry.slotbroker import HOLD_BACK_SICK, SlotBroker
+from toucanspindle_entry.slottypes import AttemptReport, Decision, Refused, SlotAsk
 
 TAKEOVER_WAIT_S: Final = 0.008  # Hosts answer within 2 ms unless their link or core is slow.
 SEAT_IDLE_S: Final = 3.0  # After so long without an ask, what the seat holds is taken for old.
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -23,8 +23,8 @@
 from toucanspindle_entry.model import Route, TargetState
 from toucanspindle_entry.posterior import AttemptEnd
 from toucanspindle_entry.routeindex import RouteIndex
-from toucanspindle_entry.slotbroker import AttemptReport, RefusalReason, Refused, SlotAsk
 from toucanspindle_entry.slotclient import SlotClient, SlotGrant
+from toucanspindle_entry.slottypes import AttemptReport, RefusalReason, Refused, SlotAsk
 from toucanspindle_entry.targetpool import TargetPool
 from toucanspindle_entry.targettable import TargetTable
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -12,14 +12,23 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any, Final
+from typing import Final
 
 from toucanspindle_entry.fleetbudget import FleetRetryBudget
 from toucanspindle_entry.floorcover import FloorCover
 from toucanspindle_entry.model import TargetEntry, TargetState
+from toucanspindle_entry.poisonmemory import PoisonMemory
 from toucanspindle_entry.posterior import OVERDUE_RATIO, AttemptEnd, SickBelief
 from toucanspindle_entry.settings import FleetBounds
+from toucanspindle_entry.slottypes import (
+    AttemptReport,
+    Decision,
+    Grant,
+    Queued,
+    RefusalReason,
+    Refused,
+    SlotAsk,
+)
 
 LEASE_SLACK_S: Final = 0.5  # A grant whose end was never reported is freed this long after its end.
 INITIAL_WORK_S: Final = 0.3  # Work time assumed before the first answer.
@@ -51,87 +60,10 @@
 UNREACHED_PAUSE_S: Final = 1.0
 LATE_PATIENCE_SHARE: Final = 0.25  # Share of its time for which a late request may still wait.
 MAX_QUEUE: Final = 2000
-CRASHES_OF_POISON: Final = 3  # Distinct targets that a request broke before it is refused.
-POISON_MEMORY_S: Final = 120.0
-MAX_POISON: Final = 4096
 ENDED_MEMORY_S: Final = 2.0  # A copy of an ask may arrive this long after its request has ended.
 MIN_RETRY_AFTER_S: Final = 0.2
 
 
-class RefusalReason(Enum):
-    """Why a request gets no slot."""
-
-    OVERLOADED = "overloaded"
-    NO_TARGET = "no-target"
-    NO_RETRY = "no-retry"
-    POISON = "poison"
-    TOO_LATE = "too-late"
-
-
-@dataclass(frozen=True)
-class SlotAsk:
-    """A host's wish for a slot.
-
-    `id` is unique over all hosts and attempts; `failure_domain` is the host's.  Times are seconds
-    that are left: until the answer is of no use at all, and until it is of less use.  `excluded`
-    are targets tried before.  `may_repeat` tells that another attempt can follow if this one fails.
-    """
-
-    id: str
-    host: str
-    failure_domain: str
-    priority: int
-    time_left_s: float
-    goal_left_s: float
-    is_retry: bool
-    may_repeat: bool
-    excluded: tuple[str, ...]
-    fingerprint: str
-
-
-@dataclass(frozen=True)
-class Grant:
-    """A slot for an ask; `sick` is the belief of the target, last changed `sick_age_s` ago."""
-
-    ask_id: str
-    host: str
-    target: str
-    sick: float
-    sick_age_s: float
-
-
-@dataclass(frozen=True)
-class Refused:
-    """An ask that gets no slot; `retry_after_s` is when it is worth coming back."""
-
-    ask_id: str
-    host: str
-    reason: RefusalReason
-    retry_after_s: float
-
-
-@dataclass(frozen=True)
-class Queued:
-    """An ask that waits."""
-
-    ask_id: str
-    host: str
-
-
-Decision = Grant | Refused | Queued
-
-
-@dataclass(frozen=True)
-class AttemptReport:
-    """How a granted attempt ended; `work_s` is its time at the target."""
-
-    ask_id: str
-    target: str
-    end: AttemptEnd
-    work_s: float
-    fingerprint: str
-
-
 @dataclass
 class _Lease:
     host: str
@@ -196,8 +128,7 @@
         self._cover = FloorCover(bounds.floor_share)
         self._work_s = INITIAL_WORK_S
         self._answers = 0
-        self._crashes: dict[str, tuple[set[str], float]] = {}
-        self._answered: dict[str, float] = {}
+        self._poison = PoisonMemory()
         self._ended: dict[str, float] = {}
 
     @property
@@ -351,8 +282,7 @@
         )
 
     def _refusal(self, ask: SlotAsk, now: float) -> Refused | None:
-        crash = self._crashes.get(ask.fingerprint)
-        if crash is not None and now < crash[1] and len(crash[0]) >= CRASHES_OF_POISON:
+        if self._poison.is_poison(ask.fingerprint, now):
             return Refused(ask.id, ask.host, RefusalReason.POISON, 0.0)
         if ask.time_left_s <= 0:
             return Refused(ask.id, ask.host, RefusalReason.TOO_LATE, 0.0)
@@ -495,19 +425,14 @@
             self._work_s += weight * (report.work_s - self._work_s)
             relative = report.work_s / max(self._work_s, 0.001)
             book.slowness += SPEED_SMOOTHING * (min(relative, MAX_RELATIVE_WORK) - book.slowness)
-            if report.fingerprint:
-                self._answered[report.fingerprint] = now
-                self._crashes.pop(report.fingerprint, None)
-                _trim(self._answered)
+            self._poison.record_answer(report.fingerprint, now)
         elif end is AttemptEnd.SHED:
             book.paused_until = now + SHED_PAUSE_S
         elif end in {AttemptEnd.UNREACHED, AttemptEnd.MISDIRECTED}:
             book.paused_until = now + UNREACHED_PAUSE_S
-        elif end is AttemptEnd.BROKEN and report.fingerprint not in self._answered:
-            targets, _ = self._crashes.get(report.fingerprint, (set(), 0.0))
-            targets.add(f"{report.target}@{book.entry.started_ms}")
-            self._crashes[report.fingerprint] = (targets, now + POISON_MEMORY_S)
-            _trim(self._crashes)
+        elif end is AttemptEnd.BROKEN:
+            incarnation = f"{report.target}@{book.entry.started_ms}"
+            self._poison.record_crash(report.fingerprint, incarnation, now)
 
     def _cover_end(self, report: AttemptReport, lease: _Lease | None, now: float) -> None:
         """Tell the cover of a request's end; a failed attempt that can be repeated is none."""
@@ -544,9 +469,3 @@
 
 def _domain_cost(book: _TargetBook, ask: SlotAsk) -> float:
     return 0.0 if book.entry.failure_domain == ask.failure_domain else DOMAIN_COST
-
-
-def _trim(table: dict[str, Any]) -> None:
-    """Drop the oldest entry of a table that has grown over its bound."""
-    if len(table) > MAX_POISON:
-        del table[next(iter(table))]
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -23,7 +23,7 @@
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.posterior import AttemptEnd
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import AttemptReport, Decision, Grant, Refused, SlotAsk
+from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotAsk
 from toucanspindle_entry.targettable import TargetTable
 
 RESEND_S: Final = (0.015, 0.03, 0.06)  # Waits for an answer; a round trip takes about 2 ms.
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -10,7 +10,7 @@
 from toucanspindle_entry.datagrams import Message
 from toucanspindle_entry.model import TargetEntry
 from toucanspindle_entry.posterior import AttemptEnd
-from toucanspindle_entry.slotbroker import (
+from toucanspindle_entry.slottypes import (
     AttemptReport,
     Decision,
     Grant,
--- a/tests/entrycase.py
+++ b/tests/entrycase.py
@@ -5,7 +5,8 @@
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_entry.model import FleetPlan, Route, RoutePart, TargetEntry, TargetState
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import Grant, SlotAsk, SlotBroker
+from toucanspindle_entry.slotbroker import SlotBroker
+from toucanspindle_entry.slottypes import Grant, SlotAsk
 
 BOUNDS = FleetBounds(
     drain_s=2.0,
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -13,13 +13,9 @@
     JOINER_TRY_ANY_S,
     JOINER_TRY_S,
     PROBE_S,
-    AttemptReport,
-    Grant,
-    Queued,
-    RefusalReason,
-    Refused,
     SlotBroker,
 )
+from toucanspindle_entry.slottypes import AttemptReport, Grant, Queued, RefusalReason, Refused
 
 from tests.entrycase import BOUNDS, ask, broker, granted, target
 
@@ -30,6 +26,17 @@
     return AttemptReport(ask_id, name, how, work_s, fp)
 
 
+def good_beside_sick(answers: int = 3, work_s: float = 0.1, now: float = 0.0) -> SlotBroker:
+    """Return a broker of `good`, which has one slot and answered, and `sick`, which just failed."""
+    made = broker(target("good", slots=1), target("sick", slots=4))
+    for n in range(answers):
+        made.ask(ask(f"g{n}", excluded=("sick",)), now)
+        made.report(end(f"g{n}", "good", AttemptEnd.ANSWERED, work_s), now)
+    granted(made.ask(ask("s", excluded=("good",)), now))
+    made.report(end("s", "sick", AttemptEnd.FAILED), now)
+    return made
+
+
 class ChoiceTests(TestCase):
     def test_failed_target_is_avoided_by_all_hosts_at_once(self) -> None:
         """Gray spell: after one failure, reported by one host, no host is sent there."""
@@ -97,12 +104,7 @@
 
     def test_sick_target_is_no_refuge_while_good_ones_come_free(self) -> None:
         """Peak load in a gray spell: waiting 100 ms is better than a failure that is final."""
-        made = broker(target("good", slots=1), target("sick", slots=4))
-        for n in range(3):
-            made.ask(ask(f"g{n}", excluded=("sick",)), 0.0)
-            made.report(end(f"g{n}", "good", AttemptEnd.ANSWERED, 0.1), 0.0)
-        granted(made.ask(ask("s", excluded=("good",)), 0.0))
-        made.report(end("s", "sick", AttemptEnd.FAILED), 0.0)
+        made = good_beside_sick()
         self.assertEqual("good", granted(made.ask(ask("1"), 0.0)))
         self.assertIsInstance(made.ask(ask("2"), 0.0), Queued)
         decisions = made.report(end("1", "good", AttemptEnd.ANSWERED), 0.1)
@@ -117,12 +119,7 @@
 
     def test_recovered_target_is_found_while_requests_wait_for_the_others(self) -> None:
         """Gray spell at peak: one repeatable request tries the held-back target, the rest wait."""
-        made = broker(target("good", slots=1), target("sick", slots=4))
-        for n in range(3):
-            made.ask(ask(f"g{n}", excluded=("sick",)), 0.0)
-            made.report(end(f"g{n}", "good", AttemptEnd.ANSWERED, 0.1), 0.0)
-        made.ask(ask("s", excluded=("good",)), 0.0)
-        made.report(end("s", "sick", AttemptEnd.FAILED), 0.0)
+        made = good_beside_sick()
         made.ask(ask("busy", excluded=("sick",)), 0.1)
         self.assertIsInstance(made.ask(ask("early", may_repeat=True), 0.2), Queued)
         tries = made.tick(PROBE_S + 0.1)
@@ -130,24 +127,14 @@
         self.assertIsInstance(made.ask(ask("next", may_repeat=True), PROBE_S + 0.1), Queued)
 
     def test_request_whose_failure_is_final_tries_no_sick_target_before_it_has_waited(self) -> None:
-        made = broker(target("good", slots=1), target("sick", slots=4))
-        for n in range(3):
-            made.ask(ask(f"g{n}", excluded=("sick",)), 0.0)
-            made.report(end(f"g{n}", "good", AttemptEnd.ANSWERED, 0.3), 0.0)
-        made.ask(ask("s", excluded=("good",)), 0.0)
-        made.report(end("s", "sick", AttemptEnd.FAILED), 0.0)
+        made = good_beside_sick(work_s=0.3)
         made.ask(ask("busy", excluded=("sick",)), 0.1)
         self.assertIsInstance(made.ask(ask("final"), PROBE_S + 0.1), Queued)
         self.assertEqual([], made.tick(PROBE_S + 0.15))
         self.assertEqual(["sick"], [granted(d) for d in made.tick(PROBE_S + 0.3)])
 
     def test_retry_rather_comes_late_than_from_a_sick_target(self) -> None:
-        made = broker(target("good", slots=1), target("sick", slots=4))
-        for n in range(40):
-            made.ask(ask(f"g{n}", excluded=("sick",)), 5.0)
-            made.report(end(f"g{n}", "good", AttemptEnd.ANSWERED, 0.3), 5.0)
-        made.ask(ask("s", excluded=("good",)), 5.0)
-        made.report(end("s", "sick", AttemptEnd.FAILED), 5.0)
+        made = good_beside_sick(answers=40, work_s=0.3, now=5.0)
         made.ask(ask("busy", excluded=("sick",)), 5.1)
         late = ask("late", is_retry=True, goal_left_s=0.0, time_left_s=3.0)
         self.assertIsInstance(made.ask(late, 5.2), Queued)
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -17,8 +17,8 @@
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.model import HostEntry
 from toucanspindle_entry.posterior import AttemptEnd
-from toucanspindle_entry.slotbroker import AttemptReport, Refused
 from toucanspindle_entry.slotclient import SlotClient, SlotGrant
+from toucanspindle_entry.slottypes import AttemptReport, Refused
 from toucanspindle_entry.targettable import TargetTable
 
 from tests.entrycase import BOUNDS, ask, target
