--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -19,6 +19,7 @@
         self._requests: Counter[tuple[str, int]] = Counter()
         self._attempts: Counter[tuple[str, str]] = Counter()
         self._failures: Counter[tuple[str, str]] = Counter()
+        self._retries: Counter[str] = Counter()
         self._disconnected_callers: Counter[str] = Counter()
         self._unrouted: Counter[int] = Counter()
         self._buckets: dict[str, list[int]] = {}
@@ -35,6 +36,10 @@
         """Count an attempt; `outcome` is a value of AttemptOutcome."""
         self._attempts[service, outcome] += 1
 
+    def count_retry(self, service: str) -> None:
+        """Count an attempt beyond the first one of its request."""
+        self._retries[service] += 1
+
     def count_failure(self, service: str, reason: str) -> None:
         """Count a request without a usable response, by the reason of the failure."""
         self._failures[service, reason] += 1
@@ -63,6 +68,9 @@
             for (service, value), count in sorted(counts.items()):
                 labels = f'service="{service}",{label}="{value}"'
                 lines.append(f"{prefix}_{name}_total{{{labels}}} {count}")
+        lines.append(f"# TYPE {prefix}_retries_total counter")
+        for service, count in sorted(self._retries.items()):
+            lines.append(f'{prefix}_retries_total{{service="{service}"}} {count}')
         lines.append(f"# TYPE {prefix}_callers_left_total counter")
         for service, count in sorted(self._disconnected_callers.items()):
             lines.append(f'{prefix}_callers_left_total{{service="{service}"}} {count}')
--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
@@ -16,7 +16,7 @@
 from toucanspindle_entry.model import TargetEntry
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slotbroker import AVOID_MIN_UNHEALTHY, SlotBroker
-from toucanspindle_entry.slottypes import AttemptReport, Decision, Refused, SlotRequest
+from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
 from toucanspindle_entry.targethealth import AttemptOutcome
 
 TAKEOVER_WAIT_S: Final = 0.008  # Hosts answer within 2 ms unless their network or CPU is slow.
@@ -182,4 +182,15 @@
                 int(self._broker.mean_work_s * 1000),
                 int(decision.retry_after_s * 1000),
             )
+        elif isinstance(decision, Grant) and decision.retry_wait_s is not None:
+            log.info(
+                "event=retry_granted service={} ask={} host={} target={} waited_ms={}"
+                " tokens={:.1f}",
+                self._service,
+                decision.slot_request_id,
+                decision.host,
+                decision.target,
+                int(decision.retry_wait_s * 1000),
+                self._broker.retry_tokens,
+            )
         self._deliver_decision(self._service, decision)
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -274,6 +274,8 @@
         except ConnectError as error:
             return _AttemptResult(AttemptOutcome.CONNECT_FAILED, None, str(error))
         progress.attempts_sent += 1
+        if progress.attempts_sent > 1:
+            self._record_retry(progress, grant)
         may_have_run_before = progress.may_have_run
         progress.may_have_run = True
         expected_id = progress.request_id.encode("latin-1")
@@ -418,6 +420,19 @@
             return answers.refusal_response(RefusalReason.TOO_LATE, 0.0)
         return answers.refusal_response(RefusalReason.OVERLOADED, SHED_RETRY_AFTER_S)
 
+    def _record_retry(self, progress: _RequestProgress, grant: SlotGrant) -> None:
+        """Count and log an attempt that follows one that may have reached a target."""
+        self._metrics.count_retry(progress.service)
+        log.info(
+            "event=retry_sent id={} ask={} service={} target={} broker={} attempt={}",
+            progress.request_id,
+            grant.slot_request_id,
+            progress.service,
+            grant.target,
+            grant.broker,
+            progress.attempts_sent,
+        )
+
     def _record_attempt(
         self, progress: _RequestProgress, grant: SlotGrant, attempt: _AttemptResult
     ) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -164,6 +164,11 @@
         """Number of leases, that is of slots granted and not yet released."""
         return len(self._leases)
 
+    @property
+    def retry_tokens(self) -> float:
+        """Number of retries that the retry budget allows at once."""
+        return self._retry_budget.tokens
+
     @property
     def queue_length(self) -> int:
         """Number of queued slot requests."""
@@ -536,9 +541,16 @@
         )
         record.leases.add(slot_request.id)
         self._active_floor.record_grant(record.entry.name, now)
-        return self._make_grant(slot_request, record.entry.name, now)
-
-    def _make_grant(self, slot_request: SlotRequest, target: str, now: float) -> Grant:
+        retry_wait_s = now - pending.arrived_at if slot_request.is_retry else None
+        return self._make_grant(slot_request, record.entry.name, now, retry_wait_s)
+
+    def _make_grant(
+        self,
+        slot_request: SlotRequest,
+        target: str,
+        now: float,
+        retry_wait_s: float | None = None,
+    ) -> Grant:
         record = self._targets.get(target)
         age_s = max(0.0, now - record.health.updated_at) if record else 0.0
         return Grant(
@@ -547,6 +559,7 @@
             target,
             self.unhealthy_probability(target, now),
             age_s,
+            retry_wait_s,
         )
 
     def _update_target(self, record: _TargetRecord, report: AttemptReport, now: float) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
@@ -44,7 +44,8 @@
     """A granted slot.
 
     `unhealthy_probability` is the broker's estimate for the target, last updated `estimate_age_s`
-    seconds ago.
+    seconds ago.  `retry_wait_s` is how long a retry was queued; it is None for a first attempt and
+    for a resent grant.
     """
 
     slot_request_id: str
@@ -52,6 +53,7 @@
     target: str
     unhealthy_probability: float
     estimate_age_s: float
+    retry_wait_s: float | None = None
 
 
 @dataclass(frozen=True)
