Count the repeats of a whole fleet at its targets, in virtual time

The emulator runs the real request handler, slot client and brokers of 24 hosts. Hosts are killed, cut off, muted and slow; the targets record each arrival.

--- /dev/null
+++ b/tests/emulatedfleet.py
@@ -0,0 +1,332 @@
+"""Emulator of a fleet of entry hosts in virtual time, without network.
+
+Each host runs the real request handler, slot client and brokers.  Datagrams take a millisecond;
+a host can be killed, cut off, muted or slowed down.  The targets are emulated as well, and record
+each arrival, so that a test counts what a target sees and not what a host believes to have sent.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final, cast
+
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.callerconnection import CallerRequest, CallerResponse
+from toucanspindle_entry.datagrams import DatagramEndpoint, Message
+from toucanspindle_entry.entrymetrics import EntryMetrics
+from toucanspindle_entry.httpclient import ConnectError, ConnectionLostError, HttpResponse
+from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.model import FleetPlan, HostEntry, Route, TargetEntry, WeightedService
+from toucanspindle_entry.requestpath import HandlerDependencies, HeaderNames, RequestHandler
+from toucanspindle_entry.routeindex import RouteIndex
+from toucanspindle_entry.settings import FleetBounds
+from toucanspindle_entry.slotclient import SlotClient
+from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targettable import TargetTable
+
+from tests.entrycase import target
+from tests.virtualtime import LoopClock
+
+SERVICE: Final = "orders"
+MESSAGE_DELAY_S: Final = 0.001
+SLOW_HOST_DELAY_S: Final = 0.15  # Longer than a host waits for a broker's answer.
+DEADLINE_S: Final = 4.0
+HEADER_NAMES: Final = HeaderNames(
+    b"x-request-id", b"x-deadline-ms", b"x-signature", b"x-expected-target", b"x-not-run"
+)
+
+
+@dataclass(frozen=True)
+class FleetShape:
+    """Size, load and failures of an emulated fleet; shares are of the requests that arrive.
+
+    `rate` is in requests per second.  `shed_share` is refused by targets as not run, `fail_share`
+    ends with status 500, and `unreachable_share` of the connects fail.
+    """
+
+    hosts: int = 24
+    targets: int = 12
+    slots: int = 8
+    rate: float = 60.0
+    work_s: float = 0.1
+    shed_share: float = 0.5
+    fail_share: float = 0.1
+    unreachable_share: float = 0.05
+    idempotent: bool = True
+    max_attempts: int = 3
+    bounds: FleetBounds = FleetBounds(2.0, 6.0, 0.2, 10.0, 40.0, 3.0, 0.7)
+
+
+@dataclass
+class TargetRecord:
+    """What the targets of a fleet saw: (time, request id) of each arrival, and of each request."""
+
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    requests: list[float] = field(default_factory=list)
+
+    def repeats(self) -> list[float]:
+        """Return the times of the arrivals beyond the first of each request."""
+        seen: set[str] = set()
+        times: list[float] = []
+        for at, request_id in self.arrivals:
+            if request_id in seen:
+                times.append(at)
+            seen.add(request_id)
+        return times
+
+    def worst_excess(self, bounds: FleetBounds) -> float:
+        """Return by how much the worst window exceeds the retry budget; negative if none does.
+
+        The requests are counted in the window, in the one before it and in the one half a window
+        before it, and the most of these counts.
+        """
+        window_s = bounds.retry_window_s
+        repeats = self.repeats()
+        worst = float("-inf")
+        for start in repeats:
+            count = sum(1 for at in repeats if start <= at < start + window_s)
+            requests = max(
+                sum(1 for at in self.requests if begin <= at < begin + window_s)
+                for begin in (start, start - window_s, start - window_s / 2)
+            )
+            worst = max(worst, count - bounds.retry_ratio * requests - bounds.retry_burst)
+        return worst
+
+
+class _EmulatedConnection:
+    """A connection to the emulated targets; it runs one exchange."""
+
+    def __init__(self, fleet: "EmulatedFleet") -> None:
+        self._fleet = fleet
+
+    async def exchange(
+        self, request: bytes, is_head: bool, matches_request: object  # noqa: ARG002
+    ) -> HttpResponse:
+        return await self._fleet.serve(request)
+
+
+class _EmulatedPool:
+    """Stand-in for the `TargetConnectionPool` of a host."""
+
+    def __init__(self, fleet: "EmulatedFleet") -> None:
+        self._fleet = fleet
+
+    async def acquire(
+        self, address: HostPort, may_reuse: bool  # noqa: ARG002
+    ) -> tuple[_EmulatedConnection, bool]:
+        await asyncio.sleep(MESSAGE_DELAY_S)
+        if self._fleet.rng.random() < self._fleet.shape.unreachable_share:
+            raise ConnectError("unreachable")
+        return _EmulatedConnection(self._fleet), False
+
+    def release(self, *_: object) -> None:
+        return
+
+
+class _EmulatedEndpoint:
+    """Stand-in for the `DatagramEndpoint` of a host."""
+
+    def __init__(self, fleet: "EmulatedFleet", host: "EmulatedHost") -> None:
+        self._fleet = fleet
+        self._host = host
+
+    def send(self, ip: str, message: Message) -> None:
+        self._fleet.deliver(self._host, ip, message)
+
+
+class EmulatedHost:
+    """One incarnation of an entry host.
+
+    A host that is cut off exchanges no datagrams, but callers and targets still reach it.
+    """
+
+    def __init__(self, fleet: "EmulatedFleet", ip: str, entries: list[TargetEntry]) -> None:
+        clock = LoopClock()
+        rng = random.Random(fleet.rng.random())
+        incarnation = f"{ip}-{fleet.next_incarnation()}"
+        self.ip = ip
+        self.is_running = True
+        self.is_cut_off = False
+        self.is_muted = False
+        self.is_slow = False
+        self.live_hosts = LiveHosts(HostEntry(ip, ip, "beaufort", incarnation), rng)
+        for other in fleet.ips:
+            self.live_hosts.add_host(HostEntry(other, other, "beaufort", other), clock.now())
+        self.targets = TargetTable(clock)
+        self.targets.replace_all(entries, after_outage=False)
+        self.slots = SlotClient(self.live_hosts, self.targets, fleet.shape.bounds, clock, rng)
+        self.slots.attach(cast(DatagramEndpoint, _EmulatedEndpoint(fleet, self)))
+        self.handler = RequestHandler(
+            HandlerDependencies(
+                HEADER_NAMES,
+                self.slots,
+                self.targets,
+                cast(TargetConnectionPool, _EmulatedPool(fleet)),
+                EntryMetrics(),
+                clock,
+            )
+        )
+        self.handler.routes = RouteIndex(fleet.plan, rng)
+
+
+class EmulatedFleet:
+    """A fleet of hosts before the targets of one service; create it inside a running loop."""
+
+    def __init__(self, shape: FleetShape, seed: int) -> None:
+        self.shape = shape
+        self.rng = random.Random(seed)
+        self.record = TargetRecord()
+        self.ips = [f"10.0.0.{n}" for n in range(1, shape.hosts + 1)]
+        route = Route(
+            "r",
+            "shop",
+            "/",
+            shape.idempotent,
+            DEADLINE_S,
+            1.5,
+            shape.max_attempts,
+            1,
+            (WeightedService(SERVICE, 1.0),),
+        )
+        self.plan = FleetPlan(1, (route,), frozenset({SERVICE}))
+        self._incarnations = 0
+        self._entries = [target(f"t{n}", slots=shape.slots) for n in range(shape.targets)]
+        self.hosts = {ip: EmulatedHost(self, ip, self._entries) for ip in self.ips}
+        self._request_count = 0
+        self._tasks: dict[asyncio.Task[CallerResponse], EmulatedHost] = {}
+        self.statuses: list[int] = []
+
+    def next_incarnation(self) -> int:
+        """Return a number for a new incarnation."""
+        self._incarnations += 1
+        return self._incarnations
+
+    # Network and targets.
+
+    def deliver(self, sender: EmulatedHost, ip: str, message: Message) -> None:
+        """Deliver a datagram, unless the network or one of the two hosts fails."""
+        receiver = self.hosts[ip]
+        ends = (sender, receiver)
+        if sender.is_muted or any(host.is_cut_off or not host.is_running for host in ends):
+            return
+        delay_s = SLOW_HOST_DELAY_S if receiver.is_slow else MESSAGE_DELAY_S
+
+        def receive() -> None:
+            if receiver.is_running and self.hosts[ip] is receiver:
+                receiver.slots.handle_message(sender.ip, message)
+
+        asyncio.get_running_loop().call_later(delay_s, receive)
+
+    async def serve(self, request: bytes) -> HttpResponse:
+        """Record the arrival of a request at its target, and answer it."""
+        head = dict(
+            line.split(b": ", 1) for line in request.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+        )
+        request_id = head[HEADER_NAMES.request_id]
+        now = asyncio.get_running_loop().time()
+        self.record.arrivals.append((now, request_id.decode()))
+        headers = [(HEADER_NAMES.request_id, request_id)]
+        draw = self.rng.random()
+        if draw < self.shape.shed_share:
+            await asyncio.sleep(MESSAGE_DELAY_S)
+            return HttpResponse(503, b"", [*headers, (HEADER_NAMES.not_run, b"1")])
+        await asyncio.sleep(self.rng.expovariate(1 / self.shape.work_s))
+        if draw < self.shape.shed_share + self.shape.fail_share:
+            if self.rng.random() < 0.5:
+                raise ConnectionLostError("reset")
+            return HttpResponse(500, b"", [*headers, (HEADER_NAMES.signature, b"s")])
+        return HttpResponse(200, b"", [*headers, (HEADER_NAMES.signature, b"s")], b"ok")
+
+    # Load.
+
+    async def run_load(self, duration_s: float) -> None:
+        """Send requests to random running hosts for `duration_s`, then wait for the responses."""
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + duration_s
+        while loop.time() < end_at:
+            await asyncio.sleep(self.rng.expovariate(self.shape.rate))
+            running = [host for host in self.hosts.values() if host.is_running]
+            if running:
+                self.send_request(self.rng.choice(running))
+        await asyncio.wait(self._tasks, timeout=2 * DEADLINE_S)
+
+    def send_request(self, host: EmulatedHost) -> None:
+        """Send one request to a host."""
+        now = asyncio.get_running_loop().time()
+        self._request_count += 1
+        self.record.requests.append(now)
+        headers = [
+            (b"host", b"shop"),
+            (HEADER_NAMES.request_id, b"q%d" % self._request_count),
+            (HEADER_NAMES.deadline_ms, b"%d" % (DEADLINE_S * 1000)),
+        ]
+        method = "GET" if self.shape.idempotent else "POST"
+        request = CallerRequest(method, f"/{self._request_count}", headers, b"", now)
+        task = asyncio.get_running_loop().create_task(host.handler.handle(request))
+        self._tasks[task] = host
+        task.add_done_callback(self._end_request)
+
+    def _end_request(self, task: asyncio.Task[CallerResponse]) -> None:
+        del self._tasks[task]
+        if not task.cancelled():
+            self.statuses.append(task.result().status)
+
+    # Failures.
+
+    def kill(self, ip: str, down_s: float) -> None:
+        """Kill a host with its requests; a new incarnation starts after `down_s`."""
+        host = self.hosts[ip]
+        host.is_running = False
+        for task, owner in list(self._tasks.items()):
+            if owner is host:
+                task.cancel()
+
+        def restart() -> None:
+            self.hosts[ip] = EmulatedHost(self, ip, self._entries)
+            self._announce_later(ip)
+
+        self._declare_dead_later(ip)
+        asyncio.get_running_loop().call_later(down_s, restart)
+
+    def disturb(
+        self, ip: str, set_state: Callable[[EmulatedHost, bool], None], for_s: float
+    ) -> None:
+        """Set a state of a host for `for_s`; other hosts take it for dead and alive meanwhile."""
+        host = self.hosts[ip]
+        set_state(host, True)
+        self._declare_dead_later(ip)
+
+        def end() -> None:
+            set_state(host, False)
+            self._announce_later(ip)
+
+        asyncio.get_running_loop().call_later(for_s, end)
+
+    def _declare_dead_later(self, ip: str) -> None:
+        """Let most of the other hosts declare a host dead, each at a moment of its own."""
+        for other in self.ips:
+            if other != ip and self.rng.random() < 0.8:
+                asyncio.get_running_loop().call_later(
+                    self.rng.uniform(0.3, 2.0), self._declare_dead, other, ip
+                )
+
+    def _declare_dead(self, by: str, ip: str) -> None:
+        live_hosts = self.hosts[by].live_hosts
+        now = asyncio.get_running_loop().time()
+        live_hosts.record_probe_answer(by, now)  # The host isn't isolated.
+        for _ in range(3):
+            live_hosts.record_missed_probe(ip, now)
+
+    def _announce_later(self, ip: str) -> None:
+        """Let the other hosts find a host alive again, each at a moment of its own."""
+        for other in self.ips:
+            if other != ip:
+                asyncio.get_running_loop().call_later(
+                    self.rng.uniform(0.0, 6.0), self._find_alive, other, ip
+                )
+
+    def _find_alive(self, by: str, ip: str) -> None:
+        host = self.hosts[ip]
+        if host.is_running and not host.is_cut_off:
+            self.hosts[by].live_hosts.record_probe_answer(ip, asyncio.get_running_loop().time())
--- /dev/null
+++ b/tests/test_retry_budget_fleet.py
@@ -0,0 +1,124 @@
+"""Tests of the retry budget over all hosts of a fleet, counted at the targets."""
+
+import asyncio
+import os
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from testtools import TestCase
+from toucanspindle_entry.brokerchoice import rank_brokers
+
+from tests.emulatedfleet import SERVICE, EmulatedFleet, EmulatedHost, FleetShape
+from tests.virtualtime import run_in_virtual_time
+
+# The number of seeds of each test; more are played by hand.
+SEEDS: Final = int(os.environ.get("TOUCANSPINDLE_FLEET_SEEDS", "2"))
+FIRST_SEED: Final = int(os.environ.get("TOUCANSPINDLE_FLEET_FIRST_SEED", "1"))
+DURATION_S: Final = 30.0
+
+Scenario = Callable[[EmulatedFleet], Coroutine[Any, Any, None]]
+
+
+def set_cut_off(host: EmulatedHost, value: bool) -> None:
+    host.is_cut_off = value
+
+
+def set_muted(host: EmulatedHost, value: bool) -> None:
+    host.is_muted = value
+
+
+def set_slow(host: EmulatedHost, value: bool) -> None:
+    host.is_slow = value
+
+
+class RetryBudgetTests(TestCase):
+    """The bound holds for the sum over all hosts, in each sliding window."""
+
+    def play(self, scenario: Scenario, shape: FleetShape, seed: int) -> EmulatedFleet:
+        """Run a scenario beside the load of a shape; return the fleet afterwards."""
+        fleets: list[EmulatedFleet] = []
+
+        async def main() -> None:
+            fleet = EmulatedFleet(shape, seed)
+            fleets.append(fleet)
+            failures = asyncio.get_running_loop().create_task(scenario(fleet))
+            await fleet.run_load(DURATION_S)
+            failures.cancel()
+
+        run_in_virtual_time(main())
+        return fleets[0]
+
+    def check(self, scenario: Scenario, shape: FleetShape) -> None:
+        for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
+            fleet = self.play(scenario, shape, seed)
+            excess = fleet.record.worst_excess(shape.bounds)
+            self.assertLessEqual(excess, 0, f"seed {seed}: {excess:.0f} repeats too many")
+
+    def test_budget_holds_while_brokers_are_slow_by_turns(self) -> None:
+        """Hosts that skip a slow broker at different moments use several brokers at once."""
+
+        async def slow_brokers(fleet: EmulatedFleet) -> None:
+            while True:
+                for ip in rank_brokers(SERVICE, fleet.ips)[:3]:
+                    if fleet.rng.random() < 0.6:
+                        fleet.disturb(ip, set_slow, fleet.rng.uniform(0.3, 2.5))
+                await asyncio.sleep(fleet.rng.uniform(1.0, 3.0))
+
+        self.check(slow_brokers, FleetShape())
+
+    def test_budget_holds_while_brokers_are_killed_and_come_back(self) -> None:
+        """Each change of brokers must not add a budget, also if hosts disagree for seconds."""
+
+        async def kill_brokers(fleet: EmulatedFleet) -> None:
+            while True:
+                await asyncio.sleep(fleet.rng.uniform(1.0, 4.0))
+                ip = fleet.rng.choice(rank_brokers(SERVICE, fleet.ips)[:4])
+                if fleet.hosts[ip].is_running:
+                    fleet.kill(ip, fleet.rng.uniform(0.3, 3.0))
+
+        self.check(kill_brokers, FleetShape())
+
+    def test_budget_holds_while_all_hosts_decide_alone(self) -> None:
+        """A fleet without datagrams has as many brokers as hosts."""
+
+        async def cut_all(fleet: EmulatedFleet) -> None:
+            await asyncio.sleep(8.0)
+            for ip in fleet.ips:
+                fleet.disturb(ip, set_cut_off, fleet.rng.uniform(6.0, 14.0))
+
+        self.check(cut_all, FleetShape())
+
+    def test_budget_holds_while_hosts_are_cut_off_muted_and_restarted(self) -> None:
+        """Failures of all kinds overlap, and requests aren't idempotent."""
+
+        async def disturb_hosts(fleet: EmulatedFleet) -> None:
+            while True:
+                await asyncio.sleep(fleet.rng.uniform(0.1, 0.8))
+                ranked = rank_brokers(SERVICE, fleet.ips)
+                ip = fleet.rng.choice(ranked[:4] if fleet.rng.random() < 0.5 else ranked)
+                set_state = fleet.rng.choice((set_cut_off, set_muted, set_slow, None))
+                if set_state is not None:
+                    fleet.disturb(ip, set_state, fleet.rng.uniform(0.3, 5.0))
+                elif fleet.hosts[ip].is_running:
+                    fleet.kill(ip, fleet.rng.uniform(0.3, 3.0))
+
+        self.check(disturb_hosts, FleetShape(idempotent=False, shed_share=0.7))
+
+    def test_budget_holds_when_waiting_retries_get_their_slots_at_once(self) -> None:
+        """Retries that wait for slots reach the targets later than they were requested."""
+
+        async def free_slots(fleet: EmulatedFleet) -> None:
+            await asyncio.sleep(DURATION_S)
+
+        self.check(free_slots, FleetShape(targets=3, slots=2, work_s=0.4, rate=30.0))
+
+    def test_most_of_the_ratio_is_used_with_one_broker(self) -> None:
+        """A bound that holds because nothing is retried serves no caller."""
+
+        async def no_failures(fleet: EmulatedFleet) -> None:
+            await asyncio.sleep(DURATION_S)
+
+        shape = FleetShape()
+        fleet = self.play(no_failures, shape, FIRST_SEED)
+        ratio = len(fleet.record.repeats()) / len(fleet.record.requests)
+        self.assertGreater(ratio, shape.bounds.retry_ratio)
