Let hosts create retry credit, so that several brokers have one budget

The bound is for the sum over all hosts, but each broker refilled a bucket of its own.

Change: the host that takes a request from its caller creates the credit for it, once per request, and its 1/n of the burst; it hands the credit to the broker with the slot request and never twice. A broker spends only what it was given, and credit expires after a second, so that the sum is bounded whatever hosts believe about each other. Credit below one retry, as a host has that decides alone, is staked. A resent request deposits once, also if it was refused; a request whose grants aren't used no longer adds to the budget with each of them.

A host of this version gets no answer from a broker of the version before, which rejects the longer message; it then asks the next in rank and decides alone.

--- a/bench/serviceemulator.py
+++ b/bench/serviceemulator.py
@@ -27,6 +27,7 @@
 
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_entry.model import TargetEntry, TargetState
+from toucanspindle_entry.retrycredit import RetryCreditSource
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slotbroker import SlotBroker
 from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
@@ -156,6 +157,7 @@
             t.entry.name: t for t in (self._make_target(n) for n in range(shape.targets))
         }
         self.result = LoadResult()
+        self._credit_sources: dict[str, RetryCreditSource] = {}
         self._policy: AssignmentPolicy = _POLICIES[policy](self, Random(seed + 1))
         self._arriving = True
 
@@ -212,11 +214,21 @@
             can_retry=shape.idempotent and request.send_count + 1 < shape.max_attempts,
             excluded=tuple(request.excluded),
             fingerprint=str(request.number),
+            retry_credit=self._credit_source(request.host).take(
+                request.send_count == 0, shape.hosts, self.now
+            ),
         )
         self._policy.request_slot(
             slot_request, lambda decision: self._handle_decision(request, slot_request, decision)
         )
 
+    def _credit_source(self, host: str) -> RetryCreditSource:
+        source = self._credit_sources.get(host)
+        if source is None:
+            source = RetryCreditSource(self.shape.retry_ratio, self.shape.retry_burst, 10.0)
+            self._credit_sources[host] = source
+        return source
+
     def _handle_decision(
         self, request: _Request, slot_request: SlotRequest, decision: Decision
     ) -> None:
@@ -344,7 +356,7 @@
         shape = emulator.shape
         bounds = FleetBounds(2.0, 6.0, shape.retry_ratio, 10.0, shape.retry_burst, 3.0, 0.7)
         self._emulator = emulator
-        self._broker = SlotBroker(shape.name, bounds, 0.0, rng)
+        self._broker = SlotBroker(shape.name, bounds, rng)
         self._broker.set_targets(emulator.entries, frozenset(), 0.0)
         self._pending_answers: dict[str, Callable[[Decision], None]] = {}
         emulator.schedule(TICK_INTERVAL_S, self._tick)
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -452,10 +452,13 @@
             except PlatformError as error:
                 log.warning("event=host_list_failed error={}", error)
                 continue
-            for item in listing.items:
-                registration = item.value
+            registrations = [
+                item.value for item in listing.items if isinstance(item.value, HostEntry)
+            ]
+            self._hosts.record_listing(len(registrations))
+            for registration in registrations:
                 known_ips = {self._own_entry.ip, *self._hosts.peers}
-                if isinstance(registration, HostEntry) and registration.ip not in known_ips:
+                if registration.ip not in known_ips:
                     self._datagrams.send(registration.ip, self._hello_message("hello"))
 
     async def _register_host(self) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/fleetretrybudget.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/fleetretrybudget.py
@@ -1,48 +1,82 @@
-"""Fleet-wide retry budget of one service: limits the retries of all hosts in any sliding window.
+"""Retry budget of one service at one broker: spends the credit that hosts send with slot requests.
 
-The service's broker keeps a token bucket.  Each first attempt adds `ratio` tokens, time adds tokens
-at a constant rate, and each retry takes one token.  With capacity C and a refill of r per second,
-any window of W seconds holds at most C + r*W retries beyond the ratio.  A new broker starts with an
-empty bucket, so its retries and those of its predecessor together don't exceed one bucket.
+A broker creates no credit of its own, so several brokers together have no more than one.  Credit
+expires, which bounds what the brokers of a partitioned fleet can save up: in a window of W seconds
+all brokers grant at most the credit created in the window and in the seconds before it.
+
+A host that decides alone gets too few requests to save up a whole retry.  Credit below one retry is
+therefore staked: with a probability equal to the credit it becomes a whole retry, otherwise it is
+lost.  The mean stays the same.  A broker that has just spent credit waits for more instead, since
+many stakes would add up to a large deviation from the mean.
 """
 
+import random
+from collections import deque
 from typing import Final
 
-# Shares of the configured burst.  One bucket allows 3/4 of the burst in a window; the rest is left
-# for hosts that a network partition separates from the broker and that use a broker of their own.
+CREDIT_LIFETIME_S: Final = 1.0
+# Share of the burst.  Bounds the retries that can follow at once after a time without any.
 CAPACITY_BURST_SHARE: Final = 0.25
-REFILL_BURST_SHARE: Final = 0.5
 
 
 class FleetRetryBudget:
-    """Token bucket of the retries that one broker may grant for one service."""
+    """Credit for the retries that one broker may grant; times are seconds of its clock."""
+
+    def __init__(self, burst: float, rng: random.Random) -> None:
+        """Create a budget without credit; the fleet may use `burst` retries in a window."""
+        self._capacity = max(1.0, burst * CAPACITY_BURST_SHARE)
+        self._rng = rng
+        self._deposits: deque[tuple[float, float]] = deque()  # (time, credit left), oldest first
+        self._credit = 0.0
+        self._spent_at = float("-inf")
+
+    @property
+    def credit(self) -> float:
+        """The credit in retries at the last call, without what has expired since then."""
+        return self._credit
 
-    def __init__(self, ratio: float, burst: float, window_s: float, now: float) -> None:
-        """Create an empty bucket.
+    def deposit(self, credit: float, now: float) -> None:
+        """Add the credit of a slot request; what exceeds the capacity is lost."""
+        self._expire(now)
+        credit = min(credit, self._capacity - self._credit)
+        if credit > 0:
+            self._deposits.append((now, credit))
+            self._credit += credit
 
-        A window of `window_s` seconds allows `ratio` retries per first attempt plus `burst`.
+    def may_admit(self, waiting_retries: int, now: float) -> bool:
+        """Return whether another retry may be admitted beside those that wait for a slot.
+
+        Credit below one retry is staked if no other retry waits and none was granted recently.
         """
-        self._ratio = ratio
-        self._capacity = burst * CAPACITY_BURST_SHARE
-        self._refill_per_s = burst * REFILL_BURST_SHARE / window_s
-        self._tokens = 0.0
-        self._refilled_at = now
+        self._expire(now)
+        is_stakeable = not waiting_retries and now - self._spent_at > CREDIT_LIFETIME_S
+        if is_stakeable and 0 < self._credit < 1:
+            is_won = self._rng.random() < self._credit
+            self._deposits.clear()
+            self._credit = 0.0
+            if is_won:
+                self.deposit(1.0, now)
+        return self._credit >= 1 + waiting_retries
 
-    @property
-    def tokens(self) -> float:
-        """Number of tokens at the last change, without the refill since then."""
-        return self._tokens
-
-    def record_first_attempt(self) -> None:
-        """Add `ratio` tokens for a request's first attempt."""
-        self._tokens = min(self._capacity, self._tokens + self._ratio)
-
-    def try_spend(self, now: float) -> bool:
-        """Refill the bucket and take one token; return False if less than one token is left."""
-        elapsed = now - self._refilled_at
-        self._refilled_at = now
-        self._tokens = min(self._capacity, self._tokens + elapsed * self._refill_per_s)
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+    def has_credit(self, now: float) -> bool:
+        """Return whether there is credit for a retry."""
+        self._expire(now)
+        return self._credit >= 1
+
+    def spend(self, now: float) -> None:
+        """Take the credit of one retry, oldest first; `has_credit` must be true."""
+        self._expire(now)
+        self._spent_at = now
+        left = 1.0
+        while self._deposits and left > 0:
+            deposited_at, credit = self._deposits.popleft()
+            if credit > left:
+                self._deposits.appendleft((deposited_at, credit - left))
+            left -= min(left, credit)
+        self._credit = sum(credit for _, credit in self._deposits)
+
+    def _expire(self, now: float) -> None:
+        while self._deposits and now - self._deposits[0][0] > CREDIT_LIFETIME_S:
+            self._credit -= self._deposits.popleft()[1]
+        if not self._deposits:
+            self._credit = 0.0
--- a/packages/toucanspindle-entry/toucanspindle_entry/livehosts.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/livehosts.py
@@ -45,6 +45,18 @@
         self._rng = rng
         self._peers: dict[str, PeerRecord] = {}
         self._last_answer_at = 0.0
+        self._listed_hosts: int | None = None
+
+    @property
+    def fleet_size(self) -> int | None:
+        """Number of hosts that the store lists or that are known, or None before a listing.
+
+        Hosts that have left count as well: a limit that is split among the hosts is kept only if
+        none of them takes the fleet for smaller than it is.
+        """
+        if self._listed_hosts is None:
+            return None
+        return max(self._listed_hosts, len(self._peers) + 1)
 
     @property
     def peers(self) -> dict[str, PeerRecord]:
@@ -72,6 +84,10 @@
         self._peers[entry.ip] = PeerRecord(entry, last_answer_at=now)
         return True
 
+    def record_listing(self, host_count: int) -> None:
+        """Record how many hosts a complete listing of the store holds, this one included."""
+        self._listed_hosts = max(self._listed_hosts or 0, host_count)
+
     def record_probe_answer(self, ip: str, now: float) -> bool:
         """Record an answer to a probe; return whether the host was dead and is alive again."""
         self._last_answer_at = now
--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
@@ -54,7 +54,7 @@
         self._clock = clock
         self._deliver_decision = link.send_decision
         self._request_sync = link.request_sync
-        self._broker = SlotBroker(service, bounds, clock.now(), rng)
+        self._broker = SlotBroker(service, bounds, rng)
         self._last_request_at = float("-inf")
         self._deferred_requests: list[SlotRequest] | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -185,12 +185,12 @@
         elif isinstance(decision, Grant) and decision.retry_wait_s is not None:
             log.info(
                 "event=retry_granted service={} ask={} host={} target={} waited_ms={}"
-                " tokens={:.1f}",
+                " credit={:.1f}",
                 self._service,
                 decision.slot_request_id,
                 decision.host,
                 decision.target,
                 int(decision.retry_wait_s * 1000),
-                self._broker.retry_tokens,
+                self._broker.retry_credit,
             )
         self._deliver_decision(self._service, decision)
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -211,6 +211,7 @@
     async def _acquire_slot(self, progress: _RequestProgress) -> SlotGrant | Refused | None:
         """Return a slot or a refusal, or None if the deadline expired first."""
         now = self._clock.now()
+        starts_request = not progress.slot_request_id
         progress.slot_request_id = self._slots.next_slot_request_id()
         goal_at = progress.request.received_at + progress.route.latency_goal_s
         slot_request = SlotRequest(
@@ -228,7 +229,7 @@
         )
         try:
             async with asyncio.timeout(max(0.0, progress.deadline_at - now)):
-                return await self._slots.acquire(progress.service, slot_request)
+                return await self._slots.acquire(progress.service, slot_request, starts_request)
         except TimeoutError:
             return None
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -3,7 +3,7 @@
 Every host requests a slot from the service's broker before it sends a request to a target, and
 reports the outcome of the attempt.  The broker therefore sees all slots in use, all outcomes and
 all retries.  Its state is soft: a new broker rebuilds it from the reports of the hosts
-(`adopt_leases`, `adopt_result`).
+(`adopt_leases`, `adopt_result`).  Its retry budget is what the hosts deposit with their requests.
 
 The broker grants the free slot of least expected cost.  The cost adds up the probability that the
 target is unhealthy, its utilization, its slowness, and surcharges for another failure domain, for
@@ -74,7 +74,7 @@
 CONNECT_FAILED_PAUSE_S: Final = 1.0  # The same after a failed connect or a misdirected request.
 LATE_WAIT_SHARE: Final = 0.25  # Share of its remaining time that a late request may wait.
 MAX_QUEUE_LENGTH: Final = 2000
-# A duplicate of a slot request may arrive this long after the request has ended.
+# A duplicate of a slot request may arrive this long after the request has ended or was refused.
 ENDED_REQUEST_MEMORY_S: Final = 2.0
 MIN_RETRY_AFTER_S: Final = 0.2
 
@@ -143,21 +143,20 @@
     Invariant: a target has at most as many leases as slots, not counting leases adopted from hosts.
     """
 
-    def __init__(self, service: str, bounds: FleetBounds, now: float, rng: random.Random) -> None:
+    def __init__(self, service: str, bounds: FleetBounds, rng: random.Random) -> None:
         """Create a broker without targets and with an empty retry budget."""
         self.service = service
         self._rng = rng
         self._targets: dict[str, _TargetRecord] = {}
         self._leases: dict[str, _Lease] = {}
         self._queue: list[_PendingRequest] = []
-        self._retry_budget = FleetRetryBudget(
-            bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s, now
-        )
+        self._retry_budget = FleetRetryBudget(bounds.retry_burst, rng)
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
         self._mean_work_s = INITIAL_WORK_S
         self._answer_count = 0
         self._poison_tracker = PoisonTracker()
         self._ended_at: dict[str, float] = {}
+        self._refusals: dict[str, tuple[float, Refused]] = {}
 
     @property
     def slots_in_use(self) -> int:
@@ -165,9 +164,9 @@
         return len(self._leases)
 
     @property
-    def retry_tokens(self) -> float:
+    def retry_credit(self) -> float:
         """Number of retries that the retry budget allows at once."""
-        return self._retry_budget.tokens
+        return self._retry_budget.credit
 
     @property
     def queue_length(self) -> int:
@@ -217,7 +216,8 @@
     def request_slot(self, slot_request: SlotRequest, now: float) -> Decision:
         """Grant, queue or refuse a slot request.
 
-        The call is idempotent: a resent request gets the grant or queue place that it already has.
+        The call is idempotent: a resent request gets the grant, queue place or refusal that it
+        already has, and deposits its retry credit only once.
         """
         lease = self._leases.get(slot_request.id)
         if lease is not None:
@@ -227,12 +227,20 @@
         if slot_request.id in self._ended_at:
             # This is a delayed duplicate; its host no longer waits for an answer.
             return Refused(slot_request.id, slot_request.host, RefusalReason.TOO_LATE, 0.0)
+        if slot_request.id in self._refusals:
+            return self._refusals[slot_request.id][1]
+        self._retry_budget.deposit(slot_request.retry_credit, now)
+        decision = self._decide(slot_request, now)
+        if isinstance(decision, Refused):
+            self._remember_refusal(decision, now)
+        return decision
+
+    def _decide(self, slot_request: SlotRequest, now: float) -> Decision:
+        """Decide on a slot request that isn't a duplicate."""
         refusal = self._check_admission(slot_request, now)
         if refusal is not None:
             self._active_floor.record_request_end(True, now)
             return refusal
-        if not slot_request.is_retry and not slot_request.excluded:
-            self._retry_budget.record_first_attempt()
         pending = _PendingRequest(
             slot_request, now, now + slot_request.time_left_s, now + slot_request.goal_left_s
         )
@@ -353,7 +361,10 @@
         )
 
     def _check_admission(self, slot_request: SlotRequest, now: float) -> Refused | None:
-        """Return a refusal if the request can't be served at all; spends the budget of a retry."""
+        """Return a refusal if the request can't be served at all.
+
+        A retry that is admitted spends credit of the retry budget.
+        """
         if self._poison_tracker.is_poison(slot_request.fingerprint, now):
             return Refused(slot_request.id, slot_request.host, RefusalReason.POISON, 0.0)
         if slot_request.time_left_s <= 0:
@@ -368,10 +379,12 @@
                 RefusalReason.NO_TARGET,
                 self._retry_after_s(now),
             )
-        if slot_request.is_retry and not self._retry_budget.try_spend(now):
-            return Refused(
-                slot_request.id, slot_request.host, RefusalReason.RETRY_BUDGET_EXHAUSTED, 0.0
-            )
+        if slot_request.is_retry:
+            if not self._retry_budget.may_admit(0, now):
+                return Refused(
+                    slot_request.id, slot_request.host, RefusalReason.RETRY_BUDGET_EXHAUSTED, 0.0
+                )
+            self._retry_budget.spend(now)
         return None
 
     def _enqueue_or_refuse(self, pending: _PendingRequest, now: float) -> Decision:
@@ -409,12 +422,14 @@
         for pending in self._queue:
             if pending.deadline_at - now < self._mean_work_s / 2:
                 slot_request = pending.slot_request
-                retry_after_s = self._retry_after_s(now)
-                decisions.append(
-                    Refused(
-                        slot_request.id, slot_request.host, RefusalReason.OVERLOADED, retry_after_s
-                    )
+                refusal = Refused(
+                    slot_request.id,
+                    slot_request.host,
+                    RefusalReason.OVERLOADED,
+                    self._retry_after_s(now),
                 )
+                self._remember_refusal(refusal, now)
+                decisions.append(refusal)
             else:
                 remaining.append(pending)
         self._queue = remaining
@@ -603,6 +618,14 @@
         while now - self._ended_at[oldest := next(iter(self._ended_at))] > ENDED_REQUEST_MEMORY_S:
             del self._ended_at[oldest]
 
+    def _remember_refusal(self, refusal: Refused, now: float) -> None:
+        """Remember a refusal, and forget those that are too old for a duplicate."""
+        self._refusals[refusal.slot_request_id] = (now, refusal)
+        while (
+            now - self._refusals[oldest := next(iter(self._refusals))][0] > ENDED_REQUEST_MEMORY_S
+        ):
+            del self._refusals[oldest]
+
     def _release_lease(self, slot_request_id: str) -> None:
         lease = self._leases.pop(slot_request_id, None)
         if lease is not None and lease.target in self._targets:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -22,6 +22,7 @@
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.localbroker import LocalBroker
+from toucanspindle_entry.retrycredit import RetryCreditSource
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
 from toucanspindle_entry.targethealth import AttemptOutcome
@@ -99,6 +100,7 @@
         self._own_ip = hosts.own.ip
         self._ids = itertools.count(1)
         self._local_brokers: dict[str, LocalBroker] = {}
+        self._credit_sources: dict[str, RetryCreditSource] = {}
         self._pending: dict[str, _PendingRequest] = {}
         self._held_slots: dict[str, _HeldSlot] = {}
         self._recent_results: deque[tuple[float, str, str, AttemptOutcome]] = deque()
@@ -133,14 +135,22 @@
         for local_broker in self._local_brokers.values():
             local_broker.release_host(ip)
 
-    async def acquire(self, service: str, slot_request: SlotRequest) -> SlotGrant | Refused:
+    async def acquire(
+        self, service: str, slot_request: SlotRequest, starts_request: bool = False
+    ) -> SlotGrant | Refused:
         """Wait for a slot or a refusal; a cancellation withdraws the request.
 
-        The client sets the host and failure domain of the slot request.
+        `starts_request` is true for the first slot request of a caller's request.  The client sets
+        the host, failure domain and retry credit of the slot request.
         """
         own = self._hosts.own
         slot_request = dataclasses.replace(
-            slot_request, host=own.ip, failure_domain=own.failure_domain
+            slot_request,
+            host=own.ip,
+            failure_domain=own.failure_domain,
+            retry_credit=self._credit_source(service).take(
+                starts_request, self._hosts.fleet_size, self._clock.now()
+            ),
         )
         pending = _PendingRequest(
             service, slot_request, asyncio.get_running_loop().create_future(), asyncio.Event()
@@ -155,6 +165,8 @@
                 self._skip_broker(broker, service)
                 # The broker may have granted a slot and only its answers were lost.
                 self._send_report(service, broker, _withdrawal_report(slot_request.id, ""))
+                # The broker may have received the credit, so no other one may get it.
+                pending.slot_request = dataclasses.replace(slot_request, retry_credit=0.0)
         except asyncio.CancelledError:
             self._pending.pop(slot_request.id, None)
             self._send_report(service, broker, _withdrawal_report(slot_request.id, ""))
@@ -292,6 +304,16 @@
 
     # Brokers on this host.
 
+    def _credit_source(self, service: str) -> RetryCreditSource:
+        source = self._credit_sources.get(service)
+        if source is None:
+            bounds = self._bounds
+            source = RetryCreditSource(
+                bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s
+            )
+            self._credit_sources[service] = source
+        return source
+
     def _local_broker(self, service: str) -> LocalBroker:
         local_broker = self._local_brokers.get(service)
         if local_broker is None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -3,7 +3,7 @@
 Each message is an array whose first element is its kind:
 
     ["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry, can retry,
-     excluded, fingerprint]
+     excluded, fingerprint, retry credit]
     ["grant", id, service, target, unhealthy probability, estimate age ms, address, started ms]
     ["queued", id]
     ["refused", id, reason, retry after ms]
@@ -47,15 +47,22 @@
         int(slot_request.can_retry),
         list(slot_request.excluded),
         slot_request.fingerprint,
+        round(slot_request.retry_credit, 4),
     ]
 
 
 def decode_slot_request(host: str, message: Message) -> tuple[str, SlotRequest]:
-    """Return the service and the slot request of an `ask` message; `host` is the sender."""
+    """Return the service and the slot request of an `ask` message; `host` is the sender.
+
+    Hosts of earlier versions send no retry credit.  Raises ValueError if it is negative.
+    """
     _, slot_request_id, service, failure_domain, priority, time_left_ms, goal_left_ms, *options = (
         message
     )
-    is_retry, can_retry, excluded, fingerprint = options
+    is_retry, can_retry, excluded, fingerprint, *credits = options
+    retry_credit = float(credits[0]) if credits else 0.0
+    if retry_credit < 0:
+        raise ValueError(f"the retry credit {retry_credit} is negative")
     slot_request = SlotRequest(
         id=str(slot_request_id),
         host=host,
@@ -67,6 +74,7 @@
         can_retry=bool(can_retry),
         excluded=tuple(excluded),
         fingerprint=str(fingerprint),
+        retry_credit=retry_credit,
     )
     return str(service), slot_request
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
@@ -25,6 +25,7 @@
     latency goal, in seconds.  `excluded` names the targets at which earlier attempts failed; they
     get no further attempt.  `can_retry` is true if another attempt can follow when this one
     fails.  `fingerprint` is equal for equal requests and identifies poison messages.
+    `retry_credit` is added to the broker's retry budget, in retries.
     """
 
     id: str
@@ -37,6 +38,7 @@
     can_retry: bool
     excluded: tuple[str, ...]
     fingerprint: str
+    retry_credit: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -153,6 +153,7 @@
         self.live_hosts = LiveHosts(HostEntry(ip, ip, "beaufort", incarnation), rng)
         for other in fleet.ips:
             self.live_hosts.add_host(HostEntry(other, other, "beaufort", other), clock.now())
+        self.live_hosts.record_listing(len(fleet.ips))
         self.targets = TargetTable(clock)
         self.targets.replace_all(entries, after_outage=False)
         self.slots = SlotClient(self.live_hosts, self.targets, fleet.shape.bounds, clock, rng)
--- a/tests/entrycase.py
+++ b/tests/entrycase.py
@@ -42,6 +42,7 @@
     excluded: tuple[str, ...] = (),
     fingerprint: str = "",
     can_retry: bool = False,
+    retry_credit: float = 0.0,
 ) -> SlotRequest:
     """Return a slot request from the default failure domain of `target`."""
     return SlotRequest(
@@ -55,12 +56,13 @@
         can_retry,
         excluded,
         fingerprint,
+        retry_credit,
     )
 
 
 def make_broker(*targets: TargetEntry, now: float = 0.0, seed: int = 1) -> SlotBroker:
     """Return a broker of the service `orders` with registered targets."""
-    slot_broker = SlotBroker("orders", BOUNDS, now, random.Random(seed))
+    slot_broker = SlotBroker("orders", BOUNDS, random.Random(seed))
     slot_broker.set_targets(targets, frozenset(), now)
     return slot_broker
 
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 from toucanspindle_entry.model import TargetState
+from toucanspindle_entry.retrycredit import RetryCreditSource
 from toucanspindle_entry.slotbroker import (
     AVOID_MIN_UNHEALTHY,
     AVOIDED_PROBE_INTERVAL_S,
@@ -165,7 +166,9 @@
     def test_late_retry_waits_for_a_healthy_target(self) -> None:
         broker = broker_with_unhealthy_target(answers=40, work_s=0.3, now=5.0)
         broker.request_slot(slot_request("busy", excluded=("sick",)), 5.1)
-        late_retry = slot_request("late", is_retry=True, goal_left_s=0.0, time_left_s=3.0)
+        late_retry = slot_request(
+            "late", is_retry=True, goal_left_s=0.0, time_left_s=3.0, retry_credit=1.0
+        )
         self.assertIsInstance(broker.request_slot(late_retry, 5.2), Queued)
         decisions = broker.record_attempt(
             attempt_report("busy", "good", AttemptOutcome.ANSWERED, 0.3), 5.4
@@ -311,17 +314,19 @@
         """Many retries and a broker that is killed: no window has more retries than allowed."""
         rng = random.Random(seed)
         broker = make_broker(target("a", slots=100_000))
+        source = RetryCreditSource(BOUNDS.retry_ratio, BOUNDS.retry_burst, BOUNDS.retry_window_s)
         requests: list[float] = []
         retries: list[float] = []
         taken_over = False
         for step in range(30 * per_s):
             now = step / per_s
             if not taken_over and now >= takeover_at:
-                broker = SlotBroker("orders", BOUNDS, now, random.Random(seed))
+                broker = SlotBroker("orders", BOUNDS, random.Random(seed))
                 broker.set_targets([target("a", slots=100_000)], frozenset(), now)
                 taken_over = True
             requests.append(now)
-            broker.request_slot(slot_request(f"r{step}"), now)
+            credit = source.take(True, 1, now)
+            broker.request_slot(slot_request(f"r{step}", retry_credit=credit), now)
             if rng.random() < failure_share:
                 retry_decision = broker.request_slot(slot_request(f"s{step}", is_retry=True), now)
                 if isinstance(retry_decision, Grant):
