Count a queued retry when it is granted, and not at all if it reaches no target

A retry was paid for when it was asked for, but targets see it when a slot is free, up to its deadline later: a window could hold retries that were paid for in another one.

Retries are admitted while there is credit for them and for those in the queue, and take it when they are granted. A retry whose connect fails gives its credit back. test_queued_retries_are_counted_when_they_are_granted fails without the change.

--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -89,6 +89,7 @@
     expires_at: float
     fingerprint: str
     can_retry: bool = False
+    is_retry: bool = False
     is_overdue: bool = False
 
 
@@ -257,6 +258,9 @@
         """
         self._remember_ended(report.slot_request_id, now)
         lease = self._leases.pop(report.slot_request_id, None)
+        if lease and lease.is_retry and report.outcome is AttemptOutcome.CONNECT_FAILED:
+            # No target has seen this retry.
+            self._retry_budget.deposit(1.0, now)
         self._queue = [
             pending for pending in self._queue if pending.slot_request.id != report.slot_request_id
         ]
@@ -333,6 +337,8 @@
         decisions: list[Decision] = []
         granted: set[str] = set()
         for pending in self._queue_by_priority(now):
+            if pending.slot_request.is_retry and not self._retry_budget.has_credit(now):
+                continue
             target = self._choose_target(pending, now)
             if target is not None:
                 decisions.append(self._grant(pending, target, now))
@@ -363,7 +369,7 @@
     def _check_admission(self, slot_request: SlotRequest, now: float) -> Refused | None:
         """Return a refusal if the request can't be served at all.
 
-        A retry that is admitted spends credit of the retry budget.
+        A retry is admitted if there is credit for it and for the retries in the queue.
         """
         if self._poison_tracker.is_poison(slot_request.fingerprint, now):
             return Refused(slot_request.id, slot_request.host, RefusalReason.POISON, 0.0)
@@ -379,12 +385,12 @@
                 RefusalReason.NO_TARGET,
                 self._retry_after_s(now),
             )
-        if slot_request.is_retry:
-            if not self._retry_budget.may_admit(0, now):
-                return Refused(
-                    slot_request.id, slot_request.host, RefusalReason.RETRY_BUDGET_EXHAUSTED, 0.0
-                )
-            self._retry_budget.spend(now)
+        if slot_request.is_retry and not self._retry_budget.may_admit(
+            sum(1 for other in self._queue if other.slot_request.is_retry), now
+        ):
+            return Refused(
+                slot_request.id, slot_request.host, RefusalReason.RETRY_BUDGET_EXHAUSTED, 0.0
+            )
         return None
 
     def _enqueue_or_refuse(self, pending: _PendingRequest, now: float) -> Decision:
@@ -545,6 +551,9 @@
 
     def _grant(self, pending: _PendingRequest, record: _TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
+        if slot_request.is_retry:
+            # Retries are counted when they reach a target, which a queued one does later.
+            self._retry_budget.spend(now)
         expires_at = pending.deadline_at + LEASE_GRACE_S
         self._leases[slot_request.id] = _Lease(
             slot_request.host,
@@ -553,6 +562,7 @@
             expires_at,
             slot_request.fingerprint,
             slot_request.can_retry,
+            slot_request.is_retry,
         )
         record.leases.add(slot_request.id)
         self._active_floor.record_grant(record.entry.name, now)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -9,10 +9,10 @@
 from toucanspindle_entry.model import TargetState
 from toucanspindle_entry.retrycredit import BURST_SHARE, MAX_ACCRUAL_S, RetryCreditSource
 from toucanspindle_entry.slotmessages import decode_slot_request, encode_slot_request
-from toucanspindle_entry.slottypes import RefusalReason, Refused
+from toucanspindle_entry.slottypes import Grant, Queued, RefusalReason, Refused
 
 from tests.emulatedfleet import SERVICE, EmulatedFleet, FleetShape
-from tests.entrycase import BOUNDS, make_broker, slot_request, target
+from tests.entrycase import BOUNDS, granted_target, make_broker, slot_request, target
 from tests.virtualtime import run_in_virtual_time
 
 
@@ -98,6 +98,18 @@
 class BrokerBudgetTests(TestCase):
     """What the broker counts is what the targets see."""
 
+    def test_queued_retries_are_counted_when_they_are_granted(self) -> None:
+        """Retries that wait for seconds must not add to those of a later window."""
+        broker = make_broker(target("a", slots=1))
+        granted_target(broker.request_slot(slot_request("busy"), 0.0))
+        for n in range(5):
+            retry = slot_request(f"r{n}", is_retry=True, retry_credit=1.0, goal_left_s=4.0)
+            self.assertIsInstance(broker.request_slot(retry, 0.0), Queued)
+        self.assertEqual([], broker.set_targets([target("a", slots=9)], frozenset(), 3.0))
+        broker.request_slot(slot_request("first", retry_credit=2.0), 3.0)
+        grants = [decision for decision in broker.tick(3.0) if isinstance(decision, Grant)]
+        self.assertEqual(2, len([grant for grant in grants if grant.slot_request_id[0] == "r"]))
+
     def test_resent_request_deposits_its_credit_once(self) -> None:
         """Slot requests are resent after milliseconds, and datagrams may be duplicated."""
         broker = make_broker(target("a", slots=2), target("b", slots=1))
