Give up target responses without end in a head, in trailers or over all bodies

A faulty target may send bytes without end until the caller closes. Only the body of one response was limited (32 MB). A head, interim responses, trailers, a chunk extension and responses to other requests were read until the deadline, and several endless bodies at once could fill the memory of a host with 200 MB.

The bytes around bodies are limited to 64 KB and 8 bytes for each of a body, the bodies of all responses of an exchange to 32 MB, and the bodies that a process holds to 64 MB; beyond that, responses above 1 MB fail. The exchange ends as malformed, at once.

--- a/packages/toucanspindle-entry/toucanspindle_entry/httpclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/httpclient.py
@@ -3,6 +3,10 @@
 Whether a request may be retried depends on how it failed, so there are three exceptions: nothing
 was sent, the connection ended early, or the response was malformed.  Responses are read completely.
 A response that belongs to another request, by the request id that it echoes, is skipped.
+
+A faulty peer may send bytes without end.  Three limits end such an exchange as malformed: on the
+bytes of bodies, on the bytes around them (heads, chunk sizes, trailers), each over all responses of
+one exchange, and on the bytes of bodies that the process holds for all exchanges together.
 """
 
 import asyncio
@@ -16,6 +20,11 @@
 
 # Responses are held in memory, and hosts have at least 200 MB.
 MAX_RESPONSE_BYTES: Final = 32 * 1024 * 1024
+# For all exchanges together.  Beyond it, responses above SMALL_RESPONSE_BYTES fail.
+MAX_HELD_BYTES: Final = 64 * 1024 * 1024
+SMALL_RESPONSE_BYTES: Final = 1024 * 1024
+MAX_HEAD_BYTES: Final = 64 * 1024
+MAX_FRAMING_PER_BODY_BYTE: Final = 8  # A chunk of one byte takes 5 bytes more.
 UNACKED_TIMEOUT_MS: Final = 2500  # Longest time for which sent data may stay unacknowledged.
 KEEPALIVE_IDLE_S: Final = 1  # Idle time before TCP probes, which detect a peer that vanished.
 KEEPALIVE_INTERVAL_S: Final = 1
@@ -53,6 +62,13 @@
         return None
 
 
+@dataclass
+class ResponseMemory:
+    """The bytes of bodies that the exchanges of a process hold."""
+
+    held_bytes: int = 0
+
+
 ResponseMatcher = Callable[[HttpResponse], bool]
 
 
@@ -69,8 +85,9 @@
 class HttpConnection(asyncio.Protocol):
     """A client connection that runs one exchange at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory: ResponseMemory | None = None) -> None:
         """Create an unconnected connection; use `connect`."""
+        self._memory = memory or ResponseMemory()
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._pending_response: asyncio.Future[HttpResponse] | None = None
@@ -79,18 +96,27 @@
         self._response = HttpResponse()
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
+        self._held_bytes = 0
+        self._received_bytes = 0
         self._body_ends_at_close = False
         self._response_complete = False
         self._closed = False
         self._reusable = True
 
     @classmethod
-    async def connect(cls, address: HostPort, timeout_s: float) -> "HttpConnection":
-        """Return an open connection; raise ConnectError after `timeout_s` or on failure."""
+    async def connect(
+        cls, address: HostPort, timeout_s: float, memory: ResponseMemory | None = None
+    ) -> "HttpConnection":
+        """Return an open connection; raise ConnectError after `timeout_s` or on failure.
+
+        `memory` is shared by the connections whose bodies are limited together.
+        """
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(cls, address.ip, address.port)
+                _, connection = await loop.create_connection(
+                    lambda: cls(memory), address.ip, address.port
+                )
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"{address}: {error or 'connection attempt timed out'}") from error
         return connection
@@ -126,6 +152,7 @@
                 # The peer responded early; the unsent body bytes would precede the next request.
                 self.close()
             self._pending_response = None
+            self._release_body()
 
     def close(self) -> None:
         """Close at once and drop unsent data."""
@@ -152,6 +179,7 @@
 
     def _parse(self, data: bytes) -> None:
         assert self._parser is not None
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -161,6 +189,11 @@
                 self._reusable = False  # Trailing bytes after a complete response.
             else:
                 self._fail_exchange(MalformedResponseError(str(error)))
+        framing_bytes = self._received_bytes - self._body_bytes
+        if framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes:
+            self._fail_exchange(
+                MalformedResponseError(f"{framing_bytes} bytes of the response are no body")
+            )
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends at the end of the stream."""
@@ -183,8 +216,7 @@
             self._reusable = False
             return
         self._response = HttpResponse()
-        self._body_chunks = []
-        self._body_bytes = 0
+        self._release_body()
 
     def on_status(self, status: bytes) -> None:
         """Append to the reason phrase."""
@@ -215,16 +247,22 @@
         self._body_ends_at_close = not (has_length or chunked or no_body)
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body; fail the exchange above MAX_RESPONSE_BYTES."""
+        """Store a part of the body; fail the exchange above a limit."""
+        self._body_bytes += len(body)
         if self._response_complete:
             return
-        self._body_bytes += len(body)
         if self._body_bytes > MAX_RESPONSE_BYTES:
             self._fail_exchange(
                 MalformedResponseError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
             )
             return
+        self._held_bytes += len(body)
+        self._memory.held_bytes += len(body)
         self._body_chunks.append(body)
+        if self._memory.held_bytes > MAX_HELD_BYTES and self._held_bytes > SMALL_RESPONSE_BYTES:
+            self._fail_exchange(
+                MalformedResponseError(f"the responses together exceed {MAX_HELD_BYTES} bytes")
+            )
 
     def on_message_complete(self) -> None:
         """Complete a response; an interim one (1xx) is ignored."""
@@ -237,11 +275,17 @@
     def _reset_response(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._response = HttpResponse()
-        self._body_chunks = []
+        self._release_body()
         self._body_bytes = 0
+        self._received_bytes = 0
         self._body_ends_at_close = False
         self._response_complete = False
 
+    def _release_body(self) -> None:
+        self._memory.held_bytes -= self._held_bytes
+        self._held_bytes = 0
+        self._body_chunks = []
+
     def _complete_response(self) -> None:
         """Return the response to the exchange, unless it belongs to another request."""
         response = self._response
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetconnectionpool.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targetconnectionpool.py
@@ -10,7 +10,7 @@
 from toucanspindle_core.clock import Clock
 from toucanspindle_core.hostport import HostPort
 
-from toucanspindle_entry.httpclient import HttpConnection, HttpResponse
+from toucanspindle_entry.httpclient import HttpConnection, HttpResponse, ResponseMemory
 
 CONNECT_TIMEOUT_S: Final = 0.3  # Connecting takes about 1 ms, or 1 s if the SYN packet is lost.
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0  # For a target that sends no timeout of its own.
@@ -24,6 +24,7 @@
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool."""
         self._clock = clock
+        self._response_memory = ResponseMemory()
         self._idle: dict[HostPort, deque[tuple[HttpConnection, float]]] = {}
         self.connections_opened = 0
 
@@ -39,7 +40,8 @@
                 return connection, True
             connection.close()
         self.connections_opened += 1
-        return await HttpConnection.connect(address, CONNECT_TIMEOUT_S), False
+        connection = await HttpConnection.connect(address, CONNECT_TIMEOUT_S, self._response_memory)
+        return connection, False
 
     def release(
         self, address: HostPort, connection: HttpConnection, response: HttpResponse
--- a/tests/test_entry_httpclient.py
+++ b/tests/test_entry_httpclient.py
@@ -8,11 +8,14 @@
 from testtools import TestCase
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_entry.httpclient import (
+    MAX_HELD_BYTES,
+    MAX_RESPONSE_BYTES,
     ConnectError,
     ConnectionLostError,
     HttpConnection,
     HttpResponse,
     MalformedResponseError,
+    ResponseMemory,
 )
 
 OWN_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -198,3 +201,145 @@
         early_response = b"HTTP/1.1 413 Too Large\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"
         asyncio.run(_run_with_target(respond_with(early_response, keeps_open=True), client))
         self.assertEqual([(413, False)], result)
+
+
+class EndlessResponseTests(TestCase):
+    """A faulty target sends bytes without end, in a head or a body, until the caller closes."""
+
+    def bytes_until_failure(self, start: bytes, repeated: bytes) -> int:
+        """Send `repeated` without end after `start`; return how much the client took.
+
+        The exchange must fail with MalformedResponseError long before a deadline would end it.
+        """
+        sent: list[int] = [0]
+
+        async def send_without_end(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
+            try:
+                while True:
+                    writer.write(repeated)
+                    sent[0] += len(repeated)
+                    await writer.drain()
+            except ConnectionError:
+                writer.close()
+
+        async def client(connection: HttpConnection) -> None:
+            exchange = connection.exchange(REQUEST, matches_request=is_own_response)
+            try:
+                await exchange
+            except MalformedResponseError:
+                self.assertFalse(connection.is_reusable)
+                return
+            self.fail("the exchange didn't fail")
+
+        asyncio.run(_run_with_target(send_without_end, client))
+        return sent[0]
+
+    def test_head_without_end_fails_after_its_size_limit(self) -> None:
+        ok = b"HTTP/1.1 200 OK\r\n"
+        for name, start, repeated in (
+            ("headers", ok, b"X-More: " + b"y" * 1000 + b"\r\n"),
+            ("one header", ok + b"X-More: ", b"y" * 1000),
+            ("one header name", ok, b"y" * 1000),
+            ("reason phrase", b"HTTP/1.1 200 ", b"y" * 1000),
+            ("interim responses", b"", b"HTTP/1.1 103 Early\r\nX-More: y\r\n\r\n" * 20),
+            (
+                "trailers",
+                ok + b"X-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                b"X: y\r\n" * 99,
+            ),
+            (
+                "chunk extension",
+                ok + b"X-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+                b"y" * 1000,
+            ),
+        ):
+            taken = self.bytes_until_failure(start, repeated)
+            # Several megabytes are in the buffers of the sockets.
+            self.assertLess(taken, 16_000_000, name)
+
+    def test_body_without_end_fails_after_its_size_limit(self) -> None:
+        ok = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+        chunk = b"8000\r\n" + b"y" * 0x8000 + b"\r\n"
+        for name, start, repeated in (
+            ("chunks", ok + b"Transfer-Encoding: chunked\r\n\r\n", chunk),
+            ("no length", ok + b"\r\n", b"y" * 0x8000),
+            ("huge length", ok + b"Content-Length: 99999999999\r\n\r\n", b"y" * 0x8000),
+            ("responses to other requests", b"", OTHER_RESPONSE * 1000),
+        ):
+            taken = self.bytes_until_failure(start, repeated)
+            self.assertLess(taken, MAX_RESPONSE_BYTES + 16_000_000, name)
+
+    def test_bodies_without_end_together_leave_the_process_its_memory(self) -> None:
+        """Several endless bodies at once must not fill the memory of a small host."""
+        held: list[int] = []
+
+        async def send_without_end(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n")
+            try:
+                while True:
+                    writer.write(b"y" * 0x8000)
+                    await writer.drain()
+            except ConnectionError:
+                writer.close()
+
+        async def run() -> None:
+            server = await asyncio.start_server(send_without_end, "127.0.0.1", 0)
+            address = HostPort("127.0.0.1", server.sockets[0].getsockname()[1])
+            memory = ResponseMemory()
+            connections = [await HttpConnection.connect(address, 2.0, memory) for _ in range(12)]
+            exchanges = [
+                asyncio.create_task(connection.exchange(REQUEST)) for connection in connections
+            ]
+            while not all(exchange.done() for exchange in exchanges):
+                held.append(memory.held_bytes)
+                await asyncio.sleep(0.001)
+            for exchange in exchanges:
+                self.assertIsInstance(exchange.exception(), MalformedResponseError)
+            self.assertEqual(0, memory.held_bytes)
+            server.close()
+
+        asyncio.run(run())
+        self.assertLess(max(held), MAX_HELD_BYTES + 2 * 1024 * 1024)
+
+
+class TruncatedHeadTests(TestCase):
+    def test_response_cut_at_any_byte_of_its_head_is_lost(self) -> None:
+        """A 200 that was cut in its head must not look like a whole, empty answer."""
+        heads = (
+            b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n",
+            b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n",
+        )
+
+        async def run() -> list[tuple[bytes, object]]:
+            results: list[tuple[bytes, object]] = []
+            for head in heads:
+                for cut in range(len(head)):
+
+                    async def target(
+                        reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter,
+                        part: bytes = head[:cut],
+                    ) -> None:
+                        await reader.readuntil(b"\r\n\r\n")
+                        writer.write(part)
+                        writer.close()
+
+                    async def client(connection: HttpConnection, part: bytes = head[:cut]) -> None:
+                        try:
+                            results.append((part, await connection.exchange(REQUEST)))
+                        except ConnectionLostError:
+                            pass
+
+                    await _run_with_target(target, client)
+            return results
+
+        self.assertEqual([], asyncio.run(run()))
