Take no refusal without an id for a request's own on a reused connection

A faulty target may write an earlier refusal once more on a kept connection. One that echoes the earlier id is skipped, but one without an id was taken for the answer: the caller was told 'not run' of a request that the target was running, and an idempotent request went to a second target as if it hadn't run. Requests that may not repeat were never affected, since each gets a new connection; a test shows it.

On a reused connection only a response with the request's own id counts; a request without an id gets a new connection.

--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -5,6 +5,9 @@
 the target said that it did not run the request, or another target now has the address.  To a
 caller, status 408, 421, 429 or 503 means that the request has not run, so once a request may have
 run, the handler neither relays nor generates these statuses.
+
+A faulty target may repeat an earlier response on a kept connection.  There only a response that
+echoes the id of the request is its own, and a request without an id gets a new connection.
 """
 
 import asyncio
@@ -270,7 +273,7 @@
         request = progress.request
         try:
             connection, reused = await self._connection_pool.acquire(
-                address, progress.route.idempotent
+                address, may_reuse=progress.route.idempotent and bool(progress.request_id)
             )
         except ConnectError as error:
             return _AttemptResult(AttemptOutcome.CONNECT_FAILED, None, str(error))
@@ -295,6 +298,13 @@
             )
         except MalformedResponseError as error:
             return _AttemptResult(AttemptOutcome.MALFORMED_RESPONSE, None, str(error))
+        if reused and response.header(self._header_names.request_id) is None:
+            connection.close()
+            return _AttemptResult(
+                AttemptOutcome.MALFORMED_RESPONSE,
+                None,
+                "a response on a reused connection lacks the request id",
+            )
         self._connection_pool.release(address, connection, response)
         attempt = self._classify_response(response)
         if attempt.outcome in OUTCOMES_WITHOUT_RUN:
--- /dev/null
+++ b/tests/test_entry_requestpath.py
@@ -0,0 +1,218 @@
+"""Tests of a request's way to a faulty target and back, over real sockets."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final, cast
+
+from testtools import TestCase
+from toucanspindle_core.clock import MonotonicClock
+from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.callerconnection import CallerRequest, CallerResponse
+from toucanspindle_entry.entrymetrics import EntryMetrics
+from toucanspindle_entry.model import FleetPlan, Route, WeightedService
+from toucanspindle_entry.requestpath import HandlerDependencies, RequestHandler
+from toucanspindle_entry.routeindex import RouteIndex
+from toucanspindle_entry.slotclient import SlotClient, SlotGrant
+from toucanspindle_entry.slottypes import AttemptReport, SlotRequest
+from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targettable import TargetTable
+
+from tests.emulatedfleet import HEADER_NAMES
+from tests.entrycase import target
+
+DEADLINE_S: Final = 1.0
+
+# Answers the n-th request of a connection; `request_id` is that of the request.
+Answer = Callable[[int, bytes, asyncio.StreamWriter], Awaitable[None]]
+
+
+class FakeSlots:
+    """Grants every request a slot at the only target."""
+
+    def __init__(self) -> None:
+        self.outcomes: list[str] = []
+        self._granted = 0
+
+    def next_slot_request_id(self) -> str:
+        self._granted += 1
+        return str(self._granted)
+
+    async def acquire(
+        self, service: str, slot_request: SlotRequest, starts_request: bool  # noqa: ARG002
+    ) -> SlotGrant:
+        return SlotGrant(slot_request.id, "t", "", 1, 0.0, 0, "")
+
+    def report_attempt(self, service: str, grant: SlotGrant, report: AttemptReport) -> None:
+        self.outcomes.append(report.outcome.value)
+
+
+def response(request_id: bytes | None, status: bytes = b"200 OK", extra: bytes = b"") -> bytes:
+    """Return a signed response with the body `ok`; without the id header if it is None."""
+    echo = b"X-Request-Id: " + request_id + b"\r\n" if request_id is not None else b""
+    head = b"HTTP/1.1 " + status + b"\r\nX-Signature: s\r\n" + echo + extra
+    return head + b"Content-Length: 2\r\n\r\nok"
+
+
+def refusal(request_id: bytes | None) -> bytes:
+    """Return a refusal that says that the request wasn't run."""
+    return response(request_id, b"503 Busy", b"X-Not-Run: 1\r\n")
+
+
+class FaultyTargetCase(TestCase):
+    """Sends requests through a `RequestHandler` to a target that answers by a script."""
+
+    def send(
+        self, answer: Answer, *request_ids: str, method: str = "GET", max_attempts: int = 1
+    ) -> tuple[list[CallerResponse], int]:
+        """Send requests one after another; return the responses and the number of connections."""
+        connections = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal connections
+            connections += 1
+            number = 0
+            try:
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    request_id = next(
+                        (
+                            line.partition(b": ")[2]
+                            for line in head.split(b"\r\n")
+                            if line.startswith(b"x-request-id")
+                        ),
+                        b"",
+                    )
+                    await answer(number, request_id, writer)
+                    number += 1
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+
+        async def run() -> list[CallerResponse]:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = HostPort("127.0.0.1", server.sockets[0].getsockname()[1])
+            clock = MonotonicClock()
+            targets = TargetTable(clock)
+            targets.replace_all([dataclasses.replace(target("t"), address=address)], False)
+            pool = TargetConnectionPool(clock)
+            handler = RequestHandler(
+                HandlerDependencies(
+                    HEADER_NAMES,
+                    cast(SlotClient, FakeSlots()),
+                    targets,
+                    pool,
+                    EntryMetrics(),
+                    clock,
+                )
+            )
+            services = (WeightedService("orders", 1.0),)
+            route = Route(
+                "r", "shop", "/", method == "GET", DEADLINE_S, 0.5, max_attempts, 1, services
+            )
+            handler.routes = RouteIndex(
+                FleetPlan(1, (route,), frozenset({"orders"})), random.Random(1)
+            )
+            responses: list[CallerResponse] = []
+            for request_id in request_ids:
+                headers = [(b"host", b"shop"), (b"x-deadline-ms", b"1000")]
+                if request_id:
+                    headers.append((b"x-request-id", request_id.encode()))
+                request = CallerRequest(method, "/a", headers, b"", clock.now())
+                responses.append(await handler.handle(request))
+                await asyncio.sleep(0.01)
+            pool.close()
+            server.close()
+            return responses
+
+        return asyncio.run(run()), connections
+
+
+class RepeatedRefusalTests(FaultyTargetCase):
+    """A target writes an earlier refusal once more on a kept connection."""
+
+    def check_second_response(self, repeated: bytes, answers: bool) -> list[int]:
+        """Return the statuses of a refused request and of one that the target runs."""
+
+        async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+            if number == 0:
+                writer.write(refusal(request_id))
+                return
+            writer.write(repeated)
+            await asyncio.sleep(0.02)
+            if answers:
+                writer.write(response(request_id))
+
+        responses, connections = self.send(answer, "q1", "q2")
+        self.assertEqual(1, connections)
+        return [r.status for r in responses]
+
+    def test_refusal_of_the_earlier_request_is_skipped(self) -> None:
+        self.assertEqual([503, 200], self.check_second_response(refusal(b"q1"), answers=True))
+
+    def test_refusal_that_names_no_request_is_not_passed_on_as_not_run(self) -> None:
+        """The target runs the request, so `not run` would be false."""
+        statuses = self.check_second_response(refusal(None), answers=True)
+        self.assertEqual([503, 502], statuses)
+
+    def test_other_statuses_that_promise_no_run_are_not_passed_on_either(self) -> None:
+        for status in (b"421 Misdirected", b"429 Slow", b"408 Late", b"503 Busy"):
+            statuses = self.check_second_response(response(None, status), answers=False)
+            self.assertEqual([503, 502], statuses, status)
+
+    def test_request_without_id_gets_a_new_connection(self) -> None:
+        """Its responses can't be told from a repeated one."""
+
+        async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(response(request_id if request_id else None))
+
+        _, connections = self.send(answer, "q1", "", "")
+        self.assertEqual(3, connections)
+
+    def test_request_that_may_not_repeat_is_sent_once_despite_a_repeated_refusal(self) -> None:
+        """It gets a connection of its own, on which no earlier refusal can be."""
+        runs = 0
+
+        async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+            nonlocal runs
+            runs += request_id == b"q2"
+            writer.write(refusal(request_id) if request_id == b"q1" else response(request_id))
+            writer.write(refusal(b"q1"))
+
+        responses, _ = self.send(answer, "q1", "q2", method="POST", max_attempts=3)
+        self.assertEqual([503, 200], [r.status for r in responses])
+        self.assertEqual(1, runs)
+
+
+class BrokenAnswerTests(FaultyTargetCase):
+    """What the caller gets when a target's answer breaks off or doesn't end."""
+
+    def test_answer_cut_in_its_head_is_no_success(self) -> None:
+        """The caller must not get a 200 with an empty or short body, framed as whole."""
+        whole = response(b"q1")
+        head_length = whole.index(b"\r\n\r\n") + 4
+
+        for cut in range(0, head_length, 7):
+
+            async def answer(
+                number: int,
+                request_id: bytes,
+                writer: asyncio.StreamWriter,
+                part: bytes = whole[:cut],
+            ) -> None:
+                writer.write(part)
+                writer.close()
+
+            for method in ("GET", "POST", "HEAD"):
+                responses, _ = self.send(answer, "q1", method=method)
+                self.assertEqual(502, responses[0].status, (method, cut))
+
+    def test_answer_without_end_is_given_up_before_the_deadline(self) -> None:
+        async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\n")
+            while True:
+                writer.write(b"X-More: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n" * 100)
+                await writer.drain()
+
+        responses, _ = self.send(answer, "q1", method="POST")
+        self.assertEqual(502, responses[0].status)
