Take no response without an id for an attempt's own on a reused target connection

A faulty target may write an earlier refusal once more on a kept connection. The proxy accepted a response that echoes no id, so a repeated refusal without one read as 'not run': a request that may run at most once was sent to a second target while the first was running it. A repeated refusal with the earlier id was already refused.

On a reused connection only a response with the attempt's id counts; anything else may have run, and closes the connection. Control requests, whose ids targets don't echo, are excepted. test_repeated_refusal_on_a_kept_connection_is_not_taken_for_not_run failed before. test_response_cut_at_any_byte_of_its_head_is_broken passed before: that fault can't happen here.

--- a/packages/toucanspindle-node/toucanspindle_node/targetclient.py
+++ b/packages/toucanspindle-node/toucanspindle_node/targetclient.py
@@ -4,13 +4,14 @@
 can repeat or redirect an attempt.  (urllib3 used more than half of the request path's processor
 time; see docs/design/data-path.md.)  An attempt ends as
 
-- ANSWERED: a complete response that echoes the attempt's id, or echoes no id;
+- ANSWERED: a complete response that echoes the attempt's id, or echoes no id on a new connection;
 - NOT_CONNECTED: no connection was established, so no byte of the request was written;
 - SHED: the target reports that it didn't run the request;
 - TIMED_OUT: the timeout expired after the request may have been written;
 - BROKEN: the connection broke, or the response was incomplete or malformed; `crashed` is set when
   no byte of a response was received;
-- MISMATCHED_ID: the response echoes the id of another request.
+- MISMATCHED_ID: the response echoes the id of another request, or no id on a reused connection,
+  where it may be an earlier response that the target repeats.
 
 A connection is reused only after ANSWERED or SHED.  After any other result it is closed, so that
 a late response can't reach another caller.  A response without a length, which ends when the target
@@ -81,13 +82,17 @@
 
 @dataclass(frozen=True)
 class Attempt:
-    """A request to a target; `path` includes the query, `attempt_id` is unique to the attempt."""
+    """A request to a target; `path` includes the query, `attempt_id` is unique to the attempt.
+
+    Targets don't echo the id of a control request (`is_control`).
+    """
 
     attempt_id: str
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
+    is_control: bool = False
 
 
 @dataclass(frozen=True)
@@ -96,7 +101,7 @@
 
     `draining` is the target's drain signal.  `crashed` means that the connection broke before the
     first byte of a response, as when the request crashes the target.  `is_reusable` means that the
-    connection can be used for another attempt.
+    connection can be used for another attempt.  `lacks_id` means that the response echoes no id.
     """
 
     kind: AttemptKind
@@ -107,6 +112,7 @@
     draining: bool = False
     crashed: bool = False
     is_reusable: bool = False
+    lacks_id: bool = False
 
 
 class TargetClient:
@@ -127,10 +133,12 @@
         started_at = time.monotonic()
         pool = self._connection_pools.pool_for(target.address, max_connections)
         try:
-            connection = pool.acquire(timeout_s)
+            connection, reused = pool.acquire(timeout_s)
         except NoConnectionError:
             return AttemptResult(AttemptKind.NOT_CONNECTED, time.monotonic() - started_at)
         result = _send_and_receive(connection, target.address, attempt, started_at, timeout_s)
+        if result.lacks_id and reused and not attempt.is_control:
+            result = AttemptResult(AttemptKind.MISMATCHED_ID, result.elapsed_s)
         pool.release(connection, result.is_reusable)
         return result
 
@@ -151,7 +159,7 @@
     def _send_control_request(
         self, target: Target, method: str, path: str, timeout_s: float
     ) -> AttemptResult:
-        attempt = Attempt("control", method, path, {}, b"")
+        attempt = Attempt("control", method, path, {}, b"", is_control=True)
         return self.send(target, attempt, timeout_s, MAX_CONTROL_CONNECTIONS)
 
 
@@ -206,4 +214,5 @@
         response.body,
         response.header(DRAINING_HEADER.lower()) == "1",
         is_reusable=response.keep_alive,
+        lacks_id=echoed_id is None,
     )
--- a/packages/toucanspindle-node/toucanspindle_node/targetconnections.py
+++ b/packages/toucanspindle-node/toucanspindle_node/targetconnections.py
@@ -27,8 +27,8 @@
         self._available_slots = threading.BoundedSemaphore(limit)
         self._idle: deque[socket.socket] = deque()
 
-    def acquire(self, timeout_s: float) -> socket.socket:
-        """Return an idle or a new connection.
+    def acquire(self, timeout_s: float) -> tuple[socket.socket, bool]:
+        """Return an idle or a new connection, and whether it was used before.
 
         Raises NoConnectionError when `limit` connections stay in use for `timeout_s` seconds, or
         when the target can't be connected.
@@ -36,7 +36,8 @@
         if not self._available_slots.acquire(timeout=timeout_s):
             raise NoConnectionError("all connections are in use")
         try:
-            return self._pop_idle() or self._connect(timeout_s)
+            idle = self._pop_idle()
+            return (idle, True) if idle else (self._connect(timeout_s), False)
         except OSError as error:
             self._available_slots.release()
             raise NoConnectionError(str(error)) from error
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -169,6 +169,28 @@
         self.assertEqual(AttemptKind.ANSWERED, self.attempt(target).kind)
         self.assertEqual(2, target.connections)
 
+    def test_repeated_refusal_on_a_kept_connection_is_not_taken_for_not_run(self) -> None:
+        """A target that repeats an earlier refusal may be running the present request."""
+        for echo in (b"Request-Id: a0\r\n", b""):
+            repeated = (
+                b"HTTP/1.1 503 Busy\r\n" + echo + b"Target-Outcome: not-run\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            target = self.scripted(respond(COMPLETE_RESPONSE), respond(repeated))
+            self.assertEqual(AttemptKind.ANSWERED, self.attempt(target).kind)
+            self.assertEqual(AttemptKind.MISMATCHED_ID, self.attempt(target).kind, echo)
+            self.assertEqual(1, target.connections)
+            self.assertEqual(AttemptKind.ANSWERED, self.attempt(target).kind)
+            self.assertEqual(2, target.connections)
+
+    def test_response_cut_at_any_byte_of_its_head_is_broken(self) -> None:
+        """A 200 that was cut in its head must not look like a whole, empty answer."""
+        head_length = COMPLETE_RESPONSE.index(b"\r\n\r\n") + 4
+        for method in ("GET", "HEAD"):
+            for cut in range(0, head_length):
+                target = self.scripted(respond_and_close(COMPLETE_RESPONSE[:cut]))
+                self.assertEqual(AttemptKind.BROKEN, self.attempt(target, method).kind, cut)
+
     def test_malformed_or_incomplete_responses_are_broken(self) -> None:
         head = b"HTTP/1.1 200 OK\r\n" + ECHOED_ID
         malformed = {
