Limit the bytes around the body of a target's response in the proxy

Heads, trailers and chunk extensions without end were read up to 32 MB for each of a proxy's threads.

--- a/packages/toucanspindle-node/toucanspindle_node/targetanswer.py
+++ b/packages/toucanspindle-node/toucanspindle_node/targetanswer.py
@@ -3,6 +3,9 @@
 A response is complete once its Content-Length is reached or its last chunk was received.  A
 response with neither, which ends when the target closes the connection, can't be distinguished
 from a truncated one and is rejected.  A response followed by further bytes is rejected as well.
+
+A faulty target may send bytes without end, so the bytes of the body are limited, and those around
+it (heads, chunk sizes, trailers) as well.
 """
 
 import socket
@@ -15,6 +18,8 @@
 READ_BYTES: Final = 65_536
 FIRST_FINAL_STATUS: Final = 200  # lower statuses are interim responses, which are skipped
 MAX_RESPONSE_BYTES: Final = 33_554_432
+MAX_HEAD_BYTES: Final = 65_536
+MAX_FRAMING_PER_BODY_BYTE: Final = 8  # A chunk of one byte takes 5 bytes more.
 
 
 class BrokenResponseError(Exception):
@@ -58,6 +63,7 @@
         self.response = response
         self.parser = HttpResponseParser(self)
         self.has_trailing_data = False
+        self.body_bytes = 0
         self._body_chunks: list[bytes] = []
 
     def on_message_begin(self) -> None:
@@ -73,6 +79,7 @@
             self._finish()
 
     def on_body(self, body: bytes) -> None:
+        self.body_bytes += len(body)
         self._body_chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -110,6 +117,11 @@
                     f"the response is malformed: {error}", response_started
                 ) from error
             callbacks.has_trailing_data = True
+        framing_bytes = received_bytes - callbacks.body_bytes
+        if framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * callbacks.body_bytes:
+            raise BrokenResponseError(
+                f"{framing_bytes} bytes of the response are no body", response_started
+            )
         if callbacks.has_trailing_data:
             raise BrokenResponseError("bytes follow the response", response_started)
     return response
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -191,6 +191,34 @@
                 target = self.scripted(respond_and_close(COMPLETE_RESPONSE[:cut]))
                 self.assertEqual(AttemptKind.BROKEN, self.attempt(target, method).kind, cut)
 
+    def test_head_or_trailer_without_end_is_broken_before_the_deadline(self) -> None:
+        """A faulty target may send bytes without end until the caller closes."""
+        chunked = b"HTTP/1.1 200 OK\r\n" + ECHOED_ID + b"Transfer-Encoding: chunked\r\n\r\n"
+        for name, start, repeated in (
+            ("headers", b"HTTP/1.1 200 OK\r\n", b"X-More: " + b"y" * 1000 + b"\r\n"),
+            ("one header", b"HTTP/1.1 200 OK\r\nX-More: ", b"y" * 1000),
+            ("interim responses", b"", b"HTTP/1.1 103 Early\r\nX-More: y\r\n\r\n" * 20),
+            ("trailers", chunked + b"0\r\n", b"X: y\r\n" * 99),
+            ("chunk extension", chunked + b"5;x=", b"y" * 1000),
+        ):
+            taken = [0]
+
+            def send_without_end(
+                connection: socket.socket,
+                start: bytes = start,
+                repeated: bytes = repeated,
+                taken: list[int] = taken,
+            ) -> None:
+                connection.sendall(start)
+                while True:
+                    connection.sendall(repeated)
+                    taken[0] += len(repeated)
+
+            target = self.scripted(send_without_end)
+            self.assertEqual(AttemptKind.BROKEN, self.attempt(target).kind, name)
+            # Several megabytes are in the buffers of the sockets.
+            self.assertLess(taken[0], 16_000_000, name)
+
     def test_malformed_or_incomplete_responses_are_broken(self) -> None:
         head = b"HTTP/1.1 200 OK\r\n" + ECHOED_ID
         malformed = {
