Share the targets that a request crashed among the brokers of a service

A broker now tells the hosts next in rank which targets a request crashed, and that it was answered; a host that was a broker hands known poison messages to a new one with the slots that it holds.

--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
@@ -37,6 +37,10 @@
         """Ask all hosts for their slots and recent outcomes of a service."""
         ...
 
+    def share_crashes(self, service: str, fingerprint: str, targets: list[str]) -> None:
+        """Tell the hosts next in rank which targets a request crashed; none if one answered."""
+        ...
+
 
 class LocalBroker:
     """Runs the `SlotBroker` of one service on this host, with its takeovers and its timer."""
@@ -54,6 +58,7 @@
         self._clock = clock
         self._deliver_decision = link.send_decision
         self._request_sync = link.request_sync
+        self._share_crashes = link.share_crashes
         self._broker = SlotBroker(service, bounds, rng)
         self._last_request_at = float("-inf")
         self._deferred_requests: list[SlotRequest] | None = None
@@ -89,7 +94,11 @@
         """Record the outcome of an attempt and send the grants that became possible."""
         now = self._clock.now()
         probability_before = self._broker.unhealthy_probability(report.target, now)
+        crashed_before = self._broker.crashed_targets(report.fingerprint)
         decisions = self._broker.record_attempt(report, now)
+        crashed = self._broker.crashed_targets(report.fingerprint)
+        if crashed != crashed_before:
+            self._share_crashes(self._service, report.fingerprint, crashed)
         self._log_health_change(
             report, probability_before, self._broker.unhealthy_probability(report.target, now)
         )
@@ -115,6 +124,10 @@
         for target, outcome, age_ms in sorted(results, key=lambda result: -result[2]):
             self._broker.adopt_result(str(target), AttemptOutcome(outcome), now - age_ms / 1000)
 
+    def adopt_crashes(self, fingerprint: str, targets: list[str]) -> None:
+        """Count the crashes that another broker saw; no targets mean that one has answered."""
+        self._broker.adopt_crashes(fingerprint, targets, self._clock.now())
+
     def expire_state(self) -> None:
         """Treat the state as outdated, so that the next slot request starts a takeover."""
         self._last_request_at = float("-inf")
--- a/packages/toucanspindle-entry/toucanspindle_entry/poisontracker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/poisontracker.py
@@ -3,6 +3,9 @@
 A request counts as poison when it has crashed several distinct targets and none has answered it.
 An answered request never counts: otherwise unhealthy targets that reset connections would get a
 popular request blocked.
+
+The limit is for the fleet, so a broker passes the crashes and the answers on to the hosts that may
+be asked in its place.
 """
 
 from typing import Any, Final
@@ -36,6 +39,17 @@
         self._crashed_targets[fingerprint] = (targets, now + CRASH_MEMORY_S)
         _evict_oldest(self._crashed_targets)
 
+    def crashed_targets(self, fingerprint: str) -> list[str]:
+        """Return up to MIN_CRASHED_TARGETS incarnations that a request crashed, sorted."""
+        targets, _ = self._crashed_targets.get(fingerprint, (set(), 0.0))
+        return sorted(targets)[:MIN_CRASHED_TARGETS]
+
+    def poison_messages(self, now: float) -> list[str]:
+        """Return the fingerprints that count as poison."""
+        return [
+            fingerprint for fingerprint in self._crashed_targets if self.is_poison(fingerprint, now)
+        ]
+
     def is_poison(self, fingerprint: str, now: float) -> bool:
         """Return whether a request recently crashed at least MIN_CRASHED_TARGETS targets."""
         targets, expires_at = self._crashed_targets.get(fingerprint, (set(), 0.0))
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -296,6 +296,25 @@
         if record is not None and observed_at > record.health.updated_at - 1:
             record.health.observe(outcome, max(observed_at, record.health.updated_at))
 
+    def crashed_targets(self, fingerprint: str) -> list[str]:
+        """Return the target incarnations that a request crashed, as far as they count."""
+        return self._poison_tracker.crashed_targets(fingerprint)
+
+    def poison_messages(self, now: float) -> list[tuple[str, list[str]]]:
+        """Return the fingerprints that are refused, with the targets that they crashed."""
+        return [
+            (fingerprint, self.crashed_targets(fingerprint))
+            for fingerprint in self._poison_tracker.poison_messages(now)
+        ]
+
+    def adopt_crashes(self, fingerprint: str, targets: Iterable[str], now: float) -> None:
+        """Count the crashes that another broker saw; no targets mean that one has answered."""
+        targets = list(targets)
+        if not targets:
+            self._poison_tracker.record_answer(fingerprint, now)
+        for target in targets:
+            self._poison_tracker.record_crash(fingerprint, target, now)
+
     def clear_leases(self) -> None:
         """Drop all leases, before they are adopted again from the hosts."""
         self._leases.clear()
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -211,6 +211,11 @@
             self._send_held_state(ip, message[1])
         elif kind == "held":
             self._local_broker(message[1]).adopt_host_state(ip, message[2], message[3])
+            for fingerprint, targets in message[4] if len(message) > 4 else ():
+                self._local_broker(message[1]).adopt_crashes(str(fingerprint), targets)
+        elif kind == "crashed":
+            targets = [str(target) for target in message[3]]
+            self._local_broker(str(message[1])).adopt_crashes(str(message[2]), targets)
         else:
             return False
         return True
@@ -342,8 +347,21 @@
             self._endpoint.send(ip, ["sync", service])
         self._send_held_state(self._own_ip, service)
 
+    def share_crashes(self, service: str, fingerprint: str, targets: list[str]) -> None:
+        """Tell the other hosts that may be asked for slots which targets a request crashed."""
+        if self._endpoint is None:
+            return
+        candidates = [*self._hosts.alive_ips(), self._own_ip]
+        for ip in rank_brokers(service, candidates)[:MAX_BROKERS_TRIED]:
+            if ip != self._own_ip:
+                self._endpoint.send(ip, ["crashed", service, fingerprint, targets])
+
     def _send_held_state(self, ip: str, service: str) -> None:
-        """Send the slots that this host holds and its recent outcomes to a new broker."""
+        """Send what this host knows of a service to its new broker.
+
+        These are the slots that it holds, its recent outcomes and, if it was a broker of the
+        service, the poison messages.
+        """
         now = self._clock.now()
         leases = [
             [
@@ -362,8 +380,11 @@
         ]
         if ip == self._own_ip:
             self._local_broker(service).adopt_host_state(ip, leases, results)
-        elif self._endpoint is not None and (leases or results):
-            self._endpoint.send(ip, ["held", service, leases, results])
+            return
+        local_broker = self._local_brokers.get(service)
+        poison = local_broker.broker.poison_messages(now) if local_broker else []
+        if self._endpoint is not None and (leases or results or poison):
+            self._endpoint.send(ip, ["held", service, leases, results, poison])
 
 
 def _withdrawal_report(slot_request_id: str, target: str) -> AttemptReport:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -10,12 +10,14 @@
     ["end", service, id, target, outcome, work ms, fingerprint]
     ["noted", id]
     ["sync", service]
-    ["held", service, leases, results]
-
-A host sends `ask` for a slot, `end` for the outcome of an attempt, and `held` with its slots and
-recent outcomes in reply to `sync`.  A broker answers `ask` with `grant`, `queued` or `refused`,
-acknowledges `end` with `noted`, and sends `sync` when it takes over.  `id` is that of the slot
-request.
+    ["held", service, leases, results, poison messages as [fingerprint, targets]]
+    ["crashed", service, fingerprint, targets]
+
+A host sends `ask` for a slot, `end` for the outcome of an attempt, and `held` with its slots,
+recent outcomes and known poison messages in reply to `sync`.  A broker answers `ask` with `grant`,
+`queued` or `refused`, acknowledges `end` with `noted`, and sends `sync` when it takes over.  It
+sends `crashed` to the hosts next in rank for a request that crashed targets, or without targets
+once one has answered.  `id` is that of the slot request.
 """
 
 from toucanspindle_entry.datagrams import Message
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -32,6 +32,7 @@
 MESSAGE_DELAY_S: Final = 0.001
 SLOW_HOST_DELAY_S: Final = 0.15  # Longer than a host waits for a broker's answer.
 DEADLINE_S: Final = 4.0
+POISON_PATH: Final = "/poison"
 HEADER_NAMES: Final = HeaderNames(
     b"x-request-id", b"x-deadline-ms", b"x-signature", b"x-expected-target", b"x-not-run"
 )
@@ -60,10 +61,14 @@
 
 @dataclass
 class TargetRecord:
-    """What the targets of a fleet saw: (time, request id) of each arrival, and of each request."""
+    """What the targets of a fleet saw, and when the callers sent their requests.
+
+    `arrivals` holds (time, request id), `crashes` (time, target) of the request that crashes them.
+    """
 
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     requests: list[float] = field(default_factory=list)
+    crashes: list[tuple[float, str]] = field(default_factory=list)
 
     def repeats(self) -> list[float]:
         """Return the times of the arrivals beyond the first of each request."""
@@ -228,6 +233,9 @@
         now = asyncio.get_running_loop().time()
         self.record.arrivals.append((now, request_id.decode()))
         headers = [(HEADER_NAMES.request_id, request_id)]
+        if request.split(b" ")[1] == POISON_PATH.encode():
+            self.record.crashes.append((now, head[HEADER_NAMES.expected_target].decode()))
+            raise ConnectionLostError("reset")
         draw = self.rng.random()
         if draw < self.shape.shed_share:
             await asyncio.sleep(MESSAGE_DELAY_S)
@@ -252,8 +260,12 @@
                 self.send_request(self.rng.choice(running))
         await asyncio.wait(self._tasks, timeout=2 * DEADLINE_S)
 
-    def send_request(self, host: EmulatedHost) -> None:
-        """Send one request to a host."""
+    def send_poison(self, host: EmulatedHost) -> None:
+        """Send a host the request that crashes each target that runs it."""
+        self.send_request(host, POISON_PATH)
+
+    def send_request(self, host: EmulatedHost, path: str = "") -> None:
+        """Send one request to a host; without a path it is unlike all others."""
         now = asyncio.get_running_loop().time()
         self._request_count += 1
         self.record.requests.append(now)
@@ -263,7 +275,8 @@
             (HEADER_NAMES.deadline_ms, b"%d" % (DEADLINE_S * 1000)),
         ]
         method = "GET" if self.shape.idempotent else "POST"
-        request = CallerRequest(method, f"/{self._request_count}", headers, b"", now)
+        path = path or f"/{self._request_count}"
+        request = CallerRequest(method, path, headers, b"", now)
         task = asyncio.get_running_loop().create_task(host.handler.handle(request))
         self._tasks[task] = host
         task.add_done_callback(self._end_request)
--- a/tests/test_retry_budget_fleet.py
+++ b/tests/test_retry_budget_fleet.py
@@ -15,6 +15,9 @@
 SEEDS: Final = int(os.environ.get("TOUCANSPINDLE_FLEET_SEEDS", "2"))
 FIRST_SEED: Final = int(os.environ.get("TOUCANSPINDLE_FLEET_FIRST_SEED", "1"))
 DURATION_S: Final = 30.0
+# The stated bound: this long after the third crash, at most three more requests reach targets.
+CRASHES_KNOWN_AFTER_S: Final = 3.0
+MAX_LATER_CRASHES: Final = 3
 
 Scenario = Callable[[EmulatedFleet], Coroutine[Any, Any, None]]
 
@@ -31,8 +34,8 @@
     host.is_slow = value
 
 
-class RetryBudgetTests(TestCase):
-    """The bound holds for the sum over all hosts, in each sliding window."""
+class FleetCase(TestCase):
+    """Plays scenarios with an emulated fleet."""
 
     def play(self, scenario: Scenario, shape: FleetShape, seed: int) -> EmulatedFleet:
         """Run a scenario beside the load of a shape; return the fleet afterwards."""
@@ -48,6 +51,10 @@
         run_in_virtual_time(main())
         return fleets[0]
 
+
+class RetryBudgetTests(FleetCase):
+    """The bound holds for the sum over all hosts, in each sliding window."""
+
     def check(self, scenario: Scenario, shape: FleetShape) -> None:
         for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
             fleet = self.play(scenario, shape, seed)
@@ -122,3 +129,49 @@
         fleet = self.play(no_failures, shape, FIRST_SEED)
         ratio = len(fleet.record.repeats()) / len(fleet.record.requests)
         self.assertGreater(ratio, shape.bounds.retry_ratio)
+
+
+class PoisonMessageTests(FleetCase):
+    """A request that crashes its targets comes again and again, at any host."""
+
+    def check(self, scenario: Scenario) -> None:
+        shape = FleetShape(shed_share=0.0, fail_share=0.02, unreachable_share=0.0)
+        for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
+
+            async def play(fleet: EmulatedFleet) -> None:
+                failures = asyncio.get_running_loop().create_task(scenario(fleet))
+                while True:
+                    await asyncio.sleep(0.4)
+                    running = [host for host in fleet.hosts.values() if host.is_running]
+                    fleet.send_poison(fleet.rng.choice(running))
+                    if failures.done():
+                        failures.result()
+
+            crashes = self.play(play, shape, seed).record.crashes
+            third_at = crashes[2][0]
+            later = [at for at, _ in crashes if at > third_at + CRASHES_KNOWN_AFTER_S]
+            self.assertLessEqual(len(later), MAX_LATER_CRASHES, f"seed {seed}: {later}")
+
+    def test_crashed_targets_are_remembered_while_brokers_change(self) -> None:
+        """Each new broker would let the request crash three more targets."""
+
+        async def kill_brokers(fleet: EmulatedFleet) -> None:
+            while True:
+                await asyncio.sleep(fleet.rng.uniform(2.0, 4.0))
+                for ip in rank_brokers(SERVICE, fleet.ips)[: fleet.rng.randint(1, 2)]:
+                    if fleet.hosts[ip].is_running:
+                        fleet.kill(ip, fleet.rng.uniform(0.3, 2.0))
+
+        self.check(kill_brokers)
+
+    def test_crashed_targets_are_remembered_by_all_of_several_brokers(self) -> None:
+        """Hosts that skip a slow broker by turns use several brokers at once."""
+
+        async def slow_brokers(fleet: EmulatedFleet) -> None:
+            while True:
+                for ip in rank_brokers(SERVICE, fleet.ips)[:2]:
+                    if fleet.rng.random() < 0.6:
+                        fleet.disturb(ip, set_slow, fleet.rng.uniform(0.3, 2.5))
+                await asyncio.sleep(fleet.rng.uniform(1.0, 3.0))
+
+        self.check(slow_brokers)
