Decide on all queued requests with one look at the targets

The floor is reckoned over all ready targets of the service rather than those left for a request. The estimates evaluated for one report with 200 queued requests fall from 16,003 to the number of targets (test_work_for_a_report_does_not_grow_with_the_queue failed before).

--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -124,16 +124,43 @@
     def has_free_slot(self) -> bool:
         return len(self.leases) < self.entry.slots
 
-    def expected_cost(self, now: float, rng: random.Random) -> float:
-        """Return the cost of sending the next request here, in units of failure probability."""
+    def expected_cost(self, unhealthy_probability: float, now: float) -> float:
+        """Return the cost of sending the next request here, in units of failure probability.
+
+        The random part and the surcharge for another failure domain come on top.
+        """
         utilization = len(self.leases) / max(1, self.entry.slots)
-        cost = self.health.unhealthy_at(now) + UTILIZATION_COST * utilization
+        cost = unhealthy_probability + UTILIZATION_COST * utilization
         cost += SLOWNESS_COST * min(3.0, max(0.0, self.slowness - 1.0))
         if now < self.warmed_up_at:
             cost += WARMUP_COST
         if not self.is_confirmed:
             cost += UNCONFIRMED_COST
-        return cost + JITTER_COST * rng.random()
+        return cost
+
+
+@dataclass(slots=True)
+class _FreeTarget:
+    """A ready target with a free slot; `cost` is without jitter and cross-domain surcharge."""
+
+    record: _TargetRecord
+    unhealthy_probability: float
+    cost: float
+
+
+@dataclass(slots=True)
+class _TargetSnapshot:
+    """The ready targets at one moment, for the decisions on all queued requests.
+
+    It holds until the next grant.  `busy` holds (unhealthy probability, name) of the targets that
+    take no request now, the healthiest first.  `floor_due` names the targets that the active-target
+    floor requires, and `unused` holds the free targets that have had no request yet.
+    """
+
+    free: list[_FreeTarget]
+    busy: list[tuple[float, str]]
+    floor_due: frozenset[str]
+    unused: list[_TargetRecord]
 
 
 class SlotBroker:
@@ -246,7 +273,7 @@
             slot_request, now, now + slot_request.time_left_s, now + slot_request.goal_left_s
         )
         if not self._is_behind_queue(pending):
-            target = self._choose_target(pending, now)
+            target = self._choose_target(pending, self._snapshot(now), now)
             if target is not None:
                 return self._grant(pending, target, now)
         return self._enqueue_or_refuse(pending, now)
@@ -353,15 +380,21 @@
 
     def grant_queued(self, now: float) -> list[Decision]:
         """Grant free slots to queued requests in priority order; return the grants."""
+        if not self._queue:
+            return []
         decisions: list[Decision] = []
         granted: set[str] = set()
+        snapshot = self._snapshot(now)
         for pending in self._queue_by_priority(now):
+            if not snapshot.free:
+                break
             if pending.slot_request.is_retry and not self._retry_budget.has_credit(now):
                 continue
-            target = self._choose_target(pending, now)
+            target = self._choose_target(pending, snapshot, now)
             if target is not None:
                 decisions.append(self._grant(pending, target, now))
                 granted.add(pending.slot_request.id)
+                snapshot = self._snapshot(now)
         if granted:
             self._queue = [
                 pending for pending in self._queue if pending.slot_request.id not in granted
@@ -394,10 +427,7 @@
             return Refused(slot_request.id, slot_request.host, RefusalReason.POISON, 0.0)
         if slot_request.time_left_s <= 0:
             return Refused(slot_request.id, slot_request.host, RefusalReason.TOO_LATE, 0.0)
-        eligible = [
-            record for record in self._targets.values() if self._is_eligible(record, slot_request)
-        ]
-        if not eligible:
+        if not any(self._is_eligible(record, slot_request) for record in self._targets.values()):
             return Refused(
                 slot_request.id,
                 slot_request.host,
@@ -472,45 +502,79 @@
             and record.entry.name not in slot_request.excluded
         )
 
-    def _choose_target(self, pending: _PendingRequest, now: float) -> _TargetRecord | None:
+    def _snapshot(self, now: float) -> _TargetSnapshot:
+        """Return the state of the ready targets."""
+        free: list[_FreeTarget] = []
+        busy: list[tuple[float, str]] = []
+        unused: list[_TargetRecord] = []
+        unhealthy: dict[str, float] = {}
+        for name, record in self._targets.items():
+            if record.entry.state is not TargetState.READY:
+                continue
+            unhealthy[name] = record.health.unhealthy_at(now)
+            if record.has_free_slot:
+                cost = record.expected_cost(unhealthy[name], now)
+                free.append(_FreeTarget(record, unhealthy[name], cost))
+                is_new = record.joined_at > float("-inf")
+                if is_new and record.joined_at > self._active_floor.last_granted_at(name):
+                    unused.append(record)
+            if not record.has_free_slot or now < record.paused_until:
+                busy.append((unhealthy[name], name))
+        busy.sort()
+        floor_due = self._active_floor.targets_due(
+            list(unhealthy), lambda name: unhealthy[name] < FLOOR_MAX_UNHEALTHY, now
+        )
+        return _TargetSnapshot(free, busy, frozenset(floor_due), unused)
+
+    def _choose_target(
+        self, pending: _PendingRequest, snapshot: _TargetSnapshot, now: float
+    ) -> _TargetRecord | None:
         """Return the target for a request, or None if the request should wait.
 
         Targets that the active-target floor requires come first, then new targets without any
         request, then the free target of least cost.
         """
-        best: _TargetRecord | None = None
-        best_cost = 0.0
-        min_busy_unhealthy = 1.0
         slot_request = pending.slot_request
-        eligible = [
-            record for record in self._targets.values() if self._is_eligible(record, slot_request)
+        free = [
+            target
+            for target in snapshot.free
+            if target.record.entry.name not in slot_request.excluded
         ]
-        preferred = self._floor_target(eligible, slot_request, now) or self._unused_new_target(
-            eligible, slot_request, now
+        preferred = self._floor_target(free, snapshot, slot_request, now) or (
+            _unused_new_target(snapshot, slot_request, now)
         )
         if preferred is not None:
             return preferred
-        for record in eligible:
-            if not record.has_free_slot or now < record.paused_until:
-                min_busy_unhealthy = min(min_busy_unhealthy, record.health.unhealthy_at(now))
+        best: _FreeTarget | None = None
+        best_cost = 0.0
+        for target in free:
+            if now < target.record.paused_until:
                 continue
-            cost = record.expected_cost(now, self._rng) + _cross_domain_cost(record, slot_request)
+            cost = target.cost + JITTER_COST * self._rng.random()
+            cost += _cross_domain_cost(target.record, slot_request)
             if best is None or cost < best_cost:
-                best, best_cost = record, cost
+                best, best_cost = target, cost
         if best is None:
             return None
-        unhealthy_probability = best.health.unhealthy_at(now)
+        min_busy_unhealthy = next(
+            (
+                unhealthy_probability
+                for unhealthy_probability, name in snapshot.busy
+                if name not in slot_request.excluded
+            ),
+            1.0,
+        )
         should_avoid_best = (
-            unhealthy_probability > AVOID_MIN_UNHEALTHY
-            and min_busy_unhealthy < unhealthy_probability - AVOID_MIN_GAIN
+            best.unhealthy_probability > AVOID_MIN_UNHEALTHY
+            and min_busy_unhealthy < best.unhealthy_probability - AVOID_MIN_GAIN
         )
         if (
             should_avoid_best
             and self._can_wait_for_healthier_target(pending, now)
-            and not self._may_probe(best, pending, now)
+            and not self._may_probe(best.record, pending, now)
         ):
             return None
-        return best
+        return best.record
 
     def _can_wait_for_healthier_target(self, pending: _PendingRequest, now: float) -> bool:
         """Return whether a request has time to wait for a healthier target.
@@ -536,37 +600,23 @@
         has_waited = now - pending.arrived_at > PROBE_MIN_WAIT_WORK_TIMES * self._mean_work_s
         return pending.slot_request.can_retry or has_waited
 
-    def _unused_new_target(
-        self, eligible: list[_TargetRecord], slot_request: SlotRequest, now: float
-    ) -> _TargetRecord | None:
-        """Return a free target that joined a while ago and has had no request yet, or None."""
-        wait_s = NEW_TARGET_DELAY_RETRYABLE_S if slot_request.can_retry else NEW_TARGET_DELAY_S
-        for record in eligible:
-            is_unused = record.joined_at > self._active_floor.last_granted_at(record.entry.name)
-            if is_unused and now - record.joined_at > wait_s and record.has_free_slot:
-                return record
-        return None
-
     def _floor_target(
-        self, eligible: list[_TargetRecord], slot_request: SlotRequest, now: float
+        self,
+        free: list[_FreeTarget],
+        snapshot: _TargetSnapshot,
+        slot_request: SlotRequest,
+        now: float,
     ) -> _TargetRecord | None:
         """Return the free target that is most likely healthy among those due for the floor."""
-        names = self._active_floor.targets_due(
-            [record.entry.name for record in eligible],
-            lambda name: self.unhealthy_probability(name, now) < FLOOR_MAX_UNHEALTHY,
-            now,
-        )
-        free = [
-            record for record in eligible if record.entry.name in names and record.has_free_slot
-        ]
-        if not free:
+        due = [target for target in free if target.record.entry.name in snapshot.floor_due]
+        if not due:
             return None
         self._active_floor.record_floor_request(now)
         return min(
-            free,
-            key=lambda record: record.health.unhealthy_at(now)
-            + _cross_domain_cost(record, slot_request),
-        )
+            due,
+            key=lambda target: target.unhealthy_probability
+            + _cross_domain_cost(target.record, slot_request),
+        ).record
 
     def _grant(self, pending: _PendingRequest, record: _TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
@@ -680,5 +730,17 @@
         return MIN_RETRY_AFTER_S + backlog_s * self._rng.uniform(0.5, 1.0)
 
 
+def _unused_new_target(
+    snapshot: _TargetSnapshot, slot_request: SlotRequest, now: float
+) -> _TargetRecord | None:
+    """Return a free target that joined a while ago and has had no request yet, or None."""
+    wait_s = NEW_TARGET_DELAY_RETRYABLE_S if slot_request.can_retry else NEW_TARGET_DELAY_S
+    for record in snapshot.unused:
+        is_excluded = record.entry.name in slot_request.excluded
+        if not is_excluded and now - record.joined_at > wait_s:
+            return record
+    return None
+
+
 def _cross_domain_cost(record: _TargetRecord, slot_request: SlotRequest) -> float:
     return 0.0 if record.entry.failure_domain == slot_request.failure_domain else CROSS_DOMAIN_COST
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -16,7 +17,11 @@
     SlotBroker,
 )
 from toucanspindle_entry.slottypes import AttemptReport, Grant, Queued, RefusalReason, Refused
-from toucanspindle_entry.targethealth import PRIOR_UNHEALTHY_PROBABILITY, AttemptOutcome
+from toucanspindle_entry.targethealth import (
+    PRIOR_UNHEALTHY_PROBABILITY,
+    AttemptOutcome,
+    HealthEstimate,
+)
 
 from tests.entrycase import BOUNDS, granted_target, make_broker, slot_request, target
 
@@ -296,6 +301,42 @@
         self.assertEqual(0, broker.slots_in_use)
 
 
+class BrokerLoadTests(TestCase):
+    """A broker that takes long for each message answers too late, and hosts use several brokers."""
+
+    def estimates_for_a_report(self, waiting: int, open_targets: int) -> int:
+        """Return how often health estimates are evaluated for one report.
+
+        `waiting` requests are queued; `open_targets` unhealthy targets have free slots.
+        """
+        busy = [target(f"busy{n}", slots=1) for n in range(40)]
+        unhealthy = [target(f"sick{n}", slots=1) for n in range(open_targets)]
+        broker = make_broker(*busy, *unhealthy)
+        names = tuple(entry.name for entry in unhealthy)
+        for n in range(len(busy)):
+            granted_target(broker.request_slot(slot_request(f"b{n}", excluded=names), 0.0))
+        for entry in unhealthy:
+            report = attempt_report("none", entry.name, AttemptOutcome.FAILED)
+            broker.record_attempt(report, 0.0)
+            broker.record_attempt(report, 0.0)
+        for n in range(waiting):
+            queued = slot_request(f"q{n}", goal_left_s=9.0, time_left_s=9.0)
+            self.assertIsInstance(broker.request_slot(queued, 0.1), Queued)
+        with mock.patch.object(
+            HealthEstimate, "unhealthy_at", autospec=True, side_effect=HealthEstimate.unhealthy_at
+        ) as unhealthy_at:
+            report = attempt_report("b0", "busy0", AttemptOutcome.ANSWERED)
+            self.assertEqual(1, len(broker.record_attempt(report, 0.2)))
+        return unhealthy_at.call_count
+
+    def test_work_for_a_report_does_not_grow_with_the_queue(self) -> None:
+        """At peak load with failing targets, hundreds of requests wait beside free bad slots."""
+        for open_targets in (0, 10):
+            short = self.estimates_for_a_report(10, open_targets)
+            long = self.estimates_for_a_report(200, open_targets)
+            self.assertLessEqual(long, short + 50, f"{open_targets} open targets")
+
+
 class RetryTests(TestCase):
     def test_new_broker_grants_no_retry_that_its_predecessor_may_have_spent(self) -> None:
         broker = make_broker(target("a", slots=50))
