--- a/tests/test_entry_httpclient.py
+++ b/tests/test_entry_httpclient.py
@@ -62,6 +62,7 @@
     finally:
         connection.close()
         server.close()
+        await asyncio.sleep(0.01)  # The target closes its connection.
 
 
 def is_own_response(response: HttpResponse) -> bool:
@@ -304,6 +305,7 @@
                 self.assertIsInstance(exchange.exception(), MalformedResponseError)
             self.assertEqual(0, memory.held_bytes)
             server.close()
+            await asyncio.sleep(0.05)  # The target closes its connections.
 
         asyncio.run(run())
         self.assertLess(max(held), MAX_HELD_BYTES + 2 * 1024 * 1024)
--- a/tests/test_entry_requestpath.py
+++ b/tests/test_entry_requestpath.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import time
 from collections.abc import Awaitable, Callable
 from typing import Final, cast
 
@@ -61,7 +62,14 @@
 
 
 class FaultyTargetCase(TestCase):
-    """Sends requests through a `RequestHandler` to a target that answers by a script."""
+    """Sends requests through a `RequestHandler` to a target that answers by a script.
+
+    `heads` holds the headers of the requests that the target got, with names in lower case.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.heads: list[dict[bytes, bytes]] = []
 
     def send(
         self, answer: Answer, *request_ids: str, method: str = "GET", max_attempts: int = 1
@@ -76,14 +84,10 @@
             try:
                 while True:
                     head = await reader.readuntil(b"\r\n\r\n")
-                    request_id = next(
-                        (
-                            line.partition(b": ")[2]
-                            for line in head.split(b"\r\n")
-                            if line.startswith(b"x-request-id")
-                        ),
-                        b"",
-                    )
+                    lines = head.split(b"\r\n")[1:]
+                    pairs = (line.split(b": ", 1) for line in lines if line)
+                    self.heads.append({name.lower(): value for name, value in pairs})
+                    request_id = self.heads[-1].get(b"x-request-id", b"")
                     await answer(number, request_id, writer)
                     number += 1
             except (asyncio.IncompleteReadError, ConnectionError):
@@ -123,6 +127,7 @@
                 await asyncio.sleep(0.01)
             pool.close()
             server.close()
+            await asyncio.sleep(0.02)  # The target closes its connections.
             return responses
 
         return asyncio.run(run()), connections
@@ -216,3 +221,20 @@
 
         responses, _ = self.send(answer, "q1", method="POST")
         self.assertEqual(502, responses[0].status)
+
+
+class DeadlineTests(FaultyTargetCase):
+    def test_target_gets_no_more_time_than_the_caller_has_left(self) -> None:
+        """A retry that is sent later must end by the deadline of the first attempt."""
+        deadlines: list[tuple[float, int]] = []
+
+        async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+            deadlines.append((time.monotonic(), int(self.heads[-1][b"x-deadline-ms"])))
+            await asyncio.sleep(0.3)
+            writer.write(response(request_id, b"500 Error"))
+
+        self.send(answer, "q1", max_attempts=3)
+        self.assertEqual(3, len(deadlines))
+        first_sent_at, _ = deadlines[0]
+        for sent_at, deadline_ms in deadlines:
+            self.assertLessEqual(sent_at - first_sent_at + deadline_ms / 1000, DEADLINE_S + 0.1)
