Make sure that all hosts learn that a host has become ready

A host that starts says hello while it isn't ready, and says it again once it is, but only to the hosts whose welcome had arrived by then. A pair whose messages crossed took the starting host for a leaving one until it restarted, and asked other brokers than the rest of the fleet.

The exchange moves to a module of its own. A welcome to a host that is ready by now is answered with another hello, a hello without a welcome is repeated, and answers to probes tell readiness too. With the second hello taken out, test_host_that_becomes_ready_between_hello_and_welcome_is_known_as_ready fails.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -25,6 +25,7 @@
 from toucanspindle_entry.callerconnection import CallerConnection, CallerRequest, CallerResponse
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.entrymetrics import EntryMetrics
+from toucanspindle_entry.hostannouncer import HostAnnouncer
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.model import (
     CallerLimits,
@@ -179,6 +180,7 @@
         )
         self._datagrams = DatagramEndpoint(settings.ip, settings.peer_port, self._handle_datagram)
         self._slots.attach(self._datagrams)
+        self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
         self._plan_watch = self._create_watch(ObjectKind.PLAN, _PlanListener(self))
         self._target_watch = self._create_watch(
             ObjectKind.TARGETS, _TargetListener(self, self._targets)
@@ -332,13 +334,7 @@
         if self.is_ready and not self._announced_ready:
             self._announced_ready = True
             log.info("event=ready targets={}", self._targets.size)
-            for ip in list(self._hosts.peers):
-                self._datagrams.send(ip, self._hello_message("hello"))
-
-    def _hello_message(self, kind: str) -> Message:
-        """Return a `hello` or `welcome` message, which describes this host."""
-        own = self._own_entry
-        return [kind, own.name, own.failure_domain, own.incarnation, int(self.is_ready)]
+            self._announcer.greet_all()
 
     def _handle_datagram(self, ip: str, message: Message) -> None:
         """Process a datagram about slots or about other hosts; ignore unknown kinds."""
@@ -347,47 +343,26 @@
         kind = message[0]
         now = self._clock.now()
         if kind == "probe":
-            self._datagrams.send(ip, ["alive", message[1], self._plan_version()])
+            self._datagrams.send(
+                ip, ["alive", message[1], self._plan_version(), int(self.is_ready)]
+            )
             if ip not in self._hosts.peers:
-                self._datagrams.send(ip, self._hello_message("hello"))
+                self._announcer.greet(ip)
         elif kind == "alive":
             self._handle_probe_answer(ip, message[1], message[2], now)
+            if len(message) > 3:
+                self._hosts.set_ready(ip, bool(message[3]))
         elif kind in {"hello", "welcome"}:
-            self._handle_hello(ip, message, now)
+            if self._announcer.handle_hello(ip, message, now):
+                self._slots.release_host(ip)
         elif kind == "peers":
-            for name, peer_ip, domain, incarnation in message[1]:
-                if self._hosts.add_host(HostEntry(name, peer_ip, domain, incarnation), now):
-                    self._datagrams.send(peer_ip, self._hello_message("hello"))
+            self._announcer.handle_peers(message, now)
         elif kind == "leave":
             if self._hosts.set_leaving(ip, message[1]):
                 log.info("event=host_leaving host={}", ip)
         elif kind == "dead" and self._hosts.record_dead_report(message[1], ip):
             self._log_host_death(message[1], f"reported by {ip}")
 
-    def _handle_hello(self, ip: str, message: Message, now: float) -> None:
-        """Record the incarnation and readiness of a host that sent `hello` or `welcome`.
-
-        The reply to a `hello` is a `welcome`; an unready host also gets the other known hosts.
-        """
-        kind, name, domain, incarnation, is_ready = message
-        if self._hosts.add_host(HostEntry(name, ip, domain, incarnation), now):
-            log.info("event=host_joined host={} name={} incarnation={}", ip, name, incarnation)
-            self._slots.release_host(ip)
-        peer = self._hosts.peers.get(ip)
-        if peer is not None and not is_ready:
-            peer.is_leaving = True
-        elif peer is not None:
-            peer.is_leaving = False
-        if kind == "hello":
-            self._datagrams.send(ip, self._hello_message("welcome"))
-            if not is_ready:
-                known_hosts = [
-                    [p.entry.name, p.entry.ip, p.entry.failure_domain, p.entry.incarnation]
-                    for p in self._hosts.peers.values()
-                    if p.entry.ip != ip
-                ]
-                self._datagrams.send(ip, ["peers", known_hosts])
-
     def _handle_probe_answer(self, ip: str, seq: int, plan_version: int, now: float) -> None:
         """Mark a host alive; list the plan again if the host has a newer version."""
         probe = self._pending_probes.pop(seq, None)
@@ -439,7 +414,7 @@
         """Send a hello to the seeds, then to every unknown host that the store lists, forever."""
         for ip in self._settings.seeds:
             if ip != self._own_entry.ip:
-                self._datagrams.send(ip, self._hello_message("hello"))
+                self._announcer.greet(ip)
         waits = iter(HOST_LIST_WAITS_S)
         wait_s = next(waits)
         while True:
@@ -459,7 +434,7 @@
             for registration in registrations:
                 known_ips = {self._own_entry.ip, *self._hosts.peers}
                 if registration.ip not in known_ips:
-                    self._datagrams.send(registration.ip, self._hello_message("hello"))
+                    self._announcer.greet(registration.ip)
 
     async def _register_host(self) -> None:
         """Write this host's entry to the store; retry until it succeeds."""
@@ -480,6 +455,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._connection_pool.close_expired()
+            self._announcer.repeat()
             if self._targets.expire_unconfirmed():
                 self._slots.targets_changed()
             current_suspended_s = _suspended_since_boot_s()
--- /dev/null
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
@@ -0,0 +1,104 @@
+"""Tells the other hosts that this host has started and whether it is ready, and learns it of them.
+
+    ["hello", name, failure domain, incarnation, is ready]
+    ["welcome", name, failure domain, incarnation, is ready]
+    ["peers", [[name, ip, failure domain, incarnation], ...]]
+
+A host sends `hello` to each host that it hears of; the reply is `welcome`, and `peers` if the
+sender isn't ready.  When it becomes ready it sends `hello` again.  All hosts must learn of that: a
+host that takes another one for unready chooses other brokers than the rest of the fleet.  A
+`welcome` to a host that became ready meanwhile is therefore answered with another `hello`, and a
+`hello` that brought no `welcome` is repeated.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from logbook import Logger
+
+from toucanspindle_entry.datagrams import Message
+from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.model import HostEntry
+
+MAX_READY_HELLOS: Final = 4  # For each host; a lost datagram is rare.
+
+log = Logger("node")
+
+SendMessage = Callable[[str, Message], None]
+
+
+class HostAnnouncer:
+    """Exchanges `hello` and `welcome` with the other hosts."""
+
+    def __init__(self, hosts: LiveHosts, send: SendMessage, is_ready: Callable[[], bool]) -> None:
+        """Create an announcer for the host `hosts.own`."""
+        self._hosts = hosts
+        self._send = send
+        self._is_ready = is_ready
+        self._ready_hellos: dict[str, int] = {}
+        self._confirmed: set[str] = set()
+
+    def greet(self, ip: str) -> None:
+        """Send `hello` to a host."""
+        is_ready = self._is_ready()
+        if is_ready:
+            self._ready_hellos[ip] = self._ready_hellos.get(ip, 0) + 1
+        self._send(ip, self._message("hello", is_ready))
+
+    def greet_all(self) -> None:
+        """Send `hello` to all known hosts, when this host has become ready."""
+        for ip in list(self._hosts.peers):
+            self.greet(ip)
+
+    def repeat(self) -> None:
+        """Send `hello` again to the hosts that haven't confirmed that this host is ready."""
+        if not self._is_ready():
+            return
+        for ip, peer in list(self._hosts.peers.items()):
+            is_told_often = self._ready_hellos.get(ip, 0) >= MAX_READY_HELLOS
+            if peer.is_alive and ip not in self._confirmed and not is_told_often:
+                self.greet(ip)
+
+    def handle_hello(self, ip: str, message: Message, now: float) -> bool:
+        """Record the incarnation and readiness of the sender; return whether it is a new one.
+
+        Raises ValueError for a malformed message.
+        """
+        kind, name, domain, incarnation, is_ready = message
+        is_new = self._hosts.add_host(HostEntry(name, ip, domain, incarnation), now)
+        if is_new:
+            log.info("event=host_joined host={} name={} incarnation={}", ip, name, incarnation)
+            self._confirmed.discard(ip)
+            self._ready_hellos.pop(ip, None)
+        self._hosts.set_ready(ip, bool(is_ready))
+        if kind == "hello":
+            self._send(ip, self._message("welcome", self._is_ready()))
+            if self._is_ready():
+                self._confirmed.add(ip)
+            if not is_ready:
+                self._send_peers(ip)
+        elif self._is_ready():
+            if self._ready_hellos.get(ip):
+                self._confirmed.add(ip)
+            else:
+                self.greet(ip)
+        return is_new
+
+    def handle_peers(self, message: Message, now: float) -> None:
+        """Add the hosts that another host knows, and greet the new ones."""
+        for name, ip, domain, incarnation in message[1]:
+            if self._hosts.add_host(HostEntry(name, ip, domain, incarnation), now):
+                self.greet(ip)
+
+    def _message(self, kind: str, is_ready: bool) -> Message:
+        own = self._hosts.own
+        return [kind, own.name, own.failure_domain, own.incarnation, int(is_ready)]
+
+    def _send_peers(self, ip: str) -> None:
+        """Send the other known hosts to a host that has just started."""
+        known_hosts = [
+            [p.entry.name, p.entry.ip, p.entry.failure_domain, p.entry.incarnation]
+            for p in self._hosts.peers.values()
+            if p.entry.ip != ip
+        ]
+        self._send(ip, ["peers", known_hosts])
--- a/packages/toucanspindle-entry/toucanspindle_entry/livehosts.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/livehosts.py
@@ -124,6 +124,12 @@
         peer.missed_probes = max(peer.missed_probes + 1, DEAD_AFTER_MISSED_PROBES - 1)
         return not peer.is_alive
 
+    def set_ready(self, ip: str, is_ready: bool) -> None:
+        """Record whether a host says that it is ready; an unready one counts as leaving."""
+        peer = self._peers.get(ip)
+        if peer is not None:
+            peer.is_leaving = not is_ready
+
     def set_leaving(self, ip: str, incarnation: str) -> bool:
         """Mark a host as leaving; return whether this changed its state.
 
