Keep free targets sorted, so that a waiting request looks at few of them

The look at the targets sorts the available ones by cost once; a request stops at the first one that can't win.

--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -127,7 +127,7 @@
     def expected_cost(self, unhealthy_probability: float, now: float) -> float:
         """Return the cost of sending the next request here, in units of failure probability.
 
-        The random part and the surcharge for another failure domain come on top.
+        Jitter and the surcharge for another failure domain come on top.
         """
         utilization = len(self.leases) / max(1, self.entry.slots)
         cost = unhealthy_probability + UTILIZATION_COST * utilization
@@ -141,7 +141,7 @@
 
 @dataclass(slots=True)
 class _FreeTarget:
-    """A ready target with a free slot; `cost` is without jitter and cross-domain surcharge."""
+    """A ready target with a free slot; `cost` is without the surcharge for another domain."""
 
     record: _TargetRecord
     unhealthy_probability: float
@@ -152,16 +152,22 @@
 class _TargetSnapshot:
     """The ready targets at one moment, for the decisions on all queued requests.
 
-    It holds until the next grant.  `busy` holds (unhealthy probability, name) of the targets that
-    take no request now, the healthiest first.  `floor_due` names the targets that the active-target
-    floor requires, and `unused` holds the free targets that have had no request yet.
+    It holds until the next grant.  `available` holds the targets that take a request now, by cost,
+    and `busy` (unhealthy probability, name) of the others, the healthiest first.  `floor_due` holds
+    the free targets that the active-target floor requires, and `unused` the free ones that have had
+    no request yet.
     """
 
-    free: list[_FreeTarget]
+    available: list[_FreeTarget]
     busy: list[tuple[float, str]]
-    floor_due: frozenset[str]
+    floor_due: list[_FreeTarget]
     unused: list[_TargetRecord]
 
+    @property
+    def has_free_target(self) -> bool:
+        """Whether any request can be granted."""
+        return bool(self.available or self.floor_due or self.unused)
+
 
 class SlotBroker:
     """Grants, queues and refuses the slot requests for one service.
@@ -386,7 +392,7 @@
         granted: set[str] = set()
         snapshot = self._snapshot(now)
         for pending in self._queue_by_priority(now):
-            if not snapshot.free:
+            if not snapshot.has_free_target:
                 break
             if pending.slot_request.is_retry and not self._retry_budget.has_credit(now):
                 continue
@@ -514,17 +520,26 @@
             unhealthy[name] = record.health.unhealthy_at(now)
             if record.has_free_slot:
                 cost = record.expected_cost(unhealthy[name], now)
+                if now >= record.paused_until:
+                    cost += JITTER_COST * self._rng.random()
                 free.append(_FreeTarget(record, unhealthy[name], cost))
                 is_new = record.joined_at > float("-inf")
                 if is_new and record.joined_at > self._active_floor.last_granted_at(name):
                     unused.append(record)
             if not record.has_free_slot or now < record.paused_until:
                 busy.append((unhealthy[name], name))
-        busy.sort()
-        floor_due = self._active_floor.targets_due(
+        names_due = self._active_floor.targets_due(
             list(unhealthy), lambda name: unhealthy[name] < FLOOR_MAX_UNHEALTHY, now
         )
-        return _TargetSnapshot(free, busy, frozenset(floor_due), unused)
+        return _TargetSnapshot(
+            sorted(
+                (target for target in free if now >= target.record.paused_until),
+                key=lambda target: target.cost,
+            ),
+            sorted(busy),
+            [target for target in free if target.record.entry.name in names_due],
+            unused,
+        )
 
     def _choose_target(
         self, pending: _PendingRequest, snapshot: _TargetSnapshot, now: float
@@ -535,23 +550,19 @@
         request, then the free target of least cost.
         """
         slot_request = pending.slot_request
-        free = [
-            target
-            for target in snapshot.free
-            if target.record.entry.name not in slot_request.excluded
-        ]
-        preferred = self._floor_target(free, snapshot, slot_request, now) or (
+        preferred = self._floor_target(snapshot, slot_request, now) or (
             _unused_new_target(snapshot, slot_request, now)
         )
         if preferred is not None:
             return preferred
         best: _FreeTarget | None = None
         best_cost = 0.0
-        for target in free:
-            if now < target.record.paused_until:
+        for target in snapshot.available:
+            if best is not None and target.cost > best_cost:
+                break
+            if target.record.entry.name in slot_request.excluded:
                 continue
-            cost = target.cost + JITTER_COST * self._rng.random()
-            cost += _cross_domain_cost(target.record, slot_request)
+            cost = target.cost + _cross_domain_cost(target.record, slot_request)
             if best is None or cost < best_cost:
                 best, best_cost = target, cost
         if best is None:
@@ -601,14 +612,14 @@
         return pending.slot_request.can_retry or has_waited
 
     def _floor_target(
-        self,
-        free: list[_FreeTarget],
-        snapshot: _TargetSnapshot,
-        slot_request: SlotRequest,
-        now: float,
+        self, snapshot: _TargetSnapshot, slot_request: SlotRequest, now: float
     ) -> _TargetRecord | None:
         """Return the free target that is most likely healthy among those due for the floor."""
-        due = [target for target in free if target.record.entry.name in snapshot.floor_due]
+        due = [
+            target
+            for target in snapshot.floor_due
+            if target.record.entry.name not in slot_request.excluded
+        ]
         if not due:
             return None
         self._active_floor.record_floor_request(now)
