Ask for no second slot at a target that has left

The broker had lost the store before four targets left, so it kept granting them, and preferred them as idle ones; the hosts, which knew, gave each grant back and asked again, and got the same target again.

A target whose grant isn't used is now excluded from the request's next slot requests, as one that failed it is.

--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -80,8 +80,9 @@
     """A routed request and the state of its attempts.
 
     `deadline_at` and `CallerRequest.received_at` are in seconds of the handler's clock.
-    `excluded_targets` lists targets that already failed the request.  `unused_grants` counts grants
-    without a sent request.  `last_response` is the last error response that may be relayed.
+    `excluded_targets` lists targets that already failed the request or have left, which the broker
+    may not know.  `unused_grants` counts grants without a sent request.  `last_response` is the
+    last error response that may be relayed.
     """
 
     request: CallerRequest
@@ -447,7 +448,7 @@
     def _record_attempt(
         self, progress: _RequestProgress, grant: SlotGrant, attempt: _AttemptResult
     ) -> None:
-        """Count and log an attempt; exclude a target that failed it from further attempts."""
+        """Count and log an attempt; exclude its target from further ones unless it answered."""
         self._metrics.count_attempt(progress.service, attempt.outcome.value)
         if attempt.outcome is AttemptOutcome.ANSWERED:
             self._log_served_sample(progress, grant)
@@ -466,8 +467,7 @@
             progress.attempts_sent,
             attempt.detail,
         )
-        if attempt.outcome is not AttemptOutcome.WITHDRAWN:
-            progress.excluded_targets.append(grant.target)
+        progress.excluded_targets.append(grant.target)
 
     def _log_served_sample(self, progress: _RequestProgress, grant: SlotGrant) -> None:
         """Log every SERVED_LOG_INTERVAL-th served request."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
@@ -22,9 +22,9 @@
 
     `id` is unique over all hosts and attempts.  `failure_domain` is that of the host.
     `time_left_s` is the time until the deadline and `goal_left_s` the time until the route's
-    latency goal, in seconds.  `excluded` names the targets at which earlier attempts failed; they
-    get no further attempt.  `can_retry` is true if another attempt can follow when this one
-    fails.  `fingerprint` is equal for equal requests and identifies poison messages.
+    latency goal, in seconds.  `excluded` names the targets that get no further attempt, since they
+    failed an earlier one or have left.  `can_retry` is true if another attempt can follow when this
+    one fails.  `fingerprint` is equal for equal requests and identifies poison messages.
     `retry_credit` is added to the broker's retry budget, in retries.
     """
 
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -63,12 +63,14 @@
 class TargetRecord:
     """What the targets of a fleet saw, and when the callers sent their requests.
 
-    `arrivals` holds (time, request id), `crashes` (time, target) of the request that crashes them.
+    `arrivals` holds (time, request id), `crashes` (time, target) of the request that crashes them,
+    and `last_arrivals` the time of the last arrival at each target.
     """
 
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     requests: list[float] = field(default_factory=list)
     crashes: list[tuple[float, str]] = field(default_factory=list)
+    last_arrivals: dict[str, float] = field(default_factory=dict)
 
     def repeats(self) -> list[float]:
         """Return the times of the arrivals beyond the first of each request."""
@@ -232,6 +234,7 @@
         request_id = head[HEADER_NAMES.request_id]
         now = asyncio.get_running_loop().time()
         self.record.arrivals.append((now, request_id.decode()))
+        self.record.last_arrivals[head[HEADER_NAMES.expected_target].decode()] = now
         headers = [(HEADER_NAMES.request_id, request_id)]
         if request.split(b" ")[1] == POISON_PATH.encode():
             self.record.crashes.append((now, head[HEADER_NAMES.expected_target].decode()))
@@ -286,6 +289,16 @@
         if not task.cancelled():
             self.statuses.append(task.result().status)
 
+    # Changes of the registered targets.
+
+    def remove_targets(self, names: set[str], unaware: set[str]) -> None:
+        """Remove targets; the hosts `unaware` don't learn of it, as without the store."""
+        self._entries = [entry for entry in self._entries if entry.name not in names]
+        for ip, host in self.hosts.items():
+            if ip not in unaware:
+                host.targets.replace_all(self._entries, after_outage=False)
+                host.slots.targets_changed()
+
     # Failures.
 
     def kill(self, ip: str, down_s: float) -> None:
