Let hosts tell each other of changes of targets that one of them misses

Around the outage of the store the answer to a call that waits for changes was lost without notice on the broker's host.

The answers to probes now carry the revision of the newest change of a target that the host has seen. A host that doesn't know that revision a second later lists the targets again.

With the call of MissedChanges taken out, test_host_whose_watch_is_lost_without_notice_learns_of_a_draining_target fails after its 10 s.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -27,6 +27,7 @@
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.hostannouncer import HostAnnouncer
 from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.missedchanges import MissedChanges
 from toucanspindle_entry.model import (
     CallerLimits,
     FleetPlan,
@@ -123,12 +124,16 @@
 
     def on_listing(self, listing: StoreListing, after_outage: bool) -> None:
         entries = [item.value for item in listing.items if isinstance(item.value, TargetEntry)]
+        for entry in entries:
+            if (known := self._table.get(entry.name)) is not None:
+                _log_target_change(known, entry)
         self._table.replace_all(entries, after_outage)
         self._table.advance_to(listing.revision)
         self._node.targets_changed()
 
     def on_changes(self, changes: StoreChanges, after_outage: bool) -> None:
         for change in changes.changes:
+            self._table.record_change(change.revision)
             if isinstance(change.value, TargetEntry) and not change.removed:
                 _log_target_change(self._table.get(change.name), change.value)
                 self._table.register(change.value)
@@ -185,6 +190,7 @@
         self._target_watch = self._create_watch(
             ObjectKind.TARGETS, _TargetListener(self, self._targets)
         )
+        self._missed_targets = MissedChanges()
         self._targets_known = False
         self._announced_ready = False
         self._stopping = False
@@ -344,7 +350,14 @@
         now = self._clock.now()
         if kind == "probe":
             self._datagrams.send(
-                ip, ["alive", message[1], self._plan_version(), int(self.is_ready)]
+                ip,
+                [
+                    "alive",
+                    message[1],
+                    self._plan_version(),
+                    int(self.is_ready),
+                    self._targets.newest_change,
+                ],
             )
             if ip not in self._hosts.peers:
                 self._announcer.greet(ip)
@@ -352,6 +365,8 @@
             self._handle_probe_answer(ip, message[1], message[2], now)
             if len(message) > 3:
                 self._hosts.set_ready(ip, bool(message[3]))
+            if len(message) > 4:
+                self._check_missed_targets(int(message[4]), now)
         elif kind in {"hello", "welcome"}:
             if self._announcer.handle_hello(ip, message, now):
                 self._slots.release_host(ip)
@@ -373,6 +388,16 @@
         if plan_version > self._plan_version():
             self._plan_watch.request_listing()
 
+    def _check_missed_targets(self, newest_change: int, now: float) -> None:
+        """List the targets again if another host has long seen a change that this one hasn't."""
+        revision = self._target_watch.revision
+        # A listing is due already if no revision is known.
+        if revision and self._missed_targets.is_overdue(newest_change, revision, now):
+            log.warning(
+                "event=changes_missed kind=targets revision={} newest={}", revision, newest_change
+            )
+            self._target_watch.request_listing()
+
     def _plan_version(self) -> int:
         routes = self._request_handler.routes
         return routes.plan.version if routes is not None else 0
--- a/packages/toucanspindle-entry/toucanspindle_entry/objectstore.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/objectstore.py
@@ -34,11 +34,15 @@
 
 @dataclass(frozen=True)
 class StoreChange:
-    """A change of an object; `value` is None if it was removed or can't be decoded."""
+    """A change of an object; `value` is None if it was removed or can't be decoded.
+
+    `revision` is the store revision of the change, or 0 if it isn't known.
+    """
 
     name: str
     value: Any
     removed: bool
+    revision: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
@@ -25,6 +25,7 @@
         self._unconfirmed_until: dict[str, float] = {}
         self._removed_started_ms: dict[str, int] = {}
         self._revision = 0
+        self._newest_change = 0
 
     @property
     def unconfirmed(self) -> frozenset[str]:
@@ -36,6 +37,11 @@
         """Number of known targets, unconfirmed ones included."""
         return len(self._entries)
 
+    @property
+    def newest_change(self) -> int:
+        """The store revision of the newest change that this host has seen."""
+        return self._newest_change
+
     def get(self, name: str) -> TargetEntry | None:
         """Return the entry of a target, or None if it is unknown."""
         return self._entries.get(name)
@@ -54,12 +60,17 @@
         """Return the entries of a service."""
         return [entry for entry in self._entries.values() if entry.service == service]
 
+    def record_change(self, revision: int) -> None:
+        """Record the store revision of a change."""
+        self._newest_change = max(self._newest_change, revision)
+
     def advance_to(self, revision: int) -> None:
         """Record the store revision up to which the entries are known."""
         self._revision = max(self._revision, revision)
 
     def register(self, entry: TargetEntry) -> None:
         """Add or replace an entry; it is confirmed from now on."""
+        self.record_change(entry.revision)
         self._entries[entry.name] = entry
         self._unconfirmed_until.pop(entry.name, None)
         self._removed_started_ms.pop(entry.name, None)
--- a/tests/test_platform_deployed.py
+++ b/tests/test_platform_deployed.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Literal
+from typing import Final, Literal
 
 from testtools import TestCase
 from toucanspindle_core.hostport import HostPort
@@ -15,6 +15,8 @@
 from platformsettings import METRICS_PORT
 from tests.tempfolder import temporary_folder
 
+MISSED_CHANGE_S: Final = 10.0  # A watch call waits for 25 s.
+
 
 class DeployedCase(TestCase):
     hosts = 3
@@ -175,6 +177,21 @@
         self.assertEqual({200: 60}, self.send_lookups())
         self.assertEqual(arrivals, draining_target.arrivals)
 
+    def test_host_whose_watch_is_lost_without_notice_learns_of_a_draining_target(self) -> None:
+        """Nothing but the other hosts tells it that it misses changes."""
+        first, second = self.fleet.targets[:2]
+        self.fleet.store.faults.lose_watches = 1
+        self.fleet.call_in_loop(lambda: first.register("draining"))
+        wait_until(lambda: not self.fleet.store.faults.lose_watches, what="a watch is lost")
+        self.fleet.call_in_loop(lambda: second.register("draining"))
+        wait_until(
+            lambda: all(
+                self.fleet.log(n).count("event=target_draining") == 2 for n in range(self.hosts)
+            ),
+            MISSED_CHANGE_S,
+            "all hosts learn of both draining targets",
+        )
+
     def test_malformed_entries_do_not_affect_requests(self) -> None:
         malformed_spec = {"Address": 5, "Info": None}
         self.fleet.call_in_loop(lambda: self.fleet.store.put("servers", "odd", malformed_spec))
