Let retry credit expire while its broker is suspended

Found by asking which hosts the emulator of the budget had not disturbed: frozen ones. The monotonic clock of a suspended host stops, and so does the lifetime of a broker's retry credit. The brokers that follow it get new credit, so when several suspended brokers wake up at once, each spends up to a quarter of the burst that belongs to an earlier window.

The slot client and its brokers now use the clock that counts suspensions. That the entry process passes this clock is tested by no test of its own, since the stand-ins can't suspend a host.

--- a/packages/toucanspindle-core/toucanspindle_core/clock.py
+++ b/packages/toucanspindle-core/toucanspindle_core/clock.py
@@ -20,6 +20,14 @@
         return time.monotonic()
 
 
+class BoottimeClock:
+    """The clock of the host that also counts the time for which it was suspended."""
+
+    def now(self) -> float:
+        """Return seconds since an arbitrary start."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock that changes only through `advance`, for tests and replay."""
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -18,7 +18,7 @@
 from typing import Final, Protocol
 
 from logbook import Logger
-from toucanspindle_core.clock import Clock, MonotonicClock
+from toucanspindle_core.clock import BoottimeClock, Clock, MonotonicClock
 from toucanspindle_core.errors import PlatformError
 from toucanspindle_core.hostport import HostPort
 
@@ -171,7 +171,7 @@
         self._connection_pool = TargetConnectionPool(self._clock)
         self._metrics = EntryMetrics()
         self._slots = SlotClient(
-            self._hosts, self._targets, settings.bounds, self._clock, self._rng
+            self._hosts, self._targets, settings.bounds, BoottimeClock(), self._rng
         )
         self._request_handler = RequestHandler(
             HandlerDependencies(
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -92,7 +92,11 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Create a client; call `attach` before the first slot request."""
+        """Create a client; call `attach` before the first slot request.
+
+        `clock` must count the time for which the host is suspended.  Otherwise a broker that wakes
+        up would grant retries with credit of earlier seconds, which other brokers have had again.
+        """
         self._hosts = hosts
         self._targets = targets
         self._bounds = bounds
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -1,8 +1,9 @@
 """Emulator of a fleet of entry hosts in virtual time, without network.
 
 Each host runs the real request handler, slot client and brokers.  Datagrams take a millisecond;
-a host can be killed, cut off, muted or slowed down.  The targets are emulated as well, and record
-each arrival, so that a test counts what a target sees and not what a host believes to have sent.
+a host can be killed, frozen, cut off, muted or slowed down.  The targets are emulated as well, and
+record each arrival, so that a test counts what a target sees and not what a host believes to have
+sent.
 """
 
 import asyncio
@@ -102,33 +103,58 @@
         return worst
 
 
+class _HostClock:
+    """The monotonic clock of one host, which stops while the host is frozen."""
+
+    def __init__(self) -> None:
+        self._lag_s = 0.0
+        self._stopped_at: float | None = None
+
+    def now(self) -> float:
+        if self._stopped_at is not None:
+            return self._stopped_at
+        return asyncio.get_running_loop().time() - self._lag_s
+
+    def stop(self) -> None:
+        self._stopped_at = self.now()
+
+    def resume(self) -> None:
+        if self._stopped_at is not None:
+            self._lag_s = asyncio.get_running_loop().time() - self._stopped_at
+            self._stopped_at = None
+
+
 class _EmulatedConnection:
     """A connection of a host to the emulated targets; it runs one exchange."""
 
-    def __init__(self, fleet: "EmulatedFleet", ip: str) -> None:
+    def __init__(self, fleet: "EmulatedFleet", host: "EmulatedHost") -> None:
         self._fleet = fleet
-        self._ip = ip
+        self._host = host
 
     async def exchange(
         self, request: bytes, is_head: bool, matches_request: object  # noqa: ARG002
     ) -> HttpResponse:
-        return await self._fleet.serve(self._ip, request)
+        try:
+            return await self._fleet.serve(self._host.ip, request)
+        finally:
+            await self._host.wait_until_awake()
 
 
 class _EmulatedPool:
     """Stand-in for the `TargetConnectionPool` of a host."""
 
-    def __init__(self, fleet: "EmulatedFleet", ip: str) -> None:
+    def __init__(self, fleet: "EmulatedFleet", host: "EmulatedHost") -> None:
         self._fleet = fleet
-        self._ip = ip
+        self._host = host
 
     async def acquire(
         self, address: HostPort, may_reuse: bool  # noqa: ARG002
     ) -> tuple[_EmulatedConnection, bool]:
         await asyncio.sleep(MESSAGE_DELAY_S)
+        await self._host.wait_until_awake()
         if self._fleet.rng.random() < self._fleet.shape.unreachable_share:
             raise ConnectError("unreachable")
-        return _EmulatedConnection(self._fleet, self._ip), False
+        return _EmulatedConnection(self._fleet, self._host), False
 
     def release(self, *_: object) -> None:
         return
@@ -148,18 +174,24 @@
 class EmulatedHost:
     """One incarnation of an entry host.
 
-    A host that is cut off exchanges no datagrams, but callers and targets still reach it.
+    A host that is cut off exchanges no datagrams, but callers and targets still reach it.  The
+    monotonic clock of a frozen host stops, and what arrives or is sent meanwhile does so once it is
+    awake.
     """
 
     def __init__(self, fleet: "EmulatedFleet", ip: str, entries: list[TargetEntry]) -> None:
-        clock = LoopClock()
+        clock = _HostClock()
         rng = random.Random(fleet.rng.random())
         incarnation = f"{ip}-{fleet.next_incarnation()}"
         self.ip = ip
+        self.clock = clock
         self.is_running = True
         self.is_cut_off = False
         self.is_muted = False
         self.is_slow = False
+        self._awake = asyncio.Event()
+        self._awake.set()
+        self._held_back: list[Callable[[], None]] = []
         self.live_hosts = LiveHosts(HostEntry(ip, ip, "beaufort", incarnation), rng)
         for other in fleet.ips:
             self.live_hosts.add_host(HostEntry(other, other, "beaufort", other), clock.now())
@@ -167,20 +199,43 @@
         self.targets = TargetTable(clock)
         self.targets.replace_all(entries, after_outage=False)
         self.targets.advance_to(fleet.store_revision)
-        self.slots = SlotClient(self.live_hosts, self.targets, fleet.shape.bounds, clock, rng)
+        self.slots = SlotClient(self.live_hosts, self.targets, fleet.shape.bounds, LoopClock(), rng)
         self.slots.attach(cast(DatagramEndpoint, _EmulatedEndpoint(fleet, self)))
         self.handler = RequestHandler(
             HandlerDependencies(
                 HEADER_NAMES,
                 self.slots,
                 self.targets,
-                cast(TargetConnectionPool, _EmulatedPool(fleet, ip)),
+                cast(TargetConnectionPool, _EmulatedPool(fleet, self)),
                 EntryMetrics(),
                 clock,
             )
         )
         self.handler.routes = RouteIndex(fleet.plan, rng)
 
+    def set_frozen(self, is_frozen: bool) -> None:
+        """Freeze the host, or wake it up."""
+        if is_frozen:
+            self.clock.stop()
+            self._awake.clear()
+            return
+        self.clock.resume()
+        self._awake.set()
+        held_back, self._held_back = self._held_back, []
+        for action in held_back:
+            action()
+
+    def when_awake(self, action: Callable[[], None]) -> None:
+        """Do something now, or once the host is awake."""
+        if self._awake.is_set():
+            action()
+        else:
+            self._held_back.append(action)
+
+    async def wait_until_awake(self) -> None:
+        """Wait while the host is frozen."""
+        await self._awake.wait()
+
 
 class EmulatedFleet:
     """A fleet of hosts before the targets of one service; create it inside a running loop."""
@@ -222,6 +277,9 @@
 
     def deliver(self, sender: EmulatedHost, ip: str, message: Message) -> None:
         """Deliver a datagram, unless the network or one of the two hosts fails."""
+        sender.when_awake(lambda: self._send(sender, ip, message))
+
+    def _send(self, sender: EmulatedHost, ip: str, message: Message) -> None:
         receiver = self.hosts[ip]
         ends = (sender, receiver)
         if sender.is_muted or any(host.is_cut_off or not host.is_running for host in ends):
@@ -232,7 +290,7 @@
             if receiver.is_running and self.hosts[ip] is receiver:
                 receiver.slots.handle_message(sender.ip, message)
 
-        asyncio.get_running_loop().call_later(delay_s, receive)
+        asyncio.get_running_loop().call_later(delay_s, receiver.when_awake, receive)
 
     async def serve(self, ip: str, request: bytes) -> HttpResponse:
         """Record the arrival of a request of a host at its target, and answer it."""
@@ -278,9 +336,8 @@
 
     def send_request(self, host: EmulatedHost, path: str = "") -> None:
         """Send one request to a host; without a path it is unlike all others."""
-        now = asyncio.get_running_loop().time()
         self._request_count += 1
-        self.record.requests.append(now)
+        self.record.requests.append(asyncio.get_running_loop().time())
         headers = [
             (b"host", b"shop"),
             (HEADER_NAMES.request_id, b"q%d" % self._request_count),
@@ -288,10 +345,17 @@
         ]
         method = "GET" if self.shape.idempotent else "POST"
         path = path or f"/{self._request_count}"
-        request = CallerRequest(method, path, headers, b"", now)
-        task = asyncio.get_running_loop().create_task(host.handler.handle(request))
+
+        async def handle() -> CallerResponse:
+            await host.wait_until_awake()
+            request = CallerRequest(method, path, headers, b"", host.clock.now())
+            return await host.handler.handle(request)
+
+        task = asyncio.get_running_loop().create_task(handle())
         self._tasks[task] = host
         task.add_done_callback(self._end_request)
+        # The caller leaves at its deadline.
+        asyncio.get_running_loop().call_later(DEADLINE_S, task.cancel)
 
     def _end_request(self, task: asyncio.Task[CallerResponse]) -> None:
         del self._tasks[task]
--- a/tests/test_retry_budget_fleet.py
+++ b/tests/test_retry_budget_fleet.py
@@ -1,6 +1,7 @@
 """Tests of the retry budget over all hosts of a fleet, counted at the targets."""
 
 import asyncio
+import dataclasses
 import os
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
@@ -34,6 +35,10 @@
     host.is_slow = value
 
 
+def set_frozen(host: EmulatedHost, value: bool) -> None:
+    host.set_frozen(value)
+
+
 class FleetCase(TestCase):
     """Plays scenarios with an emulated fleet."""
 
@@ -85,6 +90,23 @@
 
         self.check(kill_brokers, FleetShape())
 
+    def test_budget_holds_when_frozen_brokers_wake_up_with_unused_credit(self) -> None:
+        """The clock of a frozen broker stops, so its credit could outlive the time it is for."""
+
+        async def freeze_brokers(fleet: EmulatedFleet) -> None:
+            failing = fleet.shape
+            while True:
+                fleet.shape = dataclasses.replace(failing, shed_share=0.0, fail_share=0.0)
+                brokers = rank_brokers(SERVICE, fleet.ips)[:4]
+                for n, ip in enumerate(brokers):
+                    await asyncio.sleep(2.0)
+                    fleet.disturb(ip, set_frozen, 2.0 * (len(brokers) - n))
+                await asyncio.sleep(2.0)
+                fleet.shape = failing
+                await asyncio.sleep(fleet.rng.uniform(5.0, 12.0))
+
+        self.check(freeze_brokers, FleetShape(idempotent=False, shed_share=0.7))
+
     def test_budget_holds_while_all_hosts_decide_alone(self) -> None:
         """A fleet without datagrams has as many brokers as hosts."""
 
