Count a suspension of the host against the deadlines of its requests

A request that was sent again after the host woke up had its deadline moved by that time, and the target worked on for a caller that had left.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -18,7 +18,7 @@
 from typing import Final, Protocol
 
 from logbook import Logger
-from toucanspindle_core.clock import BoottimeClock, Clock, MonotonicClock
+from toucanspindle_core.clock import BoottimeClock, Clock
 from toucanspindle_core.errors import PlatformError
 from toucanspindle_core.hostport import HostPort
 
@@ -160,7 +160,7 @@
         self._settings = settings
         self._store = store
         self._endpoints = endpoints
-        self._clock: Clock = MonotonicClock()
+        self._clock: Clock = BoottimeClock()
         self._rng = random.Random(secrets.randbits(64))
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._own_entry = HostEntry(
@@ -171,7 +171,7 @@
         self._connection_pool = TargetConnectionPool(self._clock)
         self._metrics = EntryMetrics()
         self._slots = SlotClient(
-            self._hosts, self._targets, settings.bounds, BoottimeClock(), self._rng
+            self._hosts, self._targets, settings.bounds, self._clock, self._rng
         )
         self._request_handler = RequestHandler(
             HandlerDependencies(
@@ -486,7 +486,7 @@
             current_suspended_s = _suspended_since_boot_s()
             if current_suspended_s - suspended_s > MIN_SUSPENSION_S:
                 log.warning("event=was_suspended seconds={:.1f}", current_suspended_s - suspended_s)
-                # The monotonic clock stopped, so held state looks younger than it is.
+                # Timers stopped meanwhile, so state may be held for longer than intended.
                 self._slots.invalidate_brokers()
                 self._connection_pool.close()
                 self._plan_watch.request_listing()
--- a/tests/test_retry_budget_fleet.py
+++ b/tests/test_retry_budget_fleet.py
@@ -19,6 +19,7 @@
 # The stated bound: this long after the third crash, at most three more requests reach targets.
 CRASHES_KNOWN_AFTER_S: Final = 3.0
 MAX_LATER_CRASHES: Final = 3
+MAX_LATER_DEADLINE_S: Final = 0.5  # The stated bound for a request that is sent again.
 
 Scenario = Callable[[EmulatedFleet], Coroutine[Any, Any, None]]
 
@@ -153,6 +154,23 @@
         self.assertGreater(ratio, shape.bounds.retry_ratio)
 
 
+class DeadlineTests(FleetCase):
+    """A target may not get more time for a request than its caller has left."""
+
+    def test_request_of_a_host_that_was_frozen_is_not_sent_again_with_more_time(self) -> None:
+        """The time for which a host was frozen counts."""
+
+        async def freeze_hosts(fleet: EmulatedFleet) -> None:
+            while True:
+                await asyncio.sleep(fleet.rng.uniform(0.2, 1.0))
+                fleet.disturb(fleet.rng.choice(fleet.ips), set_frozen, fleet.rng.uniform(0.5, 3.0))
+
+        for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
+            fleet = self.play(freeze_hosts, FleetShape(work_s=0.3), seed)
+            excess = [max(ends) - ends[0] for ends in fleet.record.deadlines.values()]
+            self.assertLessEqual(max(excess), MAX_LATER_DEADLINE_S, f"seed {seed}")
+
+
 class PoisonMessageTests(FleetCase):
     """A request that crashes its targets comes again and again, at any host."""
 
