Judge a target that a broker keeps as unconfirmed by its revision

Targets left at 4.0 s, when 41 hosts had just lost the store. 21 other hosts were killed and started again at 7 s. From 13.1 s on the store answered the 41 again; they took the missing targets for ones that had lapsed in an outage and kept them for two seconds. A kept entry had no revision, so the hosts that had started at 7 s couldn't tell that it was removed before that, and sent requests to the addresses in the grants, which were those of left targets.

A kept entry keeps its revision. A host that doesn't know the target but knows the store up to that revision gives the grant back. test_host_that_starts_later_sends_nothing_to_targets_that_the_broker_keeps failed before. The check of test_unknown_entry_without_a_revision_has_not_left that a kept entry has no revision was wrong, for this reason; the one that replaces it asks for the entry's own. The price: after a real outage, hosts that started meanwhile use lapsed targets only once they are registered again, within two seconds.

--- a/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
@@ -4,7 +4,6 @@
 unconfirmed for UNCONFIRMED_GRACE_S.  Without an outage a missing entry is removed at once.
 """
 
-import dataclasses
 from collections.abc import Iterable
 from typing import Final
 
@@ -83,13 +82,8 @@
             self._removed_started_ms[name] = entry.started_ms
 
     def mark_unconfirmed(self, name: str) -> None:
-        """Keep a missing entry as unconfirmed for UNCONFIRMED_GRACE_S.
-
-        It has no revision then, since hosts that started after the outage don't know it either.
-        """
-        entry = self._entries.get(name)
-        if entry is not None:
-            self._entries[name] = dataclasses.replace(entry, revision=0)
+        """Keep a missing entry as unconfirmed for UNCONFIRMED_GRACE_S."""
+        if name in self._entries:
             self._unconfirmed_until.setdefault(name, self._clock.now() + UNCONFIRMED_GRACE_S)
 
     def replace_all(self, entries: Iterable[TargetEntry], after_outage: bool) -> None:
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -363,6 +363,13 @@
             host.targets.advance_to(self.store_revision)
             host.slots.targets_changed()
 
+    def regain_store(self, ip: str) -> None:
+        """Let a host list the targets after a time without the store."""
+        host = self.hosts[ip]
+        host.targets.replace_all(self._entries, after_outage=True)
+        host.targets.advance_to(self.store_revision)
+        host.slots.targets_changed()
+
     # Failures.
 
     def kill(self, ip: str, down_s: float) -> None:
