Free the slot of a request that a host withdraws without knowing of its grant

A host that skips a slow broker, or whose caller leaves, withdraws its request from it. The grant may be on its way then, so the report names no target. The broker dropped its lease, but took the slot from the target that the report names, so the granted one stayed in use until the broker took over again.

A report now frees the slot of the lease itself. test_request_withdrawn_by_a_host_that_missed_the_grant_frees_its_slot failed before.

--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -290,7 +290,8 @@
         A report also removes its slot request from the queue.
         """
         self._remember_ended(report.slot_request_id, now)
-        lease = self._leases.pop(report.slot_request_id, None)
+        # The report names no target if the host withdrew the request without knowing of the grant.
+        lease = self._release_lease(report.slot_request_id)
         if lease and lease.is_retry and report.outcome is AttemptOutcome.CONNECT_FAILED:
             # No target has seen this retry.
             self._retry_budget.deposit(1.0, now)
@@ -298,10 +299,9 @@
             pending for pending in self._queue if pending.slot_request.id != report.slot_request_id
         ]
         record = self._targets.get(report.target)
-        if record is not None:
-            record.leases.discard(report.slot_request_id)
-            if lease is not None or report.outcome is not AttemptOutcome.WITHDRAWN:
-                self._update_target(record, report, now)
+        is_evidence = lease is not None or report.outcome is not AttemptOutcome.WITHDRAWN
+        if record is not None and is_evidence:
+            self._update_target(record, report, now)
         self._record_floor_result(report, lease, now)
         return self.grant_queued(now)
 
@@ -716,10 +716,12 @@
         ):
             del self._refusals[oldest]
 
-    def _release_lease(self, slot_request_id: str) -> None:
+    def _release_lease(self, slot_request_id: str) -> _Lease | None:
+        """Remove a lease and free its slot; return the lease, or None if it is unknown."""
         lease = self._leases.pop(slot_request_id, None)
         if lease is not None and lease.target in self._targets:
             self._targets[lease.target].leases.discard(slot_request_id)
+        return lease
 
     def _expected_healthy_slots(self, now: float) -> float:
         """Return the slots of ready targets, weighted by the probability of being healthy."""
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -287,6 +287,16 @@
         )
         self.assertEqual(["waits"], [decision.slot_request_id for decision in decisions])
 
+    def test_request_withdrawn_by_a_host_that_missed_the_grant_frees_its_slot(self) -> None:
+        """A host that skips a slow broker doesn't know the target, so slots could leak."""
+        broker = make_broker(target("a", slots=1))
+        broker.request_slot(slot_request("skipped"), 0.0)
+        broker.request_slot(slot_request("waits"), 0.0)
+        decisions = broker.record_attempt(
+            attempt_report("skipped", "", AttemptOutcome.WITHDRAWN), 0.1
+        )
+        self.assertEqual(["waits"], [decision.slot_request_id for decision in decisions])
+
     def test_late_duplicate_of_a_request_takes_no_slot(self) -> None:
         broker = make_broker(target("a", slots=1))
         broker.request_slot(slot_request("1"), 0.0)
