--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -95,7 +95,7 @@
         """Create a client; call `attach` before the first slot request.
 
         `clock` must count the time for which the host is suspended.  Otherwise a broker that wakes
-        up would grant retries with credit of earlier seconds, which other brokers have had again.
+        up would grant retries with credit that should have expired.
         """
         self._hosts = hosts
         self._targets = targets
