Let refunded retry credit expire when it would have without the retry

Found by asking of each way in which credit reaches a later window. A retry whose connect fails reaches no target, and its credit was deposited anew, with the time of the report. While targets can't be reached, credit could so be carried from retry to retry without end, at each of several brokers, into a window that has a budget of its own.

`spend` tells when the credit was deposited, and `refund` gives it back with that time. test_credit_of_retries_that_reach_no_target_expires_with_its_first_deposit failed before. That a refund is made at all had no test of its own; it has one now.

--- a/packages/toucanspindle-entry/toucanspindle_entry/fleetretrybudget.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/fleetretrybudget.py
@@ -11,6 +11,7 @@
 """
 
 import random
+from bisect import insort
 from collections import deque
 from typing import Final
 
@@ -38,10 +39,12 @@
     def deposit(self, credit: float, now: float) -> None:
         """Add the credit of a slot request; what exceeds the capacity is lost."""
         self._expire(now)
-        credit = min(credit, self._capacity - self._credit)
-        if credit > 0:
-            self._deposits.append((now, credit))
-            self._credit += credit
+        self._add(credit, now)
+
+    def refund(self, deposited_at: float, now: float) -> None:
+        """Give back the credit of a retry that reached no target, as `spend` dated it."""
+        self._add(1.0, deposited_at)
+        self._expire(now)
 
     def may_admit(self, waiting_retries: int, now: float) -> bool:
         """Return whether another retry may be admitted beside those that wait for a slot.
@@ -63,10 +66,14 @@
         self._expire(now)
         return self._credit >= 1
 
-    def spend(self, now: float) -> None:
-        """Take the credit of one retry, oldest first; `has_credit` must be true."""
+    def spend(self, now: float) -> float:
+        """Take the credit of one retry, oldest first; `has_credit` must be true.
+
+        Returns when the oldest part of it was deposited.
+        """
         self._expire(now)
         self._spent_at = now
+        oldest_at = self._deposits[0][0]
         left = 1.0
         while self._deposits and left > 0:
             deposited_at, credit = self._deposits.popleft()
@@ -74,6 +81,13 @@
                 self._deposits.appendleft((deposited_at, credit - left))
             left -= min(left, credit)
         self._credit = sum(credit for _, credit in self._deposits)
+        return oldest_at
+
+    def _add(self, credit: float, deposited_at: float) -> None:
+        credit = min(credit, self._capacity - self._credit)
+        if credit > 0:
+            insort(self._deposits, (deposited_at, credit))
+            self._credit += credit
 
     def _expire(self, now: float) -> None:
         while self._deposits and now - self._deposits[0][0] > CREDIT_LIFETIME_S:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -81,7 +81,10 @@
 
 @dataclass
 class _Lease:
-    """A granted slot, held until its attempt is reported or the lease expires."""
+    """A granted slot, held until its attempt is reported or the lease expires.
+
+    `retry_credit_at` is when the credit that a retry took was deposited, or None.
+    """
 
     host: str
     target: str
@@ -89,7 +92,7 @@
     expires_at: float
     fingerprint: str
     can_retry: bool = False
-    is_retry: bool = False
+    retry_credit_at: float | None = None
     is_overdue: bool = False
 
 
@@ -292,9 +295,10 @@
         self._remember_ended(report.slot_request_id, now)
         # The report names no target if the host withdrew the request without knowing of the grant.
         lease = self._release_lease(report.slot_request_id)
-        if lease and lease.is_retry and report.outcome is AttemptOutcome.CONNECT_FAILED:
+        has_connect_failed = report.outcome is AttemptOutcome.CONNECT_FAILED
+        if lease and lease.retry_credit_at is not None and has_connect_failed:
             # No target has seen this retry.
-            self._retry_budget.deposit(1.0, now)
+            self._retry_budget.refund(lease.retry_credit_at, now)
         self._queue = [
             pending for pending in self._queue if pending.slot_request.id != report.slot_request_id
         ]
@@ -631,9 +635,8 @@
 
     def _grant(self, pending: _PendingRequest, record: _TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
-        if slot_request.is_retry:
-            # Retries are counted when they reach a target, which a queued one does later.
-            self._retry_budget.spend(now)
+        # Retries are counted when they reach a target, which a queued one does later.
+        retry_credit_at = self._retry_budget.spend(now) if slot_request.is_retry else None
         expires_at = pending.deadline_at + LEASE_GRACE_S
         self._leases[slot_request.id] = _Lease(
             slot_request.host,
@@ -642,7 +645,7 @@
             expires_at,
             slot_request.fingerprint,
             slot_request.can_retry,
-            slot_request.is_retry,
+            retry_credit_at,
         )
         record.leases.add(slot_request.id)
         self._active_floor.record_grant(record.entry.name, now)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -8,8 +8,10 @@
 from toucanspindle_entry.fleetretrybudget import CREDIT_LIFETIME_S, FleetRetryBudget
 from toucanspindle_entry.model import TargetState
 from toucanspindle_entry.retrycredit import BURST_SHARE, MAX_ACCRUAL_S, RetryCreditSource
+from toucanspindle_entry.slotbroker import SlotBroker
 from toucanspindle_entry.slotmessages import decode_slot_request, encode_slot_request
-from toucanspindle_entry.slottypes import Grant, Queued, RefusalReason, Refused
+from toucanspindle_entry.slottypes import AttemptReport, Grant, Queued, RefusalReason, Refused
+from toucanspindle_entry.targethealth import AttemptOutcome
 
 from tests.emulatedfleet import SERVICE, EmulatedFleet, FleetShape
 from tests.entrycase import BOUNDS, granted_target, make_broker, slot_request, target
@@ -123,6 +125,31 @@
             self.assertEqual(RefusalReason.OVERLOADED, refusal_reason(refused))
         self.assertAlmostEqual(5 * 0.25, broker.retry_credit)
 
+    def test_retry_that_reaches_no_target_gives_its_credit_back(self) -> None:
+        broker = make_broker(target("a"), target("b"))
+        broker.request_slot(slot_request("first", retry_credit=1.0), 0.0)
+        self.fail_to_connect(broker, "r1", 0.1, 0.2)
+        granted_target(broker.request_slot(slot_request("r2", is_retry=True), 0.3))
+
+    def test_credit_of_retries_that_reach_no_target_expires_with_its_first_deposit(self) -> None:
+        """Retries that fail to connect one after the other would carry it to a later window."""
+        broker = make_broker(*(target(name) for name in "abcdef"))
+        broker.request_slot(slot_request("first", retry_credit=1.0), 0.0)
+        for n in range(3):
+            self.fail_to_connect(broker, f"r{n}", 0.4 * n, 0.4 * n + 0.3)
+        late = broker.request_slot(slot_request("late", is_retry=True), 1.2)
+        self.assertEqual(RefusalReason.RETRY_BUDGET_EXHAUSTED, refusal_reason(late))
+
+    def fail_to_connect(
+        self, broker: SlotBroker, slot_request_id: str, granted_at: float, reported_at: float
+    ) -> None:
+        """Grant a retry, and report that its target couldn't be reached."""
+        decision = broker.request_slot(slot_request(slot_request_id, is_retry=True), granted_at)
+        report = AttemptReport(
+            slot_request_id, granted_target(decision), AttemptOutcome.CONNECT_FAILED, 0.0, ""
+        )
+        broker.record_attempt(report, reported_at)
+
     def test_credit_is_sent_with_a_slot_request(self) -> None:
         request = slot_request("1", retry_credit=0.2345)
         message = encode_slot_request("orders", request)
