Send the retry credit of a queued request once

Found by reading how credit gets to a broker. A host resends a queued request each 0.25 s, to notice a broker that has ended, and sent its credit each time. The broker counts it once, but one that restarts at the same address within 0.25 s knows nothing of that, and got the credit of all queued requests again, beside what its earlier incarnation had spent.

The resends after the broker's answer carry no credit. test_queued_request_gives_a_restarted_broker_no_credit_again failed before (0.2 instead of 0).

--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -260,7 +260,10 @@
                 continue
             if pending.future.done():
                 return True
-            # The request is queued; resend it regularly until the broker decides.
+            # The request is queued; resend it regularly until the broker decides, without the
+            # credit that the broker has: it may restart after it has spent that.
+            pending.slot_request = dataclasses.replace(pending.slot_request, retry_credit=0.0)
+            message = slotmessages.encode_slot_request(pending.service, pending.slot_request)
             if await _wait_for_decision(pending.future, QUEUED_RENEWAL_S):
                 return True
             waits = iter(REQUEST_RESEND_S)
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -174,6 +174,29 @@
 
         self.run_fleet(scenario, slots=1)
 
+    def test_queued_request_gives_a_restarted_broker_no_credit_again(self) -> None:
+        """A broker may spend credit and restart before the queued requests are resent."""
+
+        async def scenario(network: FakeNetwork) -> None:
+            for _ in range(4):
+                await acquire(network, OTHER_HOSTS[0], goal_left_s=5.0)
+            queued = asyncio.create_task(
+                acquire(network, OTHER_HOSTS[1], goal_left_s=5.0, starts_request=True)
+            )
+            broker = network.clients[BROKER].local_brokers[SERVICE].broker
+            while not broker.queue_length:
+                await asyncio.sleep(0.005)
+            self.assertEqual(BOUNDS.retry_ratio, broker.retry_credit)
+            restarted = network.clients[BROKER] = make_client(network, BROKER, slots=1)
+            while SERVICE not in restarted.local_brokers or not (
+                restarted.local_brokers[SERVICE].broker.queue_length
+            ):
+                await asyncio.sleep(0.005)
+            self.assertEqual(0.0, restarted.local_brokers[SERVICE].broker.retry_credit)
+            queued.cancel()
+
+        self.run_fleet(scenario, slots=1)
+
     def test_invalidated_broker_rebuilds_its_state(self) -> None:
         """The broker of a host that was suspended has outdated leases."""
 
@@ -200,11 +223,14 @@
     return client
 
 
-async def acquire(network: FakeNetwork, ip: str, goal_left_s: float = 1.5) -> SlotGrant:
+async def acquire(
+    network: FakeNetwork, ip: str, goal_left_s: float = 1.5, starts_request: bool = False
+) -> SlotGrant:
     client = network.clients[ip]
     outcome = await client.acquire(
         SERVICE,
         slot_request(client.next_slot_request_id(), time_left_s=8.0, goal_left_s=goal_left_s),
+        starts_request,
     )
     assert not isinstance(outcome, Refused), outcome
     return outcome
