Limit the credit that several brokers save up to that of one

Credit expires after a second, which hid this at the rates of the deployments; where the ratio of a second's requests is more than the burst, brokers that each had saved up their part could together exceed the budget once targets began to fail.

--- a/packages/toucanspindle-entry/toucanspindle_entry/fleetretrybudget.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/fleetretrybudget.py
@@ -1,8 +1,9 @@
 """Retry budget of one service at one broker: spends the credit that hosts send with slot requests.
 
-A broker creates no credit of its own, so several brokers together have no more than one.  Credit
-expires, which bounds what the brokers of a partitioned fleet can save up: in a window of W seconds
-all brokers grant at most the credit created in the window and in the seconds before it.
+A broker creates no credit of its own, so several brokers together have no more than one.  What a
+broker saves up is limited in two ways: credit expires, and the capacity for it is the broker's part
+of that of the fleet, by the share of the hosts that ask this broker.  So in any window all brokers
+together grant at most the credit created in it, the capacity of the fleet, and MIN_CAPACITY each.
 
 A host that decides alone gets too few requests to save up a whole retry.  Credit below one retry is
 therefore staked: with a probability equal to the credit it becomes a whole retry, otherwise it is
@@ -17,17 +18,23 @@
 
 CREDIT_LIFETIME_S: Final = 1.0
 # Share of the burst.  Bounds the retries that can follow at once after a time without any.
-CAPACITY_BURST_SHARE: Final = 0.25
+FLEET_CAPACITY_BURST_SHARE: Final = 0.25
+MIN_CAPACITY: Final = 1.0  # In retries; below it a broker could grant none.
 
 
 class FleetRetryBudget:
     """Credit for the retries that one broker may grant; times are seconds of its clock."""
 
     def __init__(self, burst: float, rng: random.Random) -> None:
-        """Create a budget without credit; the fleet may use `burst` retries in a window."""
-        self._capacity = max(1.0, burst * CAPACITY_BURST_SHARE)
+        """Create the budget of the only broker of a fleet with one host; it has no credit.
+
+        The fleet may use `burst` retries in a window.
+        """
+        self._fleet_capacity = burst * FLEET_CAPACITY_BURST_SHARE
+        self._fleet_size: int | None = 1
         self._rng = rng
         self._deposits: deque[tuple[float, float]] = deque()  # (time, credit left), oldest first
+        self._deposited_at: dict[str, float] = {}  # Last deposit by host, oldest first.
         self._credit = 0.0
         self._spent_at = float("-inf")
 
@@ -36,9 +43,15 @@
         """The credit in retries at the last call, without what has expired since then."""
         return self._credit
 
-    def deposit(self, credit: float, now: float) -> None:
-        """Add the credit of a slot request; what exceeds the capacity is lost."""
+    def set_fleet_size(self, fleet_size: int | None) -> None:
+        """Set the number of hosts, or None while it isn't known."""
+        self._fleet_size = fleet_size
+
+    def deposit(self, credit: float, host: str, now: float) -> None:
+        """Add the credit of a host's slot request; what exceeds the capacity is lost."""
         self._expire(now)
+        self._deposited_at.pop(host, None)
+        self._deposited_at[host] = now
         self._add(credit, now)
 
     def refund(self, deposited_at: float, now: float) -> None:
@@ -58,7 +71,7 @@
             self._deposits.clear()
             self._credit = 0.0
             if is_won:
-                self.deposit(1.0, now)
+                self._add(1.0, now)
         return self._credit >= 1 + waiting_retries
 
     def has_credit(self, now: float) -> bool:
@@ -83,8 +96,14 @@
         self._credit = sum(credit for _, credit in self._deposits)
         return oldest_at
 
+    def _capacity(self) -> float:
+        if self._fleet_size is None:
+            return MIN_CAPACITY
+        share = min(1.0, len(self._deposited_at) / self._fleet_size)
+        return max(MIN_CAPACITY, self._fleet_capacity * share)
+
     def _add(self, credit: float, deposited_at: float) -> None:
-        credit = min(credit, self._capacity - self._credit)
+        credit = min(credit, self._capacity() - self._credit)
         if credit > 0:
             insort(self._deposits, (deposited_at, credit))
             self._credit += credit
@@ -94,3 +113,8 @@
             self._credit -= self._deposits.popleft()[1]
         if not self._deposits:
             self._credit = 0.0
+        while self._deposited_at:
+            host, deposited_at = next(iter(self._deposited_at.items()))
+            if now - deposited_at <= CREDIT_LIFETIME_S:
+                break
+            del self._deposited_at[host]
--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
@@ -29,6 +29,11 @@
 class HostLink(Protocol):
     """Connects a local broker to all hosts."""
 
+    @property
+    def fleet_size(self) -> int | None:
+        """Number of hosts, or None while it isn't known."""
+        ...
+
     def send_decision(self, service: str, decision: Decision) -> None:
         """Send a decision to the host that requested the slot."""
         ...
@@ -56,9 +61,7 @@
         """Create an inactive local broker; its first slot request starts a takeover."""
         self._service = service
         self._clock = clock
-        self._deliver_decision = link.send_decision
-        self._request_sync = link.request_sync
-        self._share_crashes = link.share_crashes
+        self._link = link
         self._broker = SlotBroker(service, bounds, rng)
         self._last_request_at = float("-inf")
         self._deferred_requests: list[SlotRequest] | None = None
@@ -84,6 +87,7 @@
             self._begin_takeover()
         self._last_request_at = self._clock.now()
         self._arm_tick()
+        self._broker.set_fleet_size(self._link.fleet_size)
         if self._deferred_requests is not None:
             if all(deferred.id != slot_request.id for deferred in self._deferred_requests):
                 self._deferred_requests.append(slot_request)
@@ -98,7 +102,7 @@
         decisions = self._broker.record_attempt(report, now)
         crashed = self._broker.crashed_targets(report.fingerprint)
         if crashed != crashed_before:
-            self._share_crashes(self._service, report.fingerprint, crashed)
+            self._link.share_crashes(self._service, report.fingerprint, crashed)
         self._log_health_change(
             report, probability_before, self._broker.unhealthy_probability(report.target, now)
         )
@@ -158,7 +162,7 @@
         log.info("event=broker_takeover service={}", self._service)
         self._deferred_requests = []
         self._broker.clear_leases()
-        self._request_sync(self._service)
+        self._link.request_sync(self._service)
         asyncio.get_running_loop().call_later(TAKEOVER_WAIT_S, self._end_takeover)
 
     def _end_takeover(self) -> None:
@@ -206,4 +210,4 @@
                 int(decision.retry_wait_s * 1000),
                 self._broker.retry_credit,
             )
-        self._deliver_decision(self._service, decision)
+        self._link.send_decision(self._service, decision)
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -181,7 +181,7 @@
     """
 
     def __init__(self, service: str, bounds: FleetBounds, rng: random.Random) -> None:
-        """Create a broker without targets and with an empty retry budget."""
+        """Create a broker without targets and with an empty retry budget, for a single host."""
         self.service = service
         self._rng = rng
         self._targets: dict[str, _TargetRecord] = {}
@@ -215,6 +215,10 @@
         """Exponentially smoothed time of an answered attempt, in seconds."""
         return self._mean_work_s
 
+    def set_fleet_size(self, fleet_size: int | None) -> None:
+        """Set the number of hosts that share the retry budget, or None while it isn't known."""
+        self._retry_budget.set_fleet_size(fleet_size)
+
     def unhealthy_probabilities(self, now: float) -> dict[str, float]:
         """Return the probability that each registered target is unhealthy, by target name."""
         return {name: record.health.unhealthy_at(now) for name, record in self._targets.items()}
@@ -266,7 +270,7 @@
             return Refused(slot_request.id, slot_request.host, RefusalReason.TOO_LATE, 0.0)
         if slot_request.id in self._refusals:
             return self._refusals[slot_request.id][1]
-        self._retry_budget.deposit(slot_request.retry_credit, now)
+        self._retry_budget.deposit(slot_request.retry_credit, slot_request.host, now)
         decision = self._decide(slot_request, now)
         if isinstance(decision, Refused):
             self._remember_refusal(decision, now)
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -118,6 +118,11 @@
         """The brokers on this host, by service."""
         return self._local_brokers
 
+    @property
+    def fleet_size(self) -> int | None:
+        """Number of hosts, or None while it isn't known."""
+        return self._hosts.fleet_size
+
     def attach(self, endpoint: DatagramEndpoint) -> None:
         """Set the datagram endpoint for sending messages."""
         self._endpoint = endpoint
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -17,6 +17,8 @@
 from tests.entrycase import BOUNDS, granted_target, make_broker, slot_request, target
 from tests.virtualtime import run_in_virtual_time
 
+HOST = "10.0.0.1"
+
 
 def make_source() -> RetryCreditSource:
     return RetryCreditSource(BOUNDS.retry_ratio, BOUNDS.retry_burst, BOUNDS.retry_window_s)
@@ -58,7 +60,7 @@
     def test_each_retry_takes_one_credit(self) -> None:
         budget = FleetRetryBudget(60.0, random.Random(1))
         for _ in range(10):
-            budget.deposit(0.25, 0.0)
+            budget.deposit(0.25, HOST, 0.0)
         for _ in range(2):
             self.assertTrue(budget.may_admit(0, 0.0))
             budget.spend(0.0)
@@ -68,14 +70,14 @@
     def test_credit_expires(self) -> None:
         """Brokers that take over by turns must not use credit of minutes ago."""
         budget = FleetRetryBudget(60.0, random.Random(1))
-        budget.deposit(5.0, 0.0)
+        budget.deposit(5.0, HOST, 0.0)
         self.assertTrue(budget.has_credit(CREDIT_LIFETIME_S))
         self.assertFalse(budget.has_credit(CREDIT_LIFETIME_S + 0.01))
 
     def test_credit_is_limited_to_the_capacity(self) -> None:
         budget = FleetRetryBudget(60.0, random.Random(1))
         for _ in range(100):
-            budget.deposit(1.0, 0.0)
+            budget.deposit(1.0, HOST, 0.0)
         self.assertEqual(15.0, budget.credit)
 
     def test_stakes_keep_the_mean(self) -> None:
@@ -83,7 +85,7 @@
         budget = FleetRetryBudget(60.0, random.Random(1))
         spent = 0
         for step in range(20_000):
-            budget.deposit(0.05, step * 10.0)
+            budget.deposit(0.05, HOST, step * 10.0)
             for _ in range(5):
                 if budget.may_admit(0, step * 10.0):
                     budget.spend(step * 10.0)
@@ -92,7 +94,7 @@
 
     def test_retries_in_the_queue_keep_their_credit(self) -> None:
         budget = FleetRetryBudget(60.0, random.Random(1))
-        budget.deposit(2.5, 0.0)
+        budget.deposit(2.5, HOST, 0.0)
         self.assertTrue(budget.may_admit(1, 0.0))
         self.assertFalse(budget.may_admit(2, 0.0))
 
--- a/tests/test_retry_budget_fleet.py
+++ b/tests/test_retry_budget_fleet.py
@@ -111,6 +111,24 @@
 
         self.check(freeze_brokers, FleetShape(idempotent=False, shed_share=0.7))
 
+    def test_budget_holds_while_groups_of_hosts_save_credit_at_brokers_of_their_own(self) -> None:
+        """Hosts that disagree about who is ready use several brokers all day, at a high rate."""
+
+        async def fail_after_calm(fleet: EmulatedFleet) -> None:
+            ranked = rank_brokers(SERVICE, fleet.ips)
+            for n, host in enumerate(fleet.hosts.values()):
+                for ip in ranked[: n % 6]:
+                    host.live_hosts.set_ready(ip, False)
+            failing = fleet.shape
+            while True:
+                fleet.shape = dataclasses.replace(failing, shed_share=0.0, fail_share=0.0)
+                await asyncio.sleep(5.0)
+                fleet.shape = failing
+                await asyncio.sleep(12.0)
+
+        bounds = dataclasses.replace(FleetShape().bounds, retry_burst=20.0)
+        self.check(fail_after_calm, FleetShape(rate=150.0, shed_share=0.8, bounds=bounds))
+
     def test_budget_holds_while_all_hosts_decide_alone(self) -> None:
         """A fleet without datagrams has as many brokers as hosts."""
 
