Let hosts create four tenths of the burst as retry credit, not three

With the capacity limited for the fleet, at most a quarter of the burst is saved up by brokers, and two seconds' part (0.08 of the burst) by hosts that sent no request. Four tenths leave a quarter of the burst for stakes.

--- a/packages/toucanspindle-entry/toucanspindle_entry/retrycredit.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/retrycredit.py
@@ -12,9 +12,9 @@
 
 from typing import Final
 
-# Share of the burst that all hosts create in a window.  The rest covers credit from before the
-# window, and the randomness of credit below one retry.
-BURST_SHARE: Final = 0.3
+# Share of the burst that all hosts create in a window.  The rest covers what hosts and brokers have
+# saved up before the window, and the randomness of credit below one retry.
+BURST_SHARE: Final = 0.4
 MAX_ACCRUAL_S: Final = 2.0  # A host that sends no request for longer loses the rest of its part.
 
 
