--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -80,6 +80,22 @@
             budget.deposit(1.0, HOST, 0.0)
         self.assertEqual(15.0, budget.credit)
 
+    def test_capacity_follows_the_share_of_the_hosts_that_ask(self) -> None:
+        """The capacities of all brokers must not add up to more than that of one."""
+        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget.set_fleet_size(10)
+        for n in range(4):
+            budget.deposit(15.0, f"10.0.0.{n}", 0.0)
+        self.assertEqual(6.0, budget.credit)
+        budget.deposit(15.0, HOST, CREDIT_LIFETIME_S + 0.1)
+        self.assertEqual(1.5, budget.credit)
+
+    def test_broker_that_does_not_know_the_fleet_saves_up_one_retry(self) -> None:
+        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget.set_fleet_size(None)
+        budget.deposit(15.0, HOST, 0.0)
+        self.assertEqual(1.0, budget.credit)
+
     def test_stakes_keep_the_mean(self) -> None:
         """A host that decides alone asks often with credit below one retry."""
         budget = FleetRetryBudget(60.0, random.Random(1))
