Move the probing of other hosts from the entry node to a module of its own

No change of logic. The entry node could only be tested with real ports; the prober takes a clock and a way to send, so that a fleet of them runs in virtual time.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -26,6 +26,7 @@
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.hostannouncer import HostAnnouncer
+from toucanspindle_entry.hostprober import HostProber, HostStatus
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.missedchanges import MissedChanges
 from toucanspindle_entry.model import (
@@ -45,8 +46,6 @@
 from toucanspindle_entry.targettable import TargetTable
 
 INCARNATION_BYTES: Final = 4
-PROBE_INTERVAL_S: Final = 0.25  # Probes one host per interval; detects a dead host in 1 to 2 s.
-PROBE_TIMEOUT_S: Final = 0.12  # A round trip takes 2 ms, and longer with a slow host.
 HOST_LIST_WAITS_S: Final = (0.05, 0.6, 2.0, 15.0)  # Waits between host listings; the last repeats.
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
 REGISTER_RETRY_S: Final = 0.5  # Wait between registration attempts, before jitter.
@@ -186,6 +185,7 @@
         self._datagrams = DatagramEndpoint(settings.ip, settings.peer_port, self._handle_datagram)
         self._slots.attach(self._datagrams)
         self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
+        self._prober = HostProber(self._hosts, self._datagrams.send, self, self._clock, self._rng)
         self._plan_watch = self._create_watch(ObjectKind.PLAN, _PlanListener(self))
         self._target_watch = self._create_watch(
             ObjectKind.TARGETS, _TargetListener(self, self._targets)
@@ -197,10 +197,8 @@
         self._connections: set[CallerConnection] = set()
         self._servers: dict[str, asyncio.Server] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._pending_probes: dict[int, tuple[str, asyncio.TimerHandle]] = {}
-        self._last_probe_seq = 0
 
-    # ConnectionOwner and NodeStatusView.
+    # ConnectionOwner, NodeStatusView and ProbeOwner.
 
     @property
     def limits(self) -> CallerLimits:
@@ -225,6 +223,18 @@
         """How long a caller may use a directory response, in seconds."""
         return min(DIRECTORY_TTL_S, self._settings.bounds.directory_ttl_max_s)
 
+    @property
+    def host_status(self) -> HostStatus:
+        """What this host tells the hosts that probe it."""
+        return HostStatus(self._plan_version(), self.is_ready, self._targets.newest_change)
+
+    def handle_host_status(self, status: HostStatus) -> None:
+        """List again what another host has a newer version of."""
+        if status.plan_version > self._plan_version():
+            self._plan_watch.request_listing()
+        if status.newest_change is not None:
+            self._check_missed_targets(status.newest_change, self._clock.now())
+
     def caller_addresses(self) -> list[HostPort]:
         """Return up to MAX_DIRECTORY_ADDRESSES addresses of live hosts, with this one if ready."""
         port = self._settings.caller_address.port
@@ -261,7 +271,7 @@
         for run_background in (
             self._register_host,
             self._discover_hosts,
-            self._probe_hosts,
+            self._prober.run,
             self._run_housekeeping,
         ):
             task = loop.create_task(run_background())
@@ -348,45 +358,16 @@
             return
         kind = message[0]
         now = self._clock.now()
-        if kind == "probe":
-            self._datagrams.send(
-                ip,
-                [
-                    "alive",
-                    message[1],
-                    self._plan_version(),
-                    int(self.is_ready),
-                    self._targets.newest_change,
-                ],
-            )
-            if ip not in self._hosts.peers:
+        if self._prober.handle_message(ip, message):
+            if kind == "probe" and ip not in self._hosts.peers:
                 self._announcer.greet(ip)
-        elif kind == "alive":
-            self._handle_probe_answer(ip, message[1], message[2], now)
-            if len(message) > 3:
-                self._hosts.set_ready(ip, bool(message[3]))
-            if len(message) > 4:
-                self._check_missed_targets(int(message[4]), now)
         elif kind in {"hello", "welcome"}:
             if self._announcer.handle_hello(ip, message, now):
                 self._slots.release_host(ip)
         elif kind == "peers":
             self._announcer.handle_peers(message, now)
-        elif kind == "leave":
-            if self._hosts.set_leaving(ip, message[1]):
-                log.info("event=host_leaving host={}", ip)
-        elif kind == "dead" and self._hosts.record_dead_report(message[1], ip):
-            self._log_host_death(message[1], f"reported by {ip}")
-
-    def _handle_probe_answer(self, ip: str, seq: int, plan_version: int, now: float) -> None:
-        """Mark a host alive; list the plan again if the host has a newer version."""
-        probe = self._pending_probes.pop(seq, None)
-        if probe is not None:
-            probe[1].cancel()
-        if self._hosts.record_probe_answer(ip, now):
-            log.info("event=host_alive host={}", ip)
-        if plan_version > self._plan_version():
-            self._plan_watch.request_listing()
+        elif kind == "leave" and self._hosts.set_leaving(ip, message[1]):
+            log.info("event=host_leaving host={}", ip)
 
     def _check_missed_targets(self, newest_change: int, now: float) -> None:
         """List the targets again if another host has long seen a change that this one hasn't."""
@@ -402,39 +383,6 @@
         routes = self._request_handler.routes
         return routes.plan.version if routes is not None else 0
 
-    def _log_host_death(self, ip: str, reason: str) -> None:
-        log.warning("event=host_dead host={} why={!r}", ip, reason)
-
-    async def _probe_hosts(self) -> None:
-        """Probe one other host in each interval, forever."""
-        while True:
-            await asyncio.sleep(PROBE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
-            ip = self._hosts.choose_probe_host()
-            if ip is None:
-                continue
-            self._send_probe(ip)
-
-    def _send_probe(self, ip: str) -> None:
-        self._last_probe_seq += 1
-        seq = self._last_probe_seq
-        self._datagrams.send(ip, ["probe", seq])
-        timer = asyncio.get_running_loop().call_later(
-            PROBE_TIMEOUT_S, self._handle_probe_timeout, seq
-        )
-        self._pending_probes[seq] = (ip, timer)
-
-    def _handle_probe_timeout(self, seq: int) -> None:
-        """Count a missed probe; report a newly dead host, or probe a live one again at once."""
-        ip, _ = self._pending_probes.pop(seq)
-        peer = self._hosts.peers.get(ip)
-        was_alive = peer is not None and peer.is_alive
-        if self._hosts.record_missed_probe(ip, self._clock.now()):
-            self._log_host_death(ip, "missed probes")
-            for other in self._hosts.alive_ips():
-                self._datagrams.send(other, ["dead", ip])
-        elif was_alive and not self._hosts.is_isolated(self._clock.now()):
-            self._send_probe(ip)
-
     async def _discover_hosts(self) -> None:
         """Send a hello to the seeds, then to every unknown host that the store lists, forever."""
         for ip in self._settings.seeds:
--- /dev/null
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hostprober.py
@@ -0,0 +1,146 @@
+"""Probes the other hosts one at a time, and exchanges with them which hosts are dead.
+
+    ["probe", sequence number]
+    ["alive", sequence number, plan version, is ready, newest change of targets]
+    ["dead", ip]
+
+A host that misses a probe is probed again at once.  The one that finds it dead reports this to all
+live hosts.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from logbook import Logger
+from toucanspindle_core.clock import Clock
+
+from toucanspindle_entry.datagrams import Message
+from toucanspindle_entry.livehosts import LiveHosts
+
+PROBE_INTERVAL_S: Final = 0.25  # Probes one host per interval.
+PROBE_TIMEOUT_S: Final = 0.12  # A round trip takes 2 ms, and longer with a slow host.
+
+log = Logger("node")
+
+
+@dataclass(frozen=True)
+class HostStatus:
+    """What a host tells of itself in its answer to a probe.
+
+    `newest_change` is the store revision of the newest change of targets that it has seen; None
+    if the host, of an earlier version, tells none.
+    """
+
+    plan_version: int
+    is_ready: bool
+    newest_change: int | None
+
+
+class ProbeOwner(Protocol):
+    """The process that probes and is probed."""
+
+    @property
+    def host_status(self) -> HostStatus:
+        """What this host tells of itself."""
+        ...
+
+    def handle_host_status(self, status: HostStatus) -> None:
+        """Process what another host tells of itself."""
+        ...
+
+
+class HostProber:
+    """Finds out which of the hosts in `LiveHosts` are alive."""
+
+    def __init__(
+        self,
+        hosts: LiveHosts,
+        send: Callable[[str, Message], None],
+        owner: ProbeOwner,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Create a prober; `owner` gets the status in each answer of another host."""
+        self._hosts = hosts
+        self._send = send
+        self._owner = owner
+        self._clock = clock
+        self._rng = rng
+        self._pending: dict[int, tuple[str, asyncio.TimerHandle]] = {}
+        self._last_seq = 0
+
+    async def run(self) -> None:
+        """Probe one other host in each interval, forever."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            ip = self._hosts.choose_probe_host()
+            if ip is not None:
+                self._probe(ip)
+
+    def handle_message(self, ip: str, message: Message) -> bool:
+        """Handle a message about the state of hosts; return False for any other message.
+
+        Raises ValueError, TypeError or IndexError for a malformed one.
+        """
+        kind = message[0]
+        if kind == "probe":
+            status = self._owner.host_status
+            self._send(
+                ip,
+                [
+                    "alive",
+                    message[1],
+                    status.plan_version,
+                    int(status.is_ready),
+                    status.newest_change,
+                ],
+            )
+        elif kind == "alive":
+            self._handle_answer(ip, message)
+        elif kind == "dead":
+            if self._hosts.record_dead_report(message[1], ip):
+                _log_death(message[1], f"reported by {ip}")
+        else:
+            return False
+        return True
+
+    def _handle_answer(self, ip: str, message: Message) -> None:
+        """Mark a host as alive, and as ready or not; pass its status on."""
+        _, seq, plan_version, *options = message
+        probe = self._pending.pop(seq, None)
+        if probe is not None:
+            probe[1].cancel()
+        if self._hosts.record_probe_answer(ip, self._clock.now()):
+            log.info("event=host_alive host={}", ip)
+        is_ready = bool(options[0]) if options else True
+        newest_change = int(options[1]) if len(options) > 1 else None
+        if options:
+            self._hosts.set_ready(ip, is_ready)
+        self._owner.handle_host_status(HostStatus(int(plan_version), is_ready, newest_change))
+
+    def _probe(self, ip: str) -> None:
+        self._last_seq += 1
+        seq = self._last_seq
+        self._send(ip, ["probe", seq])
+        timer = asyncio.get_running_loop().call_later(PROBE_TIMEOUT_S, self._handle_timeout, seq)
+        self._pending[seq] = (ip, timer)
+
+    def _handle_timeout(self, seq: int) -> None:
+        """Count a missed probe; report a newly dead host, or probe a live one again at once."""
+        ip, _ = self._pending.pop(seq)
+        peer = self._hosts.peers.get(ip)
+        was_alive = peer is not None and peer.is_alive
+        now = self._clock.now()
+        if self._hosts.record_missed_probe(ip, now):
+            _log_death(ip, "missed probes")
+            for other in self._hosts.alive_ips():
+                self._send(other, ["dead", ip])
+        elif was_alive and not self._hosts.is_isolated(now):
+            self._probe(ip)
+
+
+def _log_death(ip: str, reason: str) -> None:
+    log.warning("event=host_dead host={} why={!r}", ip, reason)
