Let hosts tell each other again which hosts are not alive, and check what they hear

Callers were directed to hosts that had long been off.

- A host tells of its shutdown once.
Those that heard it take it for leaving and report nobody dead later, so a host that missed the datagram found out by its own random probes alone.
- A host that starts got the dead and leaving hosts too, and took them for alive.
- A host that was frozen or cut off missed the reports.

Each answer to a probe now names some hosts that aren't alive for its sender; only live hosts are passed on to new ones, which add them once they answer. Hosts that others take for dead probe back or greet, so that they return at once.

The test of a report that isn't enough by itself moved to the prober and is stricter: a reported host that answers keeps no missed probe.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -235,6 +235,10 @@
         if status.newest_change is not None:
             self._check_missed_targets(status.newest_change, self._clock.now())
 
+    def greet_all(self) -> None:
+        """Greet all hosts; those that took this one for dead probe it then."""
+        self._announcer.greet_all()
+
     def caller_addresses(self) -> list[HostPort]:
         """Return up to MAX_DIRECTORY_ADDRESSES addresses of live hosts, with this one if ready."""
         port = self._settings.caller_address.port
@@ -364,8 +368,9 @@
         elif kind in {"hello", "welcome"}:
             if self._announcer.handle_hello(ip, message, now):
                 self._slots.release_host(ip)
+            self._prober.check_sender(ip)
         elif kind == "peers":
-            self._announcer.handle_peers(message, now)
+            self._announcer.handle_peers(message)
         elif kind == "leave" and self._hosts.set_leaving(ip, message[1]):
             log.info("event=host_leaving host={}", ip)
 
@@ -437,6 +442,7 @@
                 # Timers stopped meanwhile, so state may be held for longer than intended.
                 self._slots.invalidate_brokers()
                 self._connection_pool.close()
+                self._announcer.greet_all()
                 self._plan_watch.request_listing()
                 self._target_watch.request_listing()
             suspended_s = current_suspended_s
--- a/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
@@ -9,6 +9,9 @@
 host that takes another one for unready chooses other brokers than the rest of the fleet.  A
 `welcome` to a host that became ready meanwhile is therefore answered with another `hello`, and a
 `hello` that brought no `welcome` is repeated.
+
+`peers` names the hosts that are alive for its sender.  The receiver greets those that it doesn't
+know, and adds them once they answer.
 """
 
 from collections.abc import Callable
@@ -21,6 +24,7 @@
 from toucanspindle_entry.model import HostEntry
 
 MAX_READY_HELLOS: Final = 4  # For each host; a lost datagram is rare.
+MAX_FIRST_HELLOS: Final = 4  # To a host of which only another host has told.
 
 log = Logger("node")
 
@@ -37,6 +41,7 @@
         self._is_ready = is_ready
         self._ready_hellos: dict[str, int] = {}
         self._confirmed: set[str] = set()
+        self._first_hellos: dict[str, int] = {}
 
     def greet(self, ip: str) -> None:
         """Send `hello` to a host."""
@@ -46,12 +51,17 @@
         self._send(ip, self._message("hello", is_ready))
 
     def greet_all(self) -> None:
-        """Send `hello` to all known hosts, when this host has become ready."""
+        """Send `hello` to all known hosts, when this host has become ready or was cut off."""
         for ip in list(self._hosts.peers):
             self.greet(ip)
 
     def repeat(self) -> None:
-        """Send `hello` again to the hosts that haven't confirmed that this host is ready."""
+        """Send `hello` again to hosts that haven't answered or confirmed that this one is ready."""
+        for ip, count in list(self._first_hellos.items()):
+            if count < MAX_FIRST_HELLOS:
+                self._greet_first(ip)
+            else:
+                del self._first_hellos[ip]
         if not self._is_ready():
             return
         for ip, peer in list(self._hosts.peers.items()):
@@ -65,12 +75,15 @@
         Raises ValueError for a malformed message.
         """
         kind, name, domain, incarnation, is_ready = message
+        self._first_hellos.pop(ip, None)
         is_new = self._hosts.add_host(HostEntry(name, ip, domain, incarnation), now)
         if is_new:
             log.info("event=host_joined host={} name={} incarnation={}", ip, name, incarnation)
             self._confirmed.discard(ip)
             self._ready_hellos.pop(ip, None)
         self._hosts.set_ready(ip, bool(is_ready))
+        if kind == "welcome":
+            self._hosts.record_probe_answer(ip, now)  # It answers the `hello` of this host.
         if kind == "hello":
             self._send(ip, self._message("welcome", self._is_ready()))
             if self._is_ready():
@@ -84,21 +97,26 @@
                 self.greet(ip)
         return is_new
 
-    def handle_peers(self, message: Message, now: float) -> None:
-        """Add the hosts that another host knows, and greet the new ones."""
-        for name, ip, domain, incarnation in message[1]:
-            if self._hosts.add_host(HostEntry(name, ip, domain, incarnation), now):
-                self.greet(ip)
+    def handle_peers(self, message: Message) -> None:
+        """Greet the hosts that another host knows and this one doesn't."""
+        for _, ip, _, _ in message[1]:
+            if ip != self._hosts.own.ip and ip not in self._hosts.peers:
+                self._greet_first(ip)
+
+    def _greet_first(self, ip: str) -> None:
+        """Send `hello` to a host that hasn't answered yet."""
+        self._first_hellos[ip] = self._first_hellos.get(ip, 0) + 1
+        self.greet(ip)
 
     def _message(self, kind: str, is_ready: bool) -> Message:
         own = self._hosts.own
         return [kind, own.name, own.failure_domain, own.incarnation, int(is_ready)]
 
     def _send_peers(self, ip: str) -> None:
-        """Send the other known hosts to a host that has just started."""
+        """Send the other live hosts to a host that has just started."""
         known_hosts = [
             [p.entry.name, p.entry.ip, p.entry.failure_domain, p.entry.incarnation]
             for p in self._hosts.peers.values()
-            if p.entry.ip != ip
+            if p.entry.ip != ip and p.is_alive
         ]
         self._send(ip, ["peers", known_hosts])
--- a/packages/toucanspindle-entry/toucanspindle_entry/livehosts.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/livehosts.py
@@ -21,7 +21,7 @@
 class PeerRecord:
     """State of one other host.
 
-    `missed_probes` counts missed probes and reports of other hosts since the last answer.
+    `missed_probes` counts missed probes since the last answer.
     `last_answer_at` is in seconds of the owner's clock.
     """
 
@@ -30,10 +30,15 @@
     is_leaving: bool = False
     last_answer_at: float = 0.0
 
+    @property
+    def is_dead(self) -> bool:
+        """Whether the host has missed too many probes in a row."""
+        return self.missed_probes >= DEAD_AFTER_MISSED_PROBES
+
     @property
     def is_alive(self) -> bool:
         """Whether the host is neither leaving nor dead."""
-        return not self.is_leaving and self.missed_probes < DEAD_AFTER_MISSED_PROBES
+        return not self.is_leaving and not self.is_dead
 
 
 class LiveHosts:
@@ -67,6 +72,11 @@
         """Return the IP addresses of the other hosts that are alive."""
         return [ip for ip, peer in self._peers.items() if peer.is_alive]
 
+    def sample_not_alive(self, size: int) -> list[str]:
+        """Return the IP addresses of up to `size` random hosts that are dead or leaving."""
+        not_alive = [ip for ip, peer in self._peers.items() if not peer.is_alive]
+        return self._rng.sample(not_alive, min(size, len(not_alive)))
+
     def is_isolated(self, now: float) -> bool:
         """Return whether this host is isolated: it knows other hosts, but none answers."""
         return bool(self._peers) and now - self._last_answer_at > ISOLATION_TIMEOUT_S
@@ -111,19 +121,6 @@
         peer.missed_probes += 1
         return was_alive and not peer.is_alive
 
-    def record_dead_report(self, ip: str, by: str) -> bool:
-        """Record that the host `by` reports a host as dead; return whether this makes it dead.
-
-        Only reports of live hosts about live hosts count.
-        """
-        peer = self._peers.get(ip)
-        reporter = self._peers.get(by)
-        if peer is None or reporter is None or not reporter.is_alive or not peer.is_alive:
-            return False
-        # One more missed probe of this host, or one more report, makes the host dead.
-        peer.missed_probes = max(peer.missed_probes + 1, DEAD_AFTER_MISSED_PROBES - 1)
-        return not peer.is_alive
-
     def set_ready(self, ip: str, is_ready: bool) -> None:
         """Record whether a host says that it is ready; an unready one counts as leaving."""
         peer = self._peers.get(ip)
@@ -144,7 +141,7 @@
     def choose_probe_host(self) -> str | None:
         """Return the IP address of a random host to probe, or None if no other host is known."""
         alive = self.alive_ips()
-        not_alive = [ip for ip, peer in self._peers.items() if not peer.is_alive]
+        not_alive = self.sample_not_alive(1)
         if not_alive and (not alive or self._rng.random() < DEAD_HOST_PROBE_SHARE):
-            return self._rng.choice(not_alive)
+            return not_alive[0]
         return self._rng.choice(alive) if alive else None
