Send nothing to a target after it has said in a response that it is leaving

Targets that had said they were leaving still got requests. A target says so in its responses too, and nothing read that: hosts followed the store alone, and while the store was away they went on sending for as long as the target answered.

The header is decoded once into a notice for the target's incarnation. The host that got it heeds it at once, excludes the target from its slot requests, and passes the notice to the broker with its report; a new broker gets the notices with the state of the hosts. Only a restart of the target ends it.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -25,6 +25,7 @@
 from toucanspindle_entry.callerconnection import CallerConnection, CallerRequest, CallerResponse
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.entrymetrics import EntryMetrics
+from toucanspindle_entry.headernames import HeaderNames
 from toucanspindle_entry.hostannouncer import HostAnnouncer
 from toucanspindle_entry.hostprober import HostProber, HostStatus
 from toucanspindle_entry.livehosts import LiveHosts
@@ -37,7 +38,7 @@
     TargetState,
 )
 from toucanspindle_entry.objectstore import ObjectKind, ObjectStore, StoreChanges, StoreListing
-from toucanspindle_entry.requestpath import HandlerDependencies, HeaderNames, RequestHandler
+from toucanspindle_entry.requestpath import HandlerDependencies, RequestHandler
 from toucanspindle_entry.routeindex import RouteIndex
 from toucanspindle_entry.settings import EntrySettings
 from toucanspindle_entry.slotclient import SlotClient
--- /dev/null
+++ b/packages/toucanspindle-entry/toucanspindle_entry/headernames.py
@@ -0,0 +1,20 @@
+"""Names of the headers that callers and targets use, as the adapter to the platform knows them."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class HeaderNames:
+    """Lower-case names of the headers that callers and targets use.
+
+    `signature` proves that a target produced the response; `expected_target` names the only target
+    that may run the request; `not_run` marks the response to a request that the target didn't run.
+    A target that leaves sends `leaving` with the value 1 in all its responses.
+    """
+
+    request_id: bytes
+    deadline_ms: bytes
+    signature: bytes
+    expected_target: bytes
+    not_run: bytes
+    leaving: bytes
--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
@@ -18,6 +18,7 @@
 from toucanspindle_entry.slotbroker import AVOID_MIN_UNHEALTHY, SlotBroker
 from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
 from toucanspindle_entry.targethealth import AttemptOutcome
+from toucanspindle_entry.targetnotices import TargetNotice
 
 TAKEOVER_WAIT_S: Final = 0.008  # Hosts answer within 2 ms unless their network or CPU is slow.
 STATE_EXPIRY_S: Final = 3.0  # After this long without a slot request the state is outdated.
@@ -132,6 +133,11 @@
         """Count the crashes that another broker saw; no targets mean that one has answered."""
         self._broker.adopt_crashes(fingerprint, targets, self._clock.now())
 
+    def adopt_notices(self, notices: Iterable[TargetNotice]) -> None:
+        """Heed what targets said of themselves to a host."""
+        for notice in notices:
+            self._broker.adopt_notice(notice)
+
     def expire_state(self) -> None:
         """Treat the state as outdated, so that the next slot request starts a takeover."""
         self._last_request_at = float("-inf")
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import dataclasses
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -23,6 +24,7 @@
 from toucanspindle_entry import answers
 from toucanspindle_entry.callerconnection import HOP_BY_HOP_HEADERS, CallerRequest, CallerResponse
 from toucanspindle_entry.entrymetrics import EntryMetrics
+from toucanspindle_entry.headernames import HeaderNames
 from toucanspindle_entry.httpclient import (
     ConnectError,
     ConnectionLostError,
@@ -35,6 +37,7 @@
 from toucanspindle_entry.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
 from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targethealth import AttemptOutcome
+from toucanspindle_entry.targetnotices import TargetNotice, read_notice
 from toucanspindle_entry.targettable import TargetTable
 
 RESPONSE_MARGIN_S: Final = 0.04  # Reserved for returning the response to the caller.
@@ -60,21 +63,6 @@
 log = Logger("request")
 
 
-@dataclass(frozen=True)
-class HeaderNames:
-    """Lower-case names of the headers that callers and targets use.
-
-    `signature` proves that a target produced the response; `expected_target` names the only target
-    that may run the request; `not_run` marks the response to a request that the target didn't run.
-    """
-
-    request_id: bytes
-    deadline_ms: bytes
-    signature: bytes
-    expected_target: bytes
-    not_run: bytes
-
-
 @dataclass
 class _RequestProgress:
     """A routed request and the state of its attempts.
@@ -101,11 +89,15 @@
 
 @dataclass(frozen=True)
 class _AttemptResult:
-    """How an attempt ended; `response` is set if it may be relayed to the caller."""
+    """How an attempt ended; `response` is set if it may be relayed to the caller.
+
+    `notice` is what the target said of itself, if it sent a response.
+    """
 
     outcome: AttemptOutcome
     response: CallerResponse | None
     detail: str = ""
+    notice: TargetNotice | None = None
 
 
 @dataclass(frozen=True)
@@ -228,7 +220,7 @@
             is_retry=progress.attempts_sent > 0,
             can_retry=progress.route.idempotent
             and progress.attempts_sent + 1 < progress.route.max_attempts,
-            excluded=tuple(progress.excluded_targets),
+            excluded=(*progress.excluded_targets, *self._targets.unusable(progress.service)),
             fingerprint=progress.fingerprint,
         )
         try:
@@ -247,7 +239,12 @@
         finally:
             work_s = self._clock.now() - started_at
             report = AttemptReport(
-                grant.slot_request_id, grant.target, attempt.outcome, work_s, progress.fingerprint
+                grant.slot_request_id,
+                grant.target,
+                attempt.outcome,
+                work_s,
+                progress.fingerprint,
+                attempt.notice,
             )
             self._slots.report_attempt(progress.service, grant, report)
 
@@ -259,17 +256,25 @@
             return _AttemptResult(
                 AttemptOutcome.WITHDRAWN, None, "the target is draining or has left"
             )
+        started_ms = entry.started_ms if entry is not None else grant.started_ms
+        if self._targets.notices.is_leaving(grant.target, started_ms):
+            return _AttemptResult(
+                AttemptOutcome.WITHDRAWN, None, "the target has said that it is leaving"
+            )
         address = entry.address if entry is not None else HostPort.parse(grant.address)
         try:
             async with asyncio.timeout(max(0.0, progress.deadline_at - self._clock.now())):
-                return await self._exchange_with_target(progress, grant, address)
+                return await self._exchange_with_target(progress, grant, address, started_ms)
         except TimeoutError:
             return _AttemptResult(AttemptOutcome.TIMED_OUT, None, "no response before the deadline")
 
     async def _exchange_with_target(
-        self, progress: _RequestProgress, grant: SlotGrant, address: HostPort
+        self, progress: _RequestProgress, grant: SlotGrant, address: HostPort, started_ms: int
     ) -> _AttemptResult:
-        """Forward the request over a pooled or new connection and classify the response."""
+        """Forward the request over a pooled or new connection and classify the response.
+
+        `started_ms` identifies the target's incarnation.
+        """
         request = progress.request
         try:
             connection, reused = await self._connection_pool.acquire(
@@ -309,7 +314,11 @@
         attempt = self._classify_response(response)
         if attempt.outcome in OUTCOMES_WITHOUT_RUN:
             progress.may_have_run = may_have_run_before
-        return attempt
+        if attempt.outcome is AttemptOutcome.MISDIRECTED:
+            return attempt
+        notice = read_notice(response, self._header_names, grant.target, started_ms)
+        self._targets.notices.record(notice)
+        return dataclasses.replace(attempt, notice=notice)
 
     def _classify_response(self, response: HttpResponse) -> _AttemptResult:
         """Decide how an attempt ended and whether its response may be relayed."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -36,6 +36,7 @@
     AttemptOutcome,
     HealthEstimate,
 )
+from toucanspindle_entry.targetnotices import TargetNotice
 
 LEASE_GRACE_S: Final = 0.5  # A lease without a report expires this long after its deadline.
 INITIAL_WORK_S: Final = 0.3  # Assumed time of an attempt before the first answer.
@@ -122,6 +123,12 @@
     warmed_up_at: float = 0.0
     joined_at: float = float("-inf")
     is_confirmed: bool = True
+    is_leaving: bool = False
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether the target is ready, by its registration and its responses."""
+        return self.entry.state is TargetState.READY and not self.is_leaving
 
     @property
     def has_free_slot(self) -> bool:
@@ -310,6 +317,8 @@
         is_evidence = lease is not None or report.outcome is not AttemptOutcome.WITHDRAWN
         if record is not None and is_evidence:
             self._update_target(record, report, now)
+        if report.notice is not None:
+            self.adopt_notice(report.notice)
         self._record_floor_result(report, lease, now)
         return self.grant_queued(now)
 
@@ -337,6 +346,13 @@
         if record is not None and observed_at > record.health.updated_at - 1:
             record.health.observe(outcome, max(observed_at, record.health.updated_at))
 
+    def adopt_notice(self, notice: TargetNotice) -> None:
+        """Heed what a target said of itself to any host; ignore another incarnation's notice."""
+        record = self._targets.get(notice.target)
+        if record is not None and record.entry.started_ms == notice.started_ms:
+            # An earlier response may be reported later, so only a restart ends the leaving.
+            record.is_leaving = record.is_leaving or notice.is_leaving
+
     def crashed_targets(self, fingerprint: str) -> list[str]:
         """Return the target incarnations that a request crashed, as far as they count."""
         return self._poison_tracker.crashed_targets(fingerprint)
@@ -511,10 +527,7 @@
         )
 
     def _is_eligible(self, record: _TargetRecord, slot_request: SlotRequest) -> bool:
-        return (
-            record.entry.state is TargetState.READY
-            and record.entry.name not in slot_request.excluded
-        )
+        return record.takes_requests and record.entry.name not in slot_request.excluded
 
     def _snapshot(self, now: float) -> _TargetSnapshot:
         """Return the state of the ready targets."""
@@ -523,7 +536,7 @@
         unused: list[_TargetRecord] = []
         unhealthy: dict[str, float] = {}
         for name, record in self._targets.items():
-            if record.entry.state is not TargetState.READY:
+            if not record.takes_requests:
                 continue
             unhealthy[name] = record.health.unhealthy_at(now)
             if record.has_free_slot:
@@ -735,7 +748,7 @@
         return sum(
             record.entry.slots * (1 - record.health.unhealthy_at(now))
             for record in self._targets.values()
-            if record.entry.state is TargetState.READY
+            if record.takes_requests
         )
 
     def _overdue_after_s(self) -> float:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -26,6 +26,7 @@
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
 from toucanspindle_entry.targethealth import AttemptOutcome
+from toucanspindle_entry.targetnotices import decode_notice, encode_notice
 from toucanspindle_entry.targettable import TargetTable
 
 # Waits for an answer before each resend and before giving up; a round trip takes about 2 ms.
@@ -134,7 +135,7 @@
     def targets_changed(self) -> None:
         """Pass the registered targets to the brokers on this host."""
         for service, local_broker in self._local_brokers.items():
-            local_broker.set_targets(self._targets.of_service(service), self._targets.unconfirmed)
+            self._set_targets(local_broker, service)
 
     def invalidate_brokers(self) -> None:
         """Make each broker on this host take over again before its next decision."""
@@ -224,6 +225,8 @@
             self._local_broker(message[1]).adopt_host_state(ip, message[2], message[3])
             for fingerprint, targets in message[4] if len(message) > 4 else ():
                 self._local_broker(message[1]).adopt_crashes(str(fingerprint), targets)
+            notices = message[5] if len(message) > 5 else []
+            self._local_broker(message[1]).adopt_notices(map(decode_notice, notices))
         elif kind == "crashed":
             targets = [str(target) for target in message[3]]
             self._local_broker(str(message[1])).adopt_crashes(str(message[2]), targets)
@@ -350,9 +353,13 @@
         if local_broker is None:
             local_broker = LocalBroker(service, self._bounds, self._clock, self._rng, self)
             self._local_brokers[service] = local_broker
-            local_broker.set_targets(self._targets.of_service(service), self._targets.unconfirmed)
+            self._set_targets(local_broker, service)
         return local_broker
 
+    def _set_targets(self, local_broker: LocalBroker, service: str) -> None:
+        local_broker.set_targets(self._targets.of_service(service), self._targets.unconfirmed)
+        local_broker.adopt_notices(self._targets.notices_of_service(service))
+
     def send_decision(self, service: str, decision: Decision) -> None:
         """Send a decision of a local broker to the host that requested the slot."""
         target = self._targets.get(decision.target) if isinstance(decision, Grant) else None
@@ -385,8 +392,8 @@
     def _send_held_state(self, ip: str, service: str) -> None:
         """Send what this host knows of a service to its new broker.
 
-        These are the slots that it holds, its recent outcomes and, if it was a broker of the
-        service, the poison messages.
+        These are the slots that it holds, its recent outcomes, the notices of targets and, if it
+        was a broker of the service, the poison messages.
         """
         now = self._clock.now()
         leases = [
@@ -409,8 +416,9 @@
             return
         local_broker = self._local_brokers.get(service)
         poison = local_broker.broker.poison_messages(now) if local_broker else []
-        if self._endpoint is not None and (leases or results or poison):
-            self._endpoint.send(ip, ["held", service, leases, results, poison])
+        notices = [encode_notice(notice) for notice in self._targets.notices_of_service(service)]
+        if self._endpoint is not None and (leases or results or poison or notices):
+            self._endpoint.send(ip, ["held", service, leases, results, poison, notices])
 
 
 def _withdrawal_report(slot_request_id: str, target: str) -> AttemptReport:
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -8,17 +8,18 @@
      entry revision]
     ["queued", id]
     ["refused", id, reason, retry after ms]
-    ["end", service, id, target, outcome, work ms, fingerprint]
+    ["end", service, id, target, outcome, work ms, fingerprint, notice]
     ["noted", id]
     ["sync", service]
-    ["held", service, leases, results, poison messages as [fingerprint, targets]]
+    ["held", service, leases, results, poison messages as [fingerprint, targets], notices]
     ["crashed", service, fingerprint, targets]
 
 A host sends `ask` for a slot, `end` for the outcome of an attempt, and `held` with its slots,
-recent outcomes and known poison messages in reply to `sync`.  A broker answers `ask` with `grant`,
-`queued` or `refused`, acknowledges `end` with `noted`, and sends `sync` when it takes over.  It
-sends `crashed` to the hosts next in rank for a request that crashed targets, or without targets
-once one has answered.  `id` is that of the slot request.
+recent outcomes, known poison messages and targets' notices in reply to `sync`.  A broker answers
+`ask` with `grant`, `queued` or `refused`, acknowledges `end` with `noted`, and sends `sync` when it
+takes over.  It sends `crashed` to the hosts next in rank for a request that crashed targets, or
+without targets once one has answered.  `id` is that of the slot request.  A notice is encoded as in
+`targetnotices`; it is null if the target sent no response.
 """
 
 from toucanspindle_entry.datagrams import Message
@@ -32,6 +33,7 @@
     SlotRequest,
 )
 from toucanspindle_entry.targethealth import AttemptOutcome
+from toucanspindle_entry.targetnotices import decode_notice, encode_notice
 
 MS_PER_S = 1000
 
@@ -119,20 +121,22 @@
         report.outcome.value,
         work_ms,
         report.fingerprint,
+        encode_notice(report.notice) if report.notice is not None else None,
     ]
 
 
 def decode_report(message: Message) -> tuple[str, AttemptReport]:
-    """Return the service and the report of an `end` message.
+    """Return the service and the report of an `end` message; earlier versions send no notice.
 
     Raises ValueError for an unknown outcome.
     """
-    _, service, slot_request_id, target, outcome, work_ms, fingerprint = message
+    _, service, slot_request_id, target, outcome, work_ms, fingerprint, *notices = message
     report = AttemptReport(
         str(slot_request_id),
         str(target),
         AttemptOutcome(outcome),
         work_ms / MS_PER_S,
         str(fingerprint),
+        decode_notice(notices[0]) if notices and notices[0] is not None else None,
     )
     return str(service), report
--- a/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from toucanspindle_entry.targethealth import AttemptOutcome
+from toucanspindle_entry.targetnotices import TargetNotice
 
 
 class RefusalReason(Enum):
@@ -81,10 +82,14 @@
 
 @dataclass(frozen=True)
 class AttemptReport:
-    """The outcome of an attempt; `work_s` is the time in seconds that it took at the target."""
+    """The outcome of an attempt; `work_s` is the time in seconds that it took at the target.
+
+    `notice` is what the target said of itself, if it sent a response.
+    """
 
     slot_request_id: str
     target: str
     outcome: AttemptOutcome
     work_s: float
     fingerprint: str
+    notice: TargetNotice | None = None
--- a/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
@@ -9,7 +9,8 @@
 
 from toucanspindle_core.clock import Clock
 
-from toucanspindle_entry.model import TargetEntry
+from toucanspindle_entry.model import TargetEntry, TargetState
+from toucanspindle_entry.targetnotices import TargetNotice, TargetNotices
 
 UNCONFIRMED_GRACE_S: Final = 2.0  # Live targets register again within this time after an outage.
 
@@ -23,6 +24,7 @@
         self._entries: dict[str, TargetEntry] = {}
         self._unconfirmed_until: dict[str, float] = {}
         self._removed_started_ms: dict[str, int] = {}
+        self._notices = TargetNotices()
         self._revision = 0
         self._newest_change = 0
 
@@ -31,6 +33,11 @@
         """Names of targets whose entries are missing since an outage of the store."""
         return frozenset(self._unconfirmed_until)
 
+    @property
+    def notices(self) -> TargetNotices:
+        """What targets have said of themselves in responses to this host."""
+        return self._notices
+
     @property
     def size(self) -> int:
         """Number of known targets, unconfirmed ones included."""
@@ -59,6 +66,17 @@
         """Return the entries of a service."""
         return [entry for entry in self._entries.values() if entry.service == service]
 
+    def notices_of_service(self, service: str) -> list[TargetNotice]:
+        """Return the notices that hold for the registered targets of a service."""
+        return self._notices.of_targets(
+            (entry.name, entry.started_ms) for entry in self.of_service(service)
+        )
+
+    def unusable(self, service: str) -> list[str]:
+        """Return the targets of a service that are registered as ready and yet may not be used."""
+        unusable = {notice.target for notice in self.notices_of_service(service)}
+        return [name for name in unusable if self._entries[name].state is TargetState.READY]
+
     def record_change(self, revision: int) -> None:
         """Record the store revision of a change."""
         self._newest_change = max(self._newest_change, revision)
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -17,10 +18,11 @@
 from toucanspindle_entry.callerconnection import CallerRequest, CallerResponse
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.entrymetrics import EntryMetrics
+from toucanspindle_entry.headernames import HeaderNames
 from toucanspindle_entry.httpclient import ConnectError, ConnectionLostError, HttpResponse
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.model import FleetPlan, HostEntry, Route, TargetEntry, WeightedService
-from toucanspindle_entry.requestpath import HandlerDependencies, HeaderNames, RequestHandler
+from toucanspindle_entry.requestpath import HandlerDependencies, RequestHandler
 from toucanspindle_entry.routeindex import RouteIndex
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slotclient import SlotClient
@@ -35,8 +37,14 @@
 SLOW_HOST_DELAY_S: Final = 0.15  # Longer than a host waits for a broker's answer.
 DEADLINE_S: Final = 4.0
 POISON_PATH: Final = "/poison"
+LEAVING_HEADER: Final = b"x-leaving"
 HEADER_NAMES: Final = HeaderNames(
-    b"x-request-id", b"x-deadline-ms", b"x-signature", b"x-expected-target", b"x-not-run"
+    b"x-request-id",
+    b"x-deadline-ms",
+    b"x-signature",
+    b"x-expected-target",
+    b"x-not-run",
+    LEAVING_HEADER,
 )
 
 
@@ -67,7 +75,10 @@
 
     `arrivals` holds (time, request id), `crashes` (time, target) of the request that crashes them,
     `last_arrivals` the time of the last arrival by sending host and target, and `deadlines` the
-    times at which the deadlines passed on end, by request id.
+    times at which the deadlines passed on end, by request id.  `sent_at` is when the caller sent a
+    request, `leaving_told_at` when a target first told a host (by incarnation) that it is leaving,
+    and `late_arrivals` holds (time, incarnation, target) of the requests that callers sent longer
+    than the bound on drains after that.
     """
 
     arrivals: list[tuple[float, str]] = field(default_factory=list)
@@ -75,6 +86,9 @@
     crashes: list[tuple[float, str]] = field(default_factory=list)
     last_arrivals: dict[tuple[str, str], float] = field(default_factory=dict)
     deadlines: dict[str, list[float]] = field(default_factory=dict)
+    sent_at: dict[str, float] = field(default_factory=dict)
+    leaving_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    late_arrivals: list[tuple[float, str, str]] = field(default_factory=list)
 
     def repeats(self) -> list[float]:
         """Return the times of the arrivals beyond the first of each request."""
@@ -116,7 +130,7 @@
         self, request: bytes, is_head: bool, matches_request: object  # noqa: ARG002
     ) -> HttpResponse:
         try:
-            return await self._fleet.serve(self._host.ip, request)
+            return await self._fleet.serve(self._host, request)
         finally:
             await self._host.wait_until_awake()
 
@@ -165,6 +179,7 @@
         rng = random.Random(fleet.rng.random())
         incarnation = f"{ip}-{fleet.next_incarnation()}"
         self.ip = ip
+        self.incarnation = incarnation
         self.is_running = True
         self.is_cut_off = False
         self.is_muted = False
@@ -245,6 +260,7 @@
         self._request_count = 0
         self._tasks: dict[asyncio.Task[CallerResponse], EmulatedHost] = {}
         self.statuses: list[int] = []
+        self.leaving: set[str] = set()
 
     def next_incarnation(self) -> int:
         """Return a number for a new incarnation."""
@@ -270,7 +286,7 @@
 
         asyncio.get_running_loop().call_later(delay_s, receiver.when_awake, receive)
 
-    async def serve(self, ip: str, request: bytes) -> HttpResponse:
+    async def serve(self, host: EmulatedHost, request: bytes) -> HttpResponse:
         """Record the arrival of a request of a host at its target, and answer it."""
         head = dict(
             line.split(b": ", 1) for line in request.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
@@ -281,7 +297,18 @@
         deadline_at = now + int(head[HEADER_NAMES.deadline_ms]) / 1000
         self.record.deadlines.setdefault(request_id.decode(), []).append(deadline_at)
         target_name = head[HEADER_NAMES.expected_target].decode()
-        self.record.last_arrivals[ip, target_name] = now
+        self.record.last_arrivals[host.ip, target_name] = now
+        told_at = self.record.leaving_told_at.get((host.incarnation, target_name), math.inf)
+        if self.record.sent_at[request_id.decode()] > told_at + self.shape.bounds.drain_s:
+            self.record.late_arrivals.append((now, host.incarnation, target_name))
+        response = await self._answer(request, target_name, request_id)
+        if target_name in self.leaving:
+            response.headers.append((LEAVING_HEADER, b"1"))
+            self.record.leaving_told_at.setdefault((host.incarnation, target_name), self._now())
+        return response
+
+    async def _answer(self, request: bytes, target_name: str, request_id: bytes) -> HttpResponse:
+        now = self._now()
         headers = [(HEADER_NAMES.request_id, request_id)]
         if request.split(b" ")[1] == POISON_PATH.encode():
             self.record.crashes.append((now, target_name))
@@ -297,6 +324,9 @@
             return HttpResponse(500, b"", [*headers, (HEADER_NAMES.signature, b"s")])
         return HttpResponse(200, b"", [*headers, (HEADER_NAMES.signature, b"s")], b"ok")
 
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
     # Load.
 
     async def run_load(self, duration_s: float) -> None:
@@ -317,7 +347,8 @@
     def send_request(self, host: EmulatedHost, path: str = "") -> None:
         """Send one request to a host; without a path it is unlike all others."""
         self._request_count += 1
-        self.record.requests.append(asyncio.get_running_loop().time())
+        self.record.requests.append(self._now())
+        self.record.sent_at[f"q{self._request_count}"] = self._now()
         headers = [
             (b"host", b"shop"),
             (HEADER_NAMES.request_id, b"q%d" % self._request_count),
--- a/tests/test_entry_left_targets.py
+++ b/tests/test_entry_left_targets.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 from toucanspindle_entry.brokerchoice import rank_brokers
 
-from tests.emulatedfleet import SERVICE, EmulatedFleet, FleetShape
+from tests.emulatedfleet import SERVICE, EmulatedFleet, EmulatedHost, FleetShape
 from tests.virtualtime import run_in_virtual_time
 
 SHAPE: Final = FleetShape(
@@ -51,6 +51,15 @@
     asyncio.get_running_loop().call_later(REGAINED_AFTER_S, fleet.regain_store, broker)
 
 
+def leave_without_store(fleet: EmulatedFleet, broker: str) -> None:  # noqa: ARG001
+    """The targets go on serving, and no host hears of them from the store."""
+    fleet.leaving = set(LEFT)
+
+
+def set_cut_off(host: EmulatedHost, value: bool) -> None:
+    host.is_cut_off = value
+
+
 def replace_known_to_broker(fleet: EmulatedFleet, broker: str) -> None:
     fleet.replace_targets("new", {broker})
 
@@ -81,6 +90,39 @@
         self.assertEqual(set(restarted), {ip for ip, _ in later_arrivals})
 
 
+class LeavingTargetTests(TestCase):
+    """Targets that tell in their responses that they are leaving, while the store is away."""
+
+    # Guards against hosts that follow only the store and send to a target that has said it leaves.
+    def test_no_host_sends_to_a_target_long_after_it_has_told_that_host(self) -> None:
+        fleet = play(leave_without_store)
+        self.check_leaving(fleet)
+
+    # Guards against a new broker that doesn't know what targets have told other hosts.
+    def test_leaving_target_stays_unused_while_brokers_are_killed(self) -> None:
+        def leave_and_kill(fleet: EmulatedFleet, broker: str) -> None:
+            leave_without_store(fleet, broker)
+            for n, ip in enumerate(rank_brokers(SERVICE, fleet.ips)[:4]):
+                asyncio.get_running_loop().call_later(1.0 + n, fleet.kill, ip, 0.5)
+
+        self.check_leaving(play(leave_and_kill))
+
+    # Guards against a host that stops telling what it knows once the broker forgets it.
+    def test_leaving_target_stays_unused_while_each_host_decides_alone(self) -> None:
+        def leave_and_cut(fleet: EmulatedFleet, broker: str) -> None:
+            leave_without_store(fleet, broker)
+            for ip in fleet.ips:
+                asyncio.get_running_loop().call_later(1.0, fleet.disturb, ip, set_cut_off, 3.0)
+
+        self.check_leaving(play(leave_and_cut))
+
+    def check_leaving(self, fleet: EmulatedFleet) -> None:
+        self.assertEqual(LEFT, {name for _, name in fleet.record.leaving_told_at})
+        self.assertEqual([], fleet.record.late_arrivals[:5], len(fleet.record.late_arrivals))
+        # The other targets serve what the leaving ones would have got.
+        self.assertGreater(fleet.statuses.count(200), 0.95 * len(fleet.record.requests))
+
+
 class StaleHostTests(TestCase):
     def test_new_target_that_only_the_broker_knows_is_used_by_all_hosts(self) -> None:
         """The broker is ahead of a host whose next call to the store is due within a second."""
