--- a/packages/toucanspindle-entry/toucanspindle_entry/hostprober.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hostprober.py
@@ -26,7 +26,7 @@
 from toucanspindle_entry.livehosts import LiveHosts
 
 PROBE_INTERVAL_S: Final = 0.25  # Probes one host per interval.
-MAX_HOSTS_NAMED: Final = 8  # In one answer; several answers a second name all of them.
+MAX_HOSTS_NAMED: Final = 16  # In one answer; several answers a second name all of them.
 MIN_GREETING_INTERVAL_S: Final = 1.0  # Between two rounds of greetings to all hosts.
 PROBE_TIMEOUT_S: Final = 0.12  # A round trip takes 2 ms, and longer with a slow host.
 
