End the grace for missing targets 2 s after the outage, not after each is found missing

Hosts could send to a target that had left for up to 4.5 s after the store answered them again: an entry that was found missing late in the grace was kept for another 2 s, and an expired one until the next check half a second later.

The watch now tells until when the grace lasts, and a request isn't sent to an unconfirmed target from that moment on. The new test of the target table can't run on the old code, whose table took no time; there the entry was kept until UNCONFIRMED_GRACE_S after it was marked.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -105,11 +105,11 @@
     def __init__(self, node: "EntryNode") -> None:
         self._node = node
 
-    def on_listing(self, listing: StoreListing, after_outage: bool) -> None:  # noqa: ARG002
+    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
         for item in listing.items:
             self._node.apply_plan(item.value)
 
-    def on_changes(self, changes: StoreChanges, after_outage: bool) -> None:  # noqa: ARG002
+    def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:  # noqa: ARG002
         for change in changes.changes:
             if not change.removed:
                 self._node.apply_plan(change.value)
@@ -122,23 +122,24 @@
         self._node = node
         self._table = table
 
-    def on_listing(self, listing: StoreListing, after_outage: bool) -> None:
+    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:
         entries = [item.value for item in listing.items if isinstance(item.value, TargetEntry)]
         for entry in entries:
             if (known := self._table.get(entry.name)) is not None:
                 _log_target_change(known, entry)
-        self._table.replace_all(entries, after_outage)
+        self._table.replace_all(entries, grace_until)
         self._table.advance_to(listing.revision)
         self._node.targets_changed()
 
-    def on_changes(self, changes: StoreChanges, after_outage: bool) -> None:
+    def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:
         for change in changes.changes:
             self._table.record_change(change.revision)
             if isinstance(change.value, TargetEntry) and not change.removed:
                 _log_target_change(self._table.get(change.name), change.value)
                 self._table.register(change.value)
-            elif after_outage:
-                self._table.mark_unconfirmed(change.name)
+            elif grace_until is not None:
+                log.info("event=target_unconfirmed target={}", change.name)
+                self._table.mark_unconfirmed(change.name, grace_until)
             else:
                 log.info("event=target_removed target={}", change.name)
                 self._table.remove(change.name)
--- a/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
@@ -38,14 +38,15 @@
 class StoreListener(Protocol):
     """Receives the objects of one kind.
 
-    `after_outage` means that missing objects may only have expired while the store was unreachable.
+    `grace_until` is set shortly after the store was unreachable: objects that are missing may only
+    have expired meanwhile, and are registered again by that time, in seconds of the watch's clock.
     """
 
-    def on_listing(self, listing: StoreListing, after_outage: bool) -> None:
+    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:
         """Replace all objects of the kind by a listing."""
         ...
 
-    def on_changes(self, changes: StoreChanges, after_outage: bool) -> None:
+    def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:
         """Apply changes, oldest first."""
         ...
 
@@ -125,7 +126,7 @@
             self._listed_at = self._clock.now()
             self._record_success()
             self._revision = listing.revision
-            self._listener.on_listing(listing, self._may_have_expired())
+            self._listener.on_listing(listing, self._grace_until())
             return
         changes = await self._wait_for_changes(self._revision)
         if changes is None:
@@ -134,7 +135,7 @@
         self._record_success()
         self._revision = changes.revision
         if changes.changes:
-            self._listener.on_changes(changes, self._may_have_expired())
+            self._listener.on_changes(changes, self._grace_until())
             await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
 
     async def _wait_for_changes(self, revision: int) -> StoreChanges | None:
@@ -152,9 +153,10 @@
             watch_task.cancel()
             await asyncio.gather(watch_task, return_exceptions=True)
 
-    def _may_have_expired(self) -> bool:
-        """Return whether missing objects may only have expired during an outage."""
-        return self._clock.now() < self._may_have_expired_until
+    def _grace_until(self) -> float | None:
+        """Return until when missing objects may be registered again, or None if they are gone."""
+        until = self._may_have_expired_until
+        return until if self._clock.now() < until else None
 
     def _record_success(self) -> None:
         """Reset the backoff; after a long outage, start the grace for missing objects."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
@@ -1,19 +1,18 @@
 """The registered targets that this host knows.
 
 An entry that is missing after an outage of the store may be registered again shortly: it is kept as
-unconfirmed for UNCONFIRMED_GRACE_S.  Without an outage a missing entry is removed at once.
+unconfirmed until the grace after the outage ends.  Without an outage a missing entry is removed at
+once.
 """
 
+import math
 from collections.abc import Iterable
-from typing import Final
 
 from toucanspindle_core.clock import Clock
 
 from toucanspindle_entry.model import TargetEntry, TargetState
 from toucanspindle_entry.targetnotices import TargetNotice, TargetNotices
 
-UNCONFIRMED_GRACE_S: Final = 2.0  # Live targets register again within this time after an outage.
-
 
 class TargetTable:
     """The registered targets by name."""
@@ -53,13 +52,17 @@
         return self._entries.get(name)
 
     def has_left(self, name: str, started_ms: int, revision: int) -> bool:
-        """Return whether the target incarnation that started at `started_ms` was removed.
+        """Return whether the target incarnation that started at `started_ms` is gone.
+
+        An unconfirmed one counts as gone from the end of its grace.
 
         `revision` is that of the entry which another host has.  An entry that is unknown here was
         removed if this host knows the store up to that revision, and is a new one otherwise.
         """
         if self._removed_started_ms.get(name) == started_ms:
             return True
+        if self._clock.now() >= self._unconfirmed_until.get(name, math.inf):
+            return True
         return name not in self._entries and 0 < revision <= self._revision
 
     def of_service(self, service: str) -> list[TargetEntry]:
@@ -99,19 +102,19 @@
         if entry is not None:
             self._removed_started_ms[name] = entry.started_ms
 
-    def mark_unconfirmed(self, name: str) -> None:
-        """Keep a missing entry as unconfirmed for UNCONFIRMED_GRACE_S."""
+    def mark_unconfirmed(self, name: str, grace_until: float) -> None:
+        """Keep a missing entry as unconfirmed until a time in seconds of the clock."""
         if name in self._entries:
-            self._unconfirmed_until.setdefault(name, self._clock.now() + UNCONFIRMED_GRACE_S)
+            self._unconfirmed_until.setdefault(name, grace_until)
 
-    def replace_all(self, entries: Iterable[TargetEntry], after_outage: bool) -> None:
-        """Replace all entries by a listing; after an outage, keep missing ones as unconfirmed."""
+    def replace_all(self, entries: Iterable[TargetEntry], grace_until: float | None) -> None:
+        """Replace all entries by a listing; keep missing ones during the grace after an outage."""
         listed = {entry.name: entry for entry in entries}
         for name in list(self._entries):
             if name in listed:
                 continue
-            if after_outage:
-                self.mark_unconfirmed(name)
+            if grace_until is not None:
+                self.mark_unconfirmed(name, grace_until)
             else:
                 self.remove(name)
         for entry in listed.values():
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -26,6 +26,7 @@
 from toucanspindle_entry.routeindex import RouteIndex
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slotclient import SlotClient
+from toucanspindle_entry.storewatch import REGISTRATION_GRACE_S
 from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targettable import TargetTable
 
@@ -192,7 +193,7 @@
             self.live_hosts.add_host(HostEntry(other, other, "beaufort", other), clock.now())
         self.live_hosts.record_listing(len(fleet.ips))
         self.targets = TargetTable(clock)
-        self.targets.replace_all(entries, after_outage=False)
+        self.targets.replace_all(entries, grace_until=None)
         self.targets.advance_to(fleet.store_revision)
         self.slots = SlotClient(self.live_hosts, self.targets, fleet.shape.bounds, LoopClock(), rng)
         self.slots.attach(cast(DatagramEndpoint, _EmulatedEndpoint(fleet, self)))
@@ -390,14 +391,14 @@
         self.store_revision += 1
         for ip in aware:
             host = self.hosts[ip]
-            host.targets.replace_all(self._entries, after_outage=False)
+            host.targets.replace_all(self._entries, grace_until=None)
             host.targets.advance_to(self.store_revision)
             host.slots.targets_changed()
 
     def regain_store(self, ip: str) -> None:
         """Let a host list the targets after a time without the store."""
         host = self.hosts[ip]
-        host.targets.replace_all(self._entries, after_outage=True)
+        host.targets.replace_all(self._entries, grace_until=self._now() + REGISTRATION_GRACE_S)
         host.targets.advance_to(self.store_revision)
         host.slots.targets_changed()
 
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -9,7 +9,8 @@
 from toucanspindle_entry.livehosts import DEAD_AFTER_MISSED_PROBES, LiveHosts
 from toucanspindle_entry.model import HostEntry, TargetState
 from toucanspindle_entry.routeindex import RouteIndex
-from toucanspindle_entry.targettable import UNCONFIRMED_GRACE_S, TargetTable
+from toucanspindle_entry.storewatch import REGISTRATION_GRACE_S
+from toucanspindle_entry.targettable import TargetTable
 
 from tests.entrycase import plan, route, target
 
@@ -52,24 +53,34 @@
         super().setUp()
         self.clock = ManualClock()
         self.table = TargetTable(self.clock)
-        self.table.replace_all([target("a"), target("b")], after_outage=False)
+        self.table.replace_all([target("a"), target("b")], grace_until=None)
 
     def test_missing_entry_without_an_outage_is_removed_at_once(self) -> None:
-        self.table.replace_all([target("a")], after_outage=False)
+        self.table.replace_all([target("a")], grace_until=None)
         self.assertIsNone(self.table.get("b"))
         self.assertTrue(self.table.has_left("b", 1, 0))
 
     def test_missing_entry_after_an_outage_is_kept_until_the_grace_ends(self) -> None:
-        self.table.replace_all([target("a")], after_outage=True)
+        self.table.replace_all([target("a")], grace_until=self.clock.now() + REGISTRATION_GRACE_S)
         self.assertEqual({"b"}, self.table.unconfirmed)
-        self.clock.advance(UNCONFIRMED_GRACE_S)
+        self.clock.advance(REGISTRATION_GRACE_S)
         self.assertTrue(self.table.expire_unconfirmed())
         self.assertIsNone(self.table.get("b"))
 
+    # Guards against a grace that starts anew for each entry that is found missing.
+    def test_entry_found_missing_late_in_the_grace_is_gone_at_its_end(self) -> None:
+        grace_until = self.clock.now() + REGISTRATION_GRACE_S
+        self.clock.advance(REGISTRATION_GRACE_S - 0.1)
+        self.table.mark_unconfirmed("b", grace_until)
+        self.assertFalse(self.table.has_left("b", 1, 0))
+        self.clock.advance(0.1)
+        # The next check for expired entries may be half a second later.
+        self.assertTrue(self.table.has_left("b", 1, 0))
+
     def test_entry_registered_again_is_confirmed(self) -> None:
-        self.table.replace_all([target("a")], after_outage=True)
+        self.table.replace_all([target("a")], grace_until=self.clock.now() + REGISTRATION_GRACE_S)
         self.table.register(target("b"))
-        self.clock.advance(UNCONFIRMED_GRACE_S)
+        self.clock.advance(REGISTRATION_GRACE_S)
         self.assertFalse(self.table.expire_unconfirmed())
         self.assertIsNotNone(self.table.get("b"))
 
@@ -86,7 +97,7 @@
     def test_unconfirmed_entry_keeps_its_revision(self) -> None:
         """Hosts that know of its removal can tell by the revision; this one isn't sure itself."""
         self.table.register(dataclasses.replace(target("b"), revision=3))
-        self.table.mark_unconfirmed("b")
+        self.table.mark_unconfirmed("b", self.clock.now() + REGISTRATION_GRACE_S)
         entry = self.table.get("b")
         assert entry is not None
         self.assertEqual(3, entry.revision)
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -217,7 +217,7 @@
     for other in IPS:
         hosts.add_host(HostEntry(other, other, "beaufort", other), clock.now())
     table = TargetTable(clock)
-    table.replace_all([target(name, slots=slots) for name in "abcd"], after_outage=False)
+    table.replace_all([target(name, slots=slots) for name in "abcd"], grace_until=None)
     client = SlotClient(hosts, table, BOUNDS, clock, random.Random(ip))
     client.attach(cast(DatagramEndpoint, FakeEndpoint(network, ip)))
     return client
--- a/tests/test_entry_storewatch.py
+++ b/tests/test_entry_storewatch.py
@@ -62,14 +62,14 @@
         self.changes: list[tuple[str, bool]] = []
         self.fails_next_listing = False
 
-    def on_listing(self, listing: StoreListing, after_outage: bool) -> None:  # noqa: ARG002
+    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
         if self.fails_next_listing:
             self.fails_next_listing = False
             raise ValueError("simulated listener failure")
-        self.listings.append(after_outage)
+        self.listings.append(grace_until is not None)
 
-    def on_changes(self, changes: StoreChanges, after_outage: bool) -> None:
-        self.changes += [(change.name, after_outage) for change in changes.changes]
+    def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:
+        self.changes += [(change.name, grace_until is not None) for change in changes.changes]
 
 
 def one_change(name: str, revision: int) -> StoreChanges:
@@ -140,7 +140,7 @@
         self.run_with_watch(scenario)
 
     def test_only_a_long_outage_is_reported_to_the_listener(self) -> None:
-        """An outage longer than MIN_OUTAGE_S sets `after_outage`; one failed call doesn't."""
+        """An outage longer than MIN_OUTAGE_S sets `grace_until`; one failed call doesn't."""
 
         async def scenario(
             store: FakeStore, listener: RecordingListener, watch: StoreWatch
