Keep to the limits that targets name, summed over all hosts

Targets that named a limit got more requests than it allows (36 in 4 s at 1 a second, 11 allowed), since nothing read the header; and once it is read, a limit for the sum over all hosts can't be kept by each broker for itself.

The limit is part of a target's notice, so the broker learns it with each report and a new one from all hosts. The broker keeps a token bucket for each limited target, counts it as busy without a token, and expects no more of it than the limit. So that the sum holds with several brokers, they tell each other what they grant, a host that decides alone has only its own share of the rate, and a bucket starts nearly empty at each takeover.

The emulated hosts took themselves for isolated, since nobody answered their probes; now they get answers unless they are cut off.

--- a/packages/toucanspindle-entry/toucanspindle_entry/headernames.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/headernames.py
@@ -10,6 +10,7 @@
     `signature` proves that a target produced the response; `expected_target` names the only target
     that may run the request; `not_run` marks the response to a request that the target didn't run.
     A target that leaves sends `leaving` with the value 1 in all its responses.
+    A target in need names in `rate_limit` how many requests a second it takes from all hosts.
     """
 
     request_id: bytes
@@ -18,3 +19,4 @@
     expected_target: bytes
     not_run: bytes
     leaving: bytes
+    rate_limit: bytes
--- a/packages/toucanspindle-entry/toucanspindle_entry/livehosts.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/livehosts.py
@@ -63,6 +63,11 @@
             return None
         return max(self._listed_hosts, len(self._peers) + 1)
 
+    @property
+    def possible_hosts(self) -> int:
+        """Number of hosts that may be running: all known ones but those that are leaving."""
+        return 1 + sum(1 for peer in self._peers.values() if not peer.is_leaving)
+
     @property
     def peers(self) -> dict[str, PeerRecord]:
         """All known hosts except this one, by IP address."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
@@ -43,6 +43,14 @@
         """Ask all hosts for their slots and recent outcomes of a service."""
         ...
 
+    def limit_share(self, service: str) -> float:
+        """Return the share of the targets' limits that a broker on this host may grant."""
+        ...
+
+    def share_limited_grants(self, service: str, grants: list[tuple[TargetNotice, int]]) -> None:
+        """Tell the hosts that may be brokers too what was granted of limited targets."""
+        ...
+
     def share_crashes(self, service: str, fingerprint: str, targets: list[str]) -> None:
         """Tell the hosts next in rank which targets a request crashed; none if one answered."""
         ...
@@ -89,6 +97,7 @@
         self._last_request_at = self._clock.now()
         self._arm_tick()
         self._broker.set_fleet_size(self._link.fleet_size)
+        self._update_limit_share()
         if self._deferred_requests is not None:
             if all(deferred.id != slot_request.id for deferred in self._deferred_requests):
                 self._deferred_requests.append(slot_request)
@@ -136,7 +145,12 @@
     def adopt_notices(self, notices: Iterable[TargetNotice]) -> None:
         """Heed what targets said of themselves to a host."""
         for notice in notices:
-            self._broker.adopt_notice(notice)
+            self._broker.adopt_notice(notice, self._clock.now())
+
+    def debit_limited_grants(self, grants: Iterable[tuple[TargetNotice, int]]) -> None:
+        """Count what another broker has granted of limited targets."""
+        for notice, count in grants:
+            self._broker.debit_limited_grants(notice, count, self._clock.now())
 
     def expire_state(self) -> None:
         """Treat the state as outdated, so that the next slot request starts a takeover."""
@@ -167,12 +181,13 @@
         """Request the state of all hosts and defer slot requests for `TAKEOVER_WAIT_S`."""
         log.info("event=broker_takeover service={}", self._service)
         self._deferred_requests = []
-        self._broker.clear_leases()
+        self._broker.clear_leases(self._clock.now())
         self._link.request_sync(self._service)
         asyncio.get_running_loop().call_later(TAKEOVER_WAIT_S, self._end_takeover)
 
     def _end_takeover(self) -> None:
         deferred_requests, self._deferred_requests = self._deferred_requests or [], None
+        self._update_limit_share()
         now = self._clock.now()
         for slot_request in deferred_requests:
             self._send_decision(self._broker.request_slot(slot_request, now))
@@ -183,10 +198,15 @@
 
     def _tick(self) -> None:
         self._tick_timer = None
+        self._update_limit_share()
         self._send_decisions(self._broker.tick(self._clock.now()))
         if self.is_active or self._broker.slots_in_use or self._broker.queue_length:
             self._arm_tick()
 
+    def _update_limit_share(self) -> None:
+        if self._broker.has_limited_targets:
+            self._broker.set_limit_share(self._link.limit_share(self._service), self._clock.now())
+
     def _send_decisions(self, decisions: list[Decision]) -> None:
         for decision in decisions:
             self._send_decision(decision)
@@ -217,3 +237,5 @@
                 self._broker.retry_credit,
             )
         self._link.send_decision(self._service, decision)
+        if grants := self._broker.take_limited_grants():
+            self._link.share_limited_grants(self._service, grants)
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -36,6 +36,7 @@
     AttemptOutcome,
     HealthEstimate,
 )
+from toucanspindle_entry.targetlimits import TargetLimits
 from toucanspindle_entry.targetnotices import TargetNotice
 
 LEASE_GRACE_S: Final = 0.5  # A lease without a report expires this long after its deadline.
@@ -199,6 +200,7 @@
         self._mean_work_s = INITIAL_WORK_S
         self._answer_count = 0
         self._poison_tracker = PoisonTracker()
+        self._limits = TargetLimits(rng)
         self._ended_at: dict[str, float] = {}
         self._refusals: dict[str, tuple[float, Refused]] = {}
 
@@ -217,6 +219,11 @@
         """Number of queued slot requests."""
         return len(self._queue)
 
+    @property
+    def has_limited_targets(self) -> bool:
+        """Whether any target has limited its requests."""
+        return bool(self._limits)
+
     @property
     def mean_work_s(self) -> float:
         """Exponentially smoothed time of an answered attempt, in seconds."""
@@ -226,6 +233,19 @@
         """Set the number of hosts that share the retry budget, or None while it isn't known."""
         self._retry_budget.set_fleet_size(fleet_size)
 
+    def set_limit_share(self, share: float, now: float) -> None:
+        """Set the share of each target's limit that this broker may grant, from 0 to 1."""
+        self._limits.set_share(share, now)
+
+    def take_limited_grants(self) -> list[tuple[TargetNotice, int]]:
+        """Return the grants of limited targets since the last call, for the other brokers."""
+        return self._limits.take_granted()
+
+    def debit_limited_grants(self, notice: TargetNotice, count: int, now: float) -> None:
+        """Count grants of another broker against the limit that it knows."""
+        self.adopt_notice(notice, now)
+        self._limits.debit(notice.target, notice.started_ms, count, now)
+
     def unhealthy_probabilities(self, now: float) -> dict[str, float]:
         """Return the probability that each registered target is unhealthy, by target name."""
         return {name: record.health.unhealthy_at(now) for name, record in self._targets.items()}
@@ -259,6 +279,7 @@
             if lease.target in self._targets:
                 self._targets[lease.target].leases.add(lease_id)
         self._active_floor.retain_targets(self._targets)
+        self._limits.retain((name, r.entry.started_ms) for name, r in self._targets.items())
         return self.grant_queued(now)
 
     def request_slot(self, slot_request: SlotRequest, now: float) -> Decision:
@@ -318,7 +339,7 @@
         if record is not None and is_evidence:
             self._update_target(record, report, now)
         if report.notice is not None:
-            self.adopt_notice(report.notice)
+            self.adopt_notice(report.notice, now)
         self._record_floor_result(report, lease, now)
         return self.grant_queued(now)
 
@@ -346,8 +367,9 @@
         if record is not None and observed_at > record.health.updated_at - 1:
             record.health.observe(outcome, max(observed_at, record.health.updated_at))
 
-    def adopt_notice(self, notice: TargetNotice) -> None:
+    def adopt_notice(self, notice: TargetNotice, now: float) -> None:
         """Heed what a target said of itself to any host; ignore another incarnation's notice."""
+        self._limits.adopt(notice, now)
         record = self._targets.get(notice.target)
         if record is not None and record.entry.started_ms == notice.started_ms:
             # An earlier response may be reported later, so only a restart ends the leaving.
@@ -372,9 +394,10 @@
         for target in targets:
             self._poison_tracker.record_crash(fingerprint, target, now)
 
-    def clear_leases(self) -> None:
+    def clear_leases(self, now: float) -> None:
         """Drop all leases, before they are adopted again from the hosts."""
         self._leases.clear()
+        self._limits.forget_savings(now)
         for record in self._targets.values():
             record.leases.clear()
 
@@ -539,7 +562,8 @@
             if not record.takes_requests:
                 continue
             unhealthy[name] = record.health.unhealthy_at(now)
-            if record.has_free_slot:
+            has_room = self._limits.has_room(name, record.entry.started_ms, now)
+            if record.has_free_slot and has_room:
                 cost = record.expected_cost(unhealthy[name], now)
                 if now >= record.paused_until:
                     cost += JITTER_COST * self._rng.random()
@@ -547,7 +571,7 @@
                 is_new = record.joined_at > float("-inf")
                 if is_new and record.joined_at > self._active_floor.last_granted_at(name):
                     unused.append(record)
-            if not record.has_free_slot or now < record.paused_until:
+            if not record.has_free_slot or not has_room or now < record.paused_until:
                 busy.append((unhealthy[name], name))
         names_due = self._active_floor.targets_due(
             list(unhealthy), lambda name: unhealthy[name] < FLOOR_MAX_UNHEALTHY, now
@@ -665,6 +689,7 @@
             retry_credit_at,
         )
         record.leases.add(slot_request.id)
+        self._limits.take(record.entry.name, record.entry.started_ms, now)
         self._active_floor.record_grant(record.entry.name, now)
         retry_wait_s = now - pending.arrived_at if slot_request.is_retry else None
         return self._make_grant(slot_request, record.entry.name, now, retry_wait_s)
@@ -746,11 +771,16 @@
     def _expected_healthy_slots(self, now: float) -> float:
         """Return the slots of ready targets, weighted by the probability of being healthy."""
         return sum(
-            record.entry.slots * (1 - record.health.unhealthy_at(now))
+            self._usable_slots(record.entry) * (1 - record.health.unhealthy_at(now))
             for record in self._targets.values()
             if record.takes_requests
         )
 
+    def _usable_slots(self, entry: TargetEntry) -> float:
+        """Return how many slots of a target its limit lets the service use in the mean."""
+        rate = self._limits.rate_of(entry.name, entry.started_ms)
+        return entry.slots if rate is None else min(entry.slots, rate * self._mean_work_s)
+
     def _overdue_after_s(self) -> float:
         """Return the time in seconds after which an attempt is overdue; at least 0.5 s."""
         return max(0.5, OVERDUE_WORK_TIMES * self._mean_work_s)
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -26,7 +26,7 @@
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
 from toucanspindle_entry.targethealth import AttemptOutcome
-from toucanspindle_entry.targetnotices import decode_notice, encode_notice
+from toucanspindle_entry.targetnotices import TargetNotice, decode_notice, encode_notice
 from toucanspindle_entry.targettable import TargetTable
 
 # Waits for an answer before each resend and before giving up; a round trip takes about 2 ms.
@@ -38,6 +38,8 @@
 REPORT_RESEND_S: Final = (0.05, 0.1, 0.2)  # Waits for an acknowledgement.
 # Older outcomes are no use to a new broker: few episodes last so long.
 RESULT_MEMORY_S: Final = 8.0
+# Hosts that disagree who is alive use other brokers, but hardly any beyond this rank.
+LIMITED_GRANTS_SHARED_WITH: Final = 6
 
 log = Logger("slots")
 
@@ -230,6 +232,9 @@
         elif kind == "crashed":
             targets = [str(target) for target in message[3]]
             self._local_broker(str(message[1])).adopt_crashes(str(message[2]), targets)
+        elif kind == "granted":
+            grants = [(decode_notice(notice), int(count)) for notice, count in message[2]]
+            self._local_broker(str(message[1])).debit_limited_grants(grants)
         else:
             return False
         return True
@@ -389,6 +394,35 @@
             if ip != self._own_ip:
                 self._endpoint.send(ip, ["crashed", service, fingerprint, targets])
 
+    def limit_share(self, service: str) -> float:
+        """Return the share of the targets' limits that a broker on this host may grant.
+
+        A host that the others may ask too has the share of the hosts that it believes alive.  Any
+        other host decides for itself alone.
+        """
+        fleet_size = self._hosts.possible_hosts
+        if self._hosts.is_isolated(self._clock.now()) or self._own_ip not in self._brokers(service):
+            return 1 / fleet_size
+        return (len(self._hosts.alive_ips()) + 1) / fleet_size
+
+    def share_limited_grants(self, service: str, grants: list[tuple[TargetNotice, int]]) -> None:
+        """Tell the hosts that may be brokers of a service what was granted of limited targets."""
+        encoded = [[encode_notice(notice), count] for notice, count in grants]
+        for ip in self._brokers(service):
+            if ip != self._own_ip and self._endpoint is not None:
+                self._endpoint.send(ip, ["granted", service, encoded])
+
+    def _brokers(self, service: str) -> list[str]:
+        """Return the hosts that may be brokers of a service, by rank.
+
+        Hosts that are dead for this host may be alive for others, so they count beside
+        LIMITED_GRANTS_SHARED_WITH live ones.
+        """
+        alive = {*self._hosts.alive_ips(), self._own_ip}
+        ranked = rank_brokers(service, [*self._hosts.peers, self._own_ip])
+        live_ranks = [rank for rank, ip in enumerate(ranked) if ip in alive]
+        return ranked[: live_ranks[:LIMITED_GRANTS_SHARED_WITH][-1] + 1]
+
     def _send_held_state(self, ip: str, service: str) -> None:
         """Send what this host knows of a service to its new broker.
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetnotices.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targetnotices.py
@@ -1,10 +1,14 @@
 """What targets say of themselves in their responses.
 
 A target that leaves may say so in its responses before this host learns of it from the store, or
-while the store can't be reached.  A notice holds for one incarnation of a target.  The host that
-gets it heeds it at once, and passes it to the broker of the service with its report of the attempt.
+while the store can't be reached.  A target in need names a limit for the requests of all hosts,
+which holds until a response of it names none.  A notice holds for one incarnation of a target.  The
+host that gets it heeds the leaving at once, and passes the notice to the broker of the service with
+its report of the attempt.
 """
 
+import dataclasses
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -22,11 +26,16 @@
 
 @dataclass(frozen=True)
 class TargetNotice:
-    """What an incarnation of a target, by its name and start, said in its last response."""
+    """What an incarnation of a target, by its name and start, said in its last response.
+
+    `rate_limit` is the number of requests per second that it takes from all hosts together, or None
+    if it named no limit.
+    """
 
     target: str
     started_ms: int
     is_leaving: bool
+    rate_limit: float | None = None
 
 
 def read_notice(
@@ -34,18 +43,31 @@
 ) -> TargetNotice:
     """Return the notice in a response of a target; values that can't be read count as not sent."""
     is_leaving = (response.header(names.leaving) or b"").strip() == LEAVING_VALUE
-    return TargetNotice(target, started_ms, is_leaving)
+    return TargetNotice(target, started_ms, is_leaving, _read_number(response, names.rate_limit))
+
+
+def _read_number(response: HttpResponse, name: bytes) -> float | None:
+    """Return a header's value, or None if it isn't a decimal number of 0 or more."""
+    value = response.header(name)
+    try:
+        number = float(value) if value is not None else -1.0
+    except ValueError:
+        return None
+    return number if 0 <= number < math.inf else None
 
 
 def encode_notice(notice: TargetNotice) -> list[Any]:
     """Return a notice as a part of a message between hosts."""
-    return [notice.target, notice.started_ms, int(notice.is_leaving)]
+    return [notice.target, notice.started_ms, int(notice.is_leaving), notice.rate_limit]
 
 
 def decode_notice(encoded: list[Any]) -> TargetNotice:
     """Return the notice in a message of another host; raise ValueError if it is malformed."""
-    target, started_ms, is_leaving, *_ = encoded
-    return TargetNotice(str(target), int(started_ms), bool(is_leaving))
+    target, started_ms, is_leaving, *options = encoded
+    rate_limit = float(options[0]) if options and options[0] is not None else None
+    if rate_limit is not None and not 0 <= rate_limit < math.inf:
+        raise ValueError(f"the limit {rate_limit} of {target!r} is out of range")
+    return TargetNotice(str(target), int(started_ms), bool(is_leaving), rate_limit)
 
 
 class TargetNotices:
@@ -53,24 +75,33 @@
 
     def __init__(self) -> None:
         """Create a table without notices."""
-        self._leaving: dict[tuple[str, int], TargetNotice] = {}
+        self._notices: dict[tuple[str, int], TargetNotice] = {}
 
     def record(self, notice: TargetNotice) -> None:
         """Record a notice; a target that is leaving stays so until it restarts."""
         key = (notice.target, notice.started_ms)
-        if not notice.is_leaving or key in self._leaving:
+        previous = self._notices.get(key, TargetNotice(*key, is_leaving=False))
+        if notice.is_leaving and not previous.is_leaving:
+            log.info("event=target_says_leaving target={} started_ms={}", *key)
+        if notice.rate_limit != previous.rate_limit:
+            log.info(
+                "event=target_limits_rate target={} started_ms={} limit={}", *key, notice.rate_limit
+            )
+        is_leaving = notice.is_leaving or previous.is_leaving
+        if not is_leaving and notice.rate_limit is None:
+            self._notices.pop(key, None)
             return
-        log.info("event=target_says_leaving target={} started_ms={}", *key)
-        self._leaving[key] = notice
-        if len(self._leaving) > MAX_NOTICES:
-            del self._leaving[next(iter(self._leaving))]
+        self._notices[key] = dataclasses.replace(notice, is_leaving=is_leaving)
+        if len(self._notices) > MAX_NOTICES:
+            del self._notices[next(iter(self._notices))]
 
     def is_leaving(self, target: str, started_ms: int) -> bool:
         """Return whether an incarnation of a target has said that it is leaving."""
-        return (target, started_ms) in self._leaving
+        notice = self._notices.get((target, started_ms))
+        return notice is not None and notice.is_leaving
 
     def of_targets(self, incarnations: Iterable[tuple[str, int]]) -> list[TargetNotice]:
         """Return the notices of some incarnations, each given by name and start."""
-        if not self._leaving:
+        if not self._notices:
             return []
-        return [self._leaving[key] for key in incarnations if key in self._leaving]
+        return [self._notices[key] for key in incarnations if key in self._notices]
--- a/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
@@ -77,7 +77,9 @@
 
     def unusable(self, service: str) -> list[str]:
         """Return the targets of a service that are registered as ready and yet may not be used."""
-        unusable = {notice.target for notice in self.notices_of_service(service)}
+        unusable = {
+            notice.target for notice in self.notices_of_service(service) if notice.is_leaving
+        }
         return [name for name in unusable if self._entries[name].state is TargetState.READY]
 
     def record_change(self, revision: int) -> None:
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -19,6 +19,7 @@
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
+from toucanspindle_entry.hostprober import PROBE_INTERVAL_S
 from toucanspindle_entry.httpclient import ConnectError, ConnectionLostError, HttpResponse
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.model import FleetPlan, HostEntry, Route, TargetEntry, WeightedService
@@ -39,6 +40,12 @@
 DEADLINE_S: Final = 4.0
 POISON_PATH: Final = "/poison"
 LEAVING_HEADER: Final = b"x-leaving"
+LIMIT_HEADER: Final = b"x-limit"
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_KNOWN_AFTER_S: Final = 3.0  # Windows count from then on after a target first named a limit.
+HOST_TOLD_BEFORE_S: Final = 0.5  # Arrivals count from hosts that were told this long before.
+LIMIT_FACTOR: Final = 1.5
+LIMIT_SLACK: Final = 5.0
 HEADER_NAMES: Final = HeaderNames(
     b"x-request-id",
     b"x-deadline-ms",
@@ -46,6 +53,7 @@
     b"x-expected-target",
     b"x-not-run",
     LEAVING_HEADER,
+    LIMIT_HEADER,
 )
 
 
@@ -79,7 +87,9 @@
     times at which the deadlines passed on end, by request id.  `sent_at` is when the caller sent a
     request, `leaving_told_at` when a target first told a host (by incarnation) that it is leaving,
     and `late_arrivals` holds (time, incarnation, target) of the requests that callers sent longer
-    than the bound on drains after that.
+    than the bound on drains after that.  `limit_named_at` is when a target first named a limit,
+    `limit_told_at` when it first told it to a host (by incarnation), and `limited_arrivals` holds
+    the times of the requests that count against the limit, by target.
     """
 
     arrivals: list[tuple[float, str]] = field(default_factory=list)
@@ -91,6 +101,22 @@
     leaving_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
     late_arrivals: list[tuple[float, str, str]] = field(default_factory=list)
 
+    limit_named_at: dict[str, float] = field(default_factory=dict)
+    limit_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    limited_arrivals: dict[str, list[float]] = field(default_factory=dict)
+
+    def worst_limit_excess(self, limits: dict[str, float]) -> float:
+        """Return by how much the worst window exceeds a target's limit; negative if none does."""
+        worst = float("-inf")
+        for name, limit in limits.items():
+            counted_from = self.limit_named_at.get(name, math.inf) + LIMIT_KNOWN_AFTER_S
+            times = [at for at in self.limited_arrivals.get(name, []) if at >= counted_from]
+            for start in times:
+                count = sum(1 for at in times if start <= at < start + LIMIT_WINDOW_S)
+                allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit + LIMIT_SLACK
+                worst = max(worst, count - allowed)
+        return worst
+
     def repeats(self) -> list[float]:
         """Return the times of the arrivals beyond the first of each request."""
         seen: set[str] = set()
@@ -209,6 +235,11 @@
         )
         self.handler.routes = RouteIndex(fleet.plan, rng)
 
+    @property
+    def is_disturbed(self) -> bool:
+        """Whether the host is cut off or frozen, which excuses it from limits."""
+        return self.is_cut_off or self.is_muted or not self._awake.is_set()
+
     def set_frozen(self, is_frozen: bool) -> None:
         """Freeze the host, or wake it up."""
         if is_frozen:
@@ -262,6 +293,7 @@
         self._tasks: dict[asyncio.Task[CallerResponse], EmulatedHost] = {}
         self.statuses: list[int] = []
         self.leaving: set[str] = set()
+        self.limits: dict[str, float] = {}
 
     def next_incarnation(self) -> int:
         """Return a number for a new incarnation."""
@@ -302,7 +334,14 @@
         told_at = self.record.leaving_told_at.get((host.incarnation, target_name), math.inf)
         if self.record.sent_at[request_id.decode()] > told_at + self.shape.bounds.drain_s:
             self.record.late_arrivals.append((now, host.incarnation, target_name))
+        told_at = self.record.limit_told_at.get((host.incarnation, target_name), math.inf)
+        if now - told_at >= HOST_TOLD_BEFORE_S and not host.is_disturbed:
+            self.record.limited_arrivals.setdefault(target_name, []).append(now)
         response = await self._answer(request, target_name, request_id)
+        if target_name in self.limits:
+            response.headers.append((LIMIT_HEADER, b"%.2f" % self.limits[target_name]))
+            self.record.limit_named_at.setdefault(target_name, self._now())
+            self.record.limit_told_at.setdefault((host.incarnation, target_name), self._now())
         if target_name in self.leaving:
             response.headers.append((LEAVING_HEADER, b"1"))
             self.record.leaving_told_at.setdefault((host.incarnation, target_name), self._now())
@@ -333,6 +372,7 @@
     async def run_load(self, duration_s: float) -> None:
         """Send requests to random running hosts for `duration_s`, then wait for the responses."""
         loop = asyncio.get_running_loop()
+        probing = loop.create_task(self._answer_probes())
         end_at = loop.time() + duration_s
         while loop.time() < end_at:
             await asyncio.sleep(self.rng.expovariate(self.shape.rate))
@@ -340,6 +380,16 @@
             if running:
                 self.send_request(self.rng.choice(running))
         await asyncio.wait(self._tasks, timeout=2 * DEADLINE_S)
+        probing.cancel()
+
+    async def _answer_probes(self) -> None:
+        """Let each connected host get answers to probes, so that it isn't isolated."""
+        while True:
+            for host in self.hosts.values():
+                if host.is_running and not host.is_disturbed:
+                    # The host itself is none of its peers, so no peer's state changes.
+                    host.live_hosts.record_probe_answer(host.ip, self._now())
+            await asyncio.sleep(PROBE_INTERVAL_S)
 
     def send_poison(self, host: EmulatedHost) -> None:
         """Send a host the request that crashes each target that runs it."""
