Send nothing to a target for the time that it names with a 503 response

A target that turns a request away may say with Retry-After for how long it wants nothing from that host.

The pause is between one host and one target, so the host keeps it, names the target as excluded in its slot requests, and gives back a grant for it.

--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -37,7 +37,7 @@
 from toucanspindle_entry.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
 from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targethealth import AttemptOutcome
-from toucanspindle_entry.targetnotices import TargetNotice, read_notice
+from toucanspindle_entry.targetnotices import TargetNotice, read_notice, read_pause_s
 from toucanspindle_entry.targettable import TargetTable
 
 RESPONSE_MARGIN_S: Final = 0.04  # Reserved for returning the response to the caller.
@@ -261,6 +261,10 @@
             return _AttemptResult(
                 AttemptOutcome.WITHDRAWN, None, "the target has said that it is leaving"
             )
+        if self._targets.notices.is_paused(grant.target, started_ms, self._clock.now()):
+            return _AttemptResult(
+                AttemptOutcome.WITHDRAWN, None, "the target wants no request from this host now"
+            )
         address = entry.address if entry is not None else HostPort.parse(grant.address)
         try:
             async with asyncio.timeout(max(0.0, progress.deadline_at - self._clock.now())):
@@ -318,6 +322,9 @@
             return attempt
         notice = read_notice(response, self._header_names, grant.target, started_ms)
         self._targets.notices.record(notice)
+        if pause_s := read_pause_s(response):
+            until = self._clock.now() + pause_s
+            self._targets.notices.pause(grant.target, started_ms, until)
         return dataclasses.replace(attempt, notice=notice)
 
     def _classify_response(self, response: HttpResponse) -> _AttemptResult:
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetnotices.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targetnotices.py
@@ -5,6 +5,9 @@
 which holds until a response of it names none.  A notice holds for one incarnation of a target.  The
 host that gets it heeds the leaving at once, and passes the notice to the broker of the service with
 its report of the attempt.
+
+A target that turns a request away may also name a time for which it wants no more from this host.
+Such a pause is between the two, so no other host hears of it.
 """
 
 import dataclasses
@@ -19,6 +22,8 @@
 from toucanspindle_entry.httpclient import HttpResponse
 
 LEAVING_VALUE: Final = b"1"
+PAUSE_STATUS: Final = 503
+RETRY_AFTER_HEADER: Final = b"retry-after"  # RFC 9110, 10.2.3; a date is ignored.
 MAX_NOTICES: Final = 4096  # The oldest ones are forgotten.
 
 log = Logger("targets")
@@ -46,6 +51,13 @@
     return TargetNotice(target, started_ms, is_leaving, _read_number(response, names.rate_limit))
 
 
+def read_pause_s(response: HttpResponse) -> float:
+    """Return for how many seconds a target wants no request from this host; 0 if it names none."""
+    if response.status != PAUSE_STATUS:
+        return 0.0
+    return _read_number(response, RETRY_AFTER_HEADER) or 0.0
+
+
 def _read_number(response: HttpResponse, name: bytes) -> float | None:
     """Return a header's value, or None if it isn't a decimal number of 0 or more."""
     value = response.header(name)
@@ -76,6 +88,11 @@
     def __init__(self) -> None:
         """Create a table without notices."""
         self._notices: dict[tuple[str, int], TargetNotice] = {}
+        self._paused_until: dict[tuple[str, int], float] = {}
+
+    def __bool__(self) -> bool:
+        """Return whether any notice or pause is known."""
+        return bool(self._notices or self._paused_until)
 
     def record(self, notice: TargetNotice) -> None:
         """Record a notice; a target that is leaving stays so until it restarts."""
@@ -100,6 +117,23 @@
         notice = self._notices.get((target, started_ms))
         return notice is not None and notice.is_leaving
 
+    def pause(self, target: str, started_ms: int, until: float) -> None:
+        """Record that a target wants no request from this host until a time of the host's clock."""
+        key = (target, started_ms)
+        log.info("event=target_pauses_host target={} started_ms={} until={:.1f}", *key, until)
+        self._paused_until[key] = max(until, self._paused_until.get(key, until))
+        if len(self._paused_until) > MAX_NOTICES:
+            del self._paused_until[next(iter(self._paused_until))]
+
+    def is_paused(self, target: str, started_ms: int, now: float) -> bool:
+        """Return whether a target wants no request from this host now."""
+        until = self._paused_until.get((target, started_ms))
+        if until is None:
+            return False
+        if now >= until:
+            del self._paused_until[target, started_ms]
+        return now < until
+
     def of_targets(self, incarnations: Iterable[tuple[str, int]]) -> list[TargetNotice]:
         """Return the notices of some incarnations, each given by name and start."""
         if not self._notices:
--- a/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
@@ -76,11 +76,19 @@
         )
 
     def unusable(self, service: str) -> list[str]:
-        """Return the targets of a service that are registered as ready and yet may not be used."""
-        unusable = {
-            notice.target for notice in self.notices_of_service(service) if notice.is_leaving
-        }
-        return [name for name in unusable if self._entries[name].state is TargetState.READY]
+        """Return the ready targets of a service that this host may not use, by their responses."""
+        if not self._notices:
+            return []
+        now = self._clock.now()
+        return [
+            entry.name
+            for entry in self.of_service(service)
+            if entry.state is TargetState.READY
+            and (
+                self._notices.is_leaving(entry.name, entry.started_ms)
+                or self._notices.is_paused(entry.name, entry.started_ms, now)
+            )
+        ]
 
     def record_change(self, revision: int) -> None:
         """Record the store revision of a change."""
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -10,6 +10,7 @@
 import dataclasses
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final, cast
@@ -44,6 +45,7 @@
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_KNOWN_AFTER_S: Final = 3.0  # Windows count from then on after a target first named a limit.
 HOST_TOLD_BEFORE_S: Final = 0.5  # Arrivals count from hosts that were told this long before.
+PAUSE_KNOWN_AFTER_S: Final = 0.5  # Requests may still be on their way for this long.
 LIMIT_FACTOR: Final = 1.5
 LIMIT_SLACK: Final = 5.0
 HEADER_NAMES: Final = HeaderNames(
@@ -89,7 +91,9 @@
     and `late_arrivals` holds (time, incarnation, target) of the requests that callers sent longer
     than the bound on drains after that.  `limit_named_at` is when a target first named a limit,
     `limit_told_at` when it first told it to a host (by incarnation), and `limited_arrivals` holds
-    the times of the requests that count against the limit, by target.
+    the times of the requests that count against the limit, by target.  `paused_until` is until when
+    a target wants nothing from a host (by incarnation), and `unwanted` counts the requests that
+    it gets from there meanwhile, in each pause.
     """
 
     arrivals: list[tuple[float, str]] = field(default_factory=list)
@@ -105,6 +109,9 @@
     limit_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
     limited_arrivals: dict[str, list[float]] = field(default_factory=dict)
 
+    paused_until: dict[tuple[str, str], float] = field(default_factory=dict)
+    unwanted: Counter[tuple[str, str, float]] = field(default_factory=Counter)
+
     def worst_limit_excess(self, limits: dict[str, float]) -> float:
         """Return by how much the worst window exceeds a target's limit; negative if none does."""
         worst = float("-inf")
@@ -294,6 +301,7 @@
         self.statuses: list[int] = []
         self.leaving: set[str] = set()
         self.limits: dict[str, float] = {}
+        self.pause_s = 0.0
 
     def next_incarnation(self) -> int:
         """Return a number for a new incarnation."""
@@ -337,7 +345,17 @@
         told_at = self.record.limit_told_at.get((host.incarnation, target_name), math.inf)
         if now - told_at >= HOST_TOLD_BEFORE_S and not host.is_disturbed:
             self.record.limited_arrivals.setdefault(target_name, []).append(now)
+        pair = (host.incarnation, target_name)
+        paused_until = self.record.paused_until.get(pair, -math.inf)
+        paused_at = paused_until - self.pause_s
+        if paused_at + PAUSE_KNOWN_AFTER_S < now < paused_until:
+            self.record.unwanted[*pair, paused_until] += 1
         response = await self._answer(request, target_name, request_id)
+        if self.pause_s and response.status == 503:
+            response.headers.append((b"retry-after", b"%.1f" % self.pause_s))
+            until = self._now() + self.pause_s
+            if paused_until < self._now():
+                self.record.paused_until[pair] = until
         if target_name in self.limits:
             response.headers.append((LIMIT_HEADER, b"%.2f" % self.limits[target_name]))
             self.record.limit_named_at.setdefault(target_name, self._now())
