Take no request in the second half of a planned stop, and refuse those without a slot

In a planned stop, requests that came late on open connections were passed on and cut when the process ended, reservations among them: a connection with requests behind each other was never idle, so it was never closed, and its requests were taken until the end. Requests that waited for a slot were cut as well, or got one just before the end.

From half of the grace on the host reads no more requests: those behind the ones in progress are unread to their callers, which send them again elsewhere. Requests that wait for a slot are refused as not run. What is at a target is waited for as before.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -144,6 +144,7 @@
         self._request_began_at: float | None = None
         self._rejected = False
         self._is_closing = False
+        self._stopped_reading = False
 
     @property
     def is_idle(self) -> bool:
@@ -155,6 +156,19 @@
         if self.is_idle:
             self._close_gracefully()
 
+    def stop_reading(self) -> None:
+        """Take no more requests, and close after the responses to those in progress.
+
+        Requests that haven't started are dropped: to the caller they are unread, as they follow a
+        response that closes the connection.
+        """
+        self._stopped_reading = True
+        self._cancel_timer()
+        self._request_began_at = None
+        while self._exchanges and self._exchanges[-1].task is None:
+            self._exchanges.pop()
+        self.close_if_idle()
+
     def abort(self) -> None:
         """Close at once and drop unsent data."""
         if self._transport is not None:
@@ -172,7 +186,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller; reject malformed or oversized requests."""
-        if self._is_closing or self._rejected:
+        if self._is_closing or self._rejected or self._stopped_reading:
             return
         if self._request_began_at is None:
             self._request_began_at = self._clock.now()
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -5,8 +5,9 @@
 
 At shutdown a node reports unready and tells the other hosts that it is leaving.  It accepts
 connections for STOP_ACCEPTING_S more, since callers may still use its address.  Then it closes
-each connection between two requests, waits for requests in flight, and exits before the platform
-would kill the process.
+each connection between two requests.  After LAST_REQUEST_SHARE of the time until the platform would
+kill the process it takes no more requests and refuses those that still wait for a slot, waits for
+those at targets, and exits.
 """
 
 import asyncio
@@ -54,6 +55,8 @@
 DIRECTORY_TTL_S: Final = 3.0
 MAX_DIRECTORY_ADDRESSES: Final = 64  # Callers use at most 64 addresses of one response.
 STOP_ACCEPTING_S: Final = 2.0  # Accepts connections after SIGTERM until callers learn of the stop.
+# A request that begins later might not end in time; most requests take less than the rest.
+LAST_REQUEST_SHARE: Final = 0.5
 STOP_MARGIN_S: Final = 0.6  # Exits this long before the platform kills the process.
 STOP_IDLE_S: Final = 0.4  # Exits early after this long without requests and connections.
 # The host counts as suspended if CLOCK_BOOTTIME gains this on the monotonic clock in one interval.
@@ -300,10 +303,15 @@
         log.info("event=stopping connections={}", len(self._connections))
         for ip in list(self._hosts.peers):
             self._datagrams.send(ip, ["leave", self._own_entry.incarnation])
+        last_request_at = stop_started_at + self._settings.bounds.shutdown_s * LAST_REQUEST_SHARE
         idle_since: float | None = None
         while self._clock.now() < stop_deadline:
             await asyncio.sleep(0.05)
             now = self._clock.now()
+            if now > last_request_at:
+                self._request_handler.refuse_waiting()
+                for connection in list(self._connections):
+                    connection.stop_reading()
             if now - stop_started_at > STOP_ACCEPTING_S:
                 self._servers["callers"].close()
                 for connection in list(self._connections):
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -125,6 +125,8 @@
         self._clock = dependencies.clock
         self.routes: RouteIndex | None = None
         self._served_count = 0
+        self._slot_timeouts: set[asyncio.Timeout] = set()
+        self._is_stopping = False
 
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request, after retries; count it in the metrics."""
@@ -144,6 +146,13 @@
         self._metrics.record_response(routed.service, response.status, latency_s)
         return response
 
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that haven't reached a target yet, since the host stops."""
+        self._is_stopping = True
+        for timeout in self._slot_timeouts:
+            if not timeout.expired():
+                timeout.reschedule(0.0)
+
     # Routing.
 
     def _route_request(self, request: CallerRequest) -> _RequestProgress | CallerResponse:
@@ -191,9 +200,12 @@
     async def _run_attempts(self, progress: _RequestProgress) -> CallerResponse:
         """Run attempts until one succeeds or no retry is allowed."""
         while True:
+            if self._is_stopping and not progress.may_have_run:
+                return self._fail_request(progress, None, "stopping")
             slot_or_refusal = await self._acquire_slot(progress)
             if slot_or_refusal is None:
-                return self._fail_request(progress, None, "timeout")
+                is_stopped = self._is_stopping and not progress.may_have_run
+                return self._fail_request(progress, None, "stopping" if is_stopped else "timeout")
             if isinstance(slot_or_refusal, Refused):
                 return self._fail_request(progress, slot_or_refusal, slot_or_refusal.reason.value)
             attempt = await self._run_attempt(progress, slot_or_refusal)
@@ -224,10 +236,14 @@
             fingerprint=progress.fingerprint,
         )
         try:
-            async with asyncio.timeout(max(0.0, progress.deadline_at - now)):
+            async with asyncio.timeout(max(0.0, progress.deadline_at - now)) as timeout:
+                if not progress.may_have_run:
+                    self._slot_timeouts.add(timeout)
                 return await self._slots.acquire(progress.service, slot_request, starts_request)
         except TimeoutError:
             return None
+        finally:
+            self._slot_timeouts.discard(timeout)
 
     async def _run_attempt(self, progress: _RequestProgress, grant: SlotGrant) -> _AttemptResult:
         """Use a grant for one attempt, and report the outcome to the broker even if cancelled."""
@@ -424,6 +440,13 @@
         if progress.last_response is not None:
             return progress.last_response
         timed_out = progress.deadline_at - self._clock.now() < MIN_ATTEMPT_S
+        if self._is_stopping and not progress.may_have_run:
+            return answers.error_response(
+                errorcodes.NODE_CLOSING,
+                "The host is shutting down; the request has not run.",
+                "send it again to another host",
+                503,
+            )
         if progress.may_have_run:
             if timed_out:
                 return answers.error_response(
--- a/tests/test_entry_requestpath.py
+++ b/tests/test_entry_requestpath.py
@@ -98,7 +98,7 @@
             address = HostPort("127.0.0.1", server.sockets[0].getsockname()[1])
             clock = MonotonicClock()
             targets = TargetTable(clock)
-            targets.replace_all([dataclasses.replace(target("t"), address=address)], False)
+            targets.replace_all([dataclasses.replace(target("t"), address=address)], None)
             pool = TargetConnectionPool(clock)
             handler = RequestHandler(
                 HandlerDependencies(
