--- a/packages/toucanspindle-standins/toucanspindle_standins/processes.py
+++ b/packages/toucanspindle-standins/toucanspindle_standins/processes.py
@@ -161,6 +161,10 @@
         """Resume the process with SIGCONT."""
         self._send_signal(signal.SIGCONT)
 
+    def hang_up(self) -> None:
+        """Send SIGHUP, as after a change of the settings file."""
+        self._send_signal(signal.SIGHUP)
+
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Wait for the end of the process and return its exit code.
 
