--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -16,6 +16,7 @@
 from backend import SimulatedTarget
 from deployedfleet import HOST_NAME, DeployedFleet
 
+INTERPRETER_START_S: Final = 0.5  # Before it has loaded a program, any signal ends it.
 CALLER_TIMEOUT_S: Final = 8.0  # Of one response; the deadline that callers name is 4 s.
 RESTART_AFTER_S: Final = (0.2, 2.0)
 LEAVING_TARGET_SERVES_S: Final = 5.0
@@ -214,6 +215,7 @@
     async def _restart(self, index: int) -> None:
         await asyncio.sleep(self._rng.uniform(*RESTART_AFTER_S))
         self._fleet.start_host(index)
+        await asyncio.sleep(INTERPRETER_START_S)
         self._disturbed_hosts.discard(index)
 
     async def _pause_host(self) -> None:
