List the hosts in the store again after a host was cut off or suspended

A host that was cut off while another one started didn't know that one for up to 15 s, until its next listing: what the starting host sent was lost, and hosts greet only those that they know.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -196,6 +196,7 @@
             ObjectKind.TARGETS, _TargetListener(self, self._targets)
         )
         self._missed_targets = MissedChanges()
+        self._host_listing_requested = asyncio.Event()
         self._targets_known = False
         self._announced_ready = False
         self._stopping = False
@@ -241,8 +242,12 @@
             self._check_missed_targets(status.newest_change, self._clock.now())
 
     def greet_all(self) -> None:
-        """Greet all hosts; those that took this one for dead probe it then."""
+        """Greet all known hosts, and those that started while this one was cut off.
+
+        Hosts that took this one for dead probe it then.
+        """
         self._announcer.greet_all()
+        self._host_listing_requested.set()
 
     def caller_addresses(self) -> list[HostPort]:
         """Return up to MAX_DIRECTORY_ADDRESSES addresses of live hosts, with this one if ready."""
@@ -406,12 +411,11 @@
         waits = iter(HOST_LIST_WAITS_S)
         wait_s = next(waits)
         while True:
-            await asyncio.sleep(wait_s * self._rng.uniform(0.9, 1.1))
+            is_requested = await self._wait_for_host_listing(wait_s * self._rng.uniform(0.9, 1.1))
             wait_s = next(waits, HOST_LIST_WAITS_S[-1])
+            may_be_stale = wait_s == HOST_LIST_WAITS_S[-1] and not is_requested
             try:
-                listing = await self._store.list_all(
-                    ObjectKind.HOSTS, may_be_stale=wait_s == HOST_LIST_WAITS_S[-1]
-                )
+                listing = await self._store.list_all(ObjectKind.HOSTS, may_be_stale)
             except PlatformError as error:
                 log.warning("event=host_list_failed error={}", error)
                 continue
@@ -424,6 +428,16 @@
                 if registration.ip not in known_ips:
                     self._announcer.greet(registration.ip)
 
+    async def _wait_for_host_listing(self, seconds: float) -> bool:
+        """Wait until a listing of hosts is requested, or for some seconds; return which."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._host_listing_requested.wait()
+        except TimeoutError:
+            return False
+        self._host_listing_requested.clear()
+        return True
+
     async def _register_host(self) -> None:
         """Write this host's entry to the store; retry until it succeeds."""
         while True:
@@ -452,7 +466,7 @@
                 # Timers stopped meanwhile, so state may be held for longer than intended.
                 self._slots.invalidate_brokers()
                 self._connection_pool.close()
-                self._announcer.greet_all()
+                self.greet_all()
                 self._plan_watch.request_listing()
                 self._target_watch.request_listing()
             suspended_s = current_suspended_s
--- a/tests/emulatedmembership.py
+++ b/tests/emulatedmembership.py
@@ -54,7 +54,9 @@
         return
 
     def greet_all(self) -> None:
+        """Greet all hosts like the entry node, which lists them in the store as well."""
         self.announcer.greet_all()
+        self._fleet.list_hosts(self)
 
     @property
     def directory(self) -> set[str]:
@@ -100,7 +102,7 @@
             return
         self.is_frozen = False
         self._probing = asyncio.get_running_loop().create_task(self.prober.run())
-        self.announcer.greet_all()
+        self.greet_all()
         held_back, self._held_back = self._held_back, []
         for action in held_back:
             action()
@@ -135,7 +137,7 @@
                 host.hosts.add_host(other.hosts.own, 0.0)
                 host.hosts.record_probe_answer(other.ip, 0.0)
 
-    def _list_hosts(self, host: MemberHost) -> None:
+    def list_hosts(self, host: MemberHost) -> None:
         """Let a host greet those that it doesn't know, by the registrations of all hosts."""
         for ip in self.hosts:
             if ip != host.ip and ip not in host.hosts.peers:
@@ -155,7 +157,7 @@
         for seed in seeds:
             host.announcer.greet(seed.ip)
         asyncio.get_running_loop().call_later(READY_AFTER_S, host.become_ready)
-        asyncio.get_running_loop().call_later(LISTING_AFTER_S, self._list_hosts, host)
+        asyncio.get_running_loop().call_later(LISTING_AFTER_S, self.list_hosts, host)
         return host
 
     def power_off(self, ip: str) -> None:
