Keep a broker's candidates and queue in order, so that a decision costs the same at any size

Cause: after each grant from the queue the broker evaluated all targets anew and sorted the queue again, so its work for a request grew with targets and queue.

Change: targets are evaluated at most once in 25 ms and one by one when their state changes; the queue is a sorted list with counts. A search passes over 16 requests in a row that no free target suits; the periodic work searches the whole queue.

--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -14,14 +14,15 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from toucanspindle_entry.activetargetfloor import ActiveTargetFloor
 from toucanspindle_entry.fleetretrybudget import FleetRetryBudget
-from toucanspindle_entry.model import TargetEntry, TargetState
+from toucanspindle_entry.model import TargetEntry
 from toucanspindle_entry.poisontracker import PoisonTracker
 from toucanspindle_entry.settings import FleetBounds
+from toucanspindle_entry.slotqueue import PendingRequest, SlotQueue
 from toucanspindle_entry.slottypes import (
     AttemptReport,
     Decision,
@@ -31,13 +32,11 @@
     Refused,
     SlotRequest,
 )
-from toucanspindle_entry.targethealth import (
-    OVERDUE_LIKELIHOOD_RATIO,
-    AttemptOutcome,
-    HealthEstimate,
-)
+from toucanspindle_entry.targetcandidates import TargetCandidates, cross_domain_cost
+from toucanspindle_entry.targethealth import OVERDUE_LIKELIHOOD_RATIO, AttemptOutcome
 from toucanspindle_entry.targetlimits import TargetLimits
 from toucanspindle_entry.targetnotices import TargetNotice
+from toucanspindle_entry.targetrecord import TargetRecord
 
 LEASE_GRACE_S: Final = 0.5  # A lease without a report expires this long after its deadline.
 INITIAL_WORK_S: Final = 0.3  # Assumed time of an attempt before the first answer.
@@ -46,13 +45,6 @@
 SLOWNESS_SMOOTHING: Final = 0.06  # Smoothing factor of a target's slowness.
 # Work times are long-tailed, so a single long one is weak evidence of a slow target.
 MAX_RELATIVE_WORK: Final = 5.0  # Multiples of the mean work time.
-# Costs are in units of failure probability.
-UTILIZATION_COST: Final = 0.08  # Times the share of the target's slots in use.
-SLOWNESS_COST: Final = 0.10  # For a target twice as slow as the service's mean.
-CROSS_DOMAIN_COST: Final = 0.04  # Cross-domain traffic is charged for and slightly slower.
-WARMUP_COST: Final = 0.10  # For a target that is still warming up.
-UNCONFIRMED_COST: Final = 0.3  # The entry lapsed during a store outage; the target may be gone.
-JITTER_COST: Final = 0.02  # Maximum random cost; spreads requests over targets of similar cost.
 # A request waits for a busy target instead of using a free one if the free target's unhealthy
 # probability exceeds AVOID_MIN_UNHEALTHY, the busy target's is lower by more than AVOID_MIN_GAIN,
 # and the request has more than AVOID_MIN_WORK_TIMES mean work times left to wait.
@@ -68,14 +60,14 @@
 # request after the second one.
 NEW_TARGET_DELAY_RETRYABLE_S: Final = 1.5
 NEW_TARGET_DELAY_S: Final = 3.5  # Operators investigate new targets that are idle after 8 s.
-# At a normal failure rate the active-target floor counts only targets below this probability.  The
-# first failure of a target believed healthy is mostly an isolated error and yields 0.48.
-FLOOR_MAX_UNHEALTHY: Final = 0.55
 OVERDUE_WORK_TIMES: Final = 5.0  # A longer attempt is evidence that the target is unhealthy.
 SHED_PAUSE_S: Final = 0.02  # The broker skips a target for this long after it shed a request.
 CONNECT_FAILED_PAUSE_S: Final = 1.0  # The same after a failed connect or a misdirected request.
 LATE_WAIT_SHARE: Final = 0.25  # Share of its remaining time that a late request may wait.
 MAX_QUEUE_LENGTH: Final = 2000
+# Queued requests in a row that no free target suits before a search for grants ends.  The periodic
+# work searches the whole queue.
+MAX_PASSED_OVER: Final = 16
 # A duplicate of a slot request may arrive this long after the request has ended or was refused.
 ENDED_REQUEST_MEMORY_S: Final = 2.0
 MIN_RETRY_AFTER_S: Final = 0.2
@@ -98,88 +90,6 @@
     is_overdue: bool = False
 
 
-@dataclass
-class _PendingRequest:
-    """A slot request without a grant; times are in seconds of the broker's clock."""
-
-    slot_request: SlotRequest
-    arrived_at: float
-    deadline_at: float
-    goal_at: float
-
-
-@dataclass
-class _TargetRecord:
-    """State of a registered target; times are in seconds of the broker's clock.
-
-    `leases` holds slot request ids.  `slowness` is the target's work time relative to the mean of
-    the service.  `joined_at` is minus infinity for the targets registered first.
-    """
-
-    entry: TargetEntry
-    health: HealthEstimate = field(default_factory=HealthEstimate)
-    leases: set[str] = field(default_factory=set)
-    slowness: float = 1.0
-    paused_until: float = 0.0
-    warmed_up_at: float = 0.0
-    joined_at: float = float("-inf")
-    is_confirmed: bool = True
-    is_leaving: bool = False
-
-    @property
-    def takes_requests(self) -> bool:
-        """Whether the target is ready, by its registration and its responses."""
-        return self.entry.state is TargetState.READY and not self.is_leaving
-
-    @property
-    def has_free_slot(self) -> bool:
-        return len(self.leases) < self.entry.slots
-
-    def expected_cost(self, unhealthy_probability: float, now: float) -> float:
-        """Return the cost of sending the next request here, in units of failure probability.
-
-        Jitter and the surcharge for another failure domain come on top.
-        """
-        utilization = len(self.leases) / max(1, self.entry.slots)
-        cost = unhealthy_probability + UTILIZATION_COST * utilization
-        cost += SLOWNESS_COST * min(3.0, max(0.0, self.slowness - 1.0))
-        if now < self.warmed_up_at:
-            cost += WARMUP_COST
-        if not self.is_confirmed:
-            cost += UNCONFIRMED_COST
-        return cost
-
-
-@dataclass(slots=True)
-class _FreeTarget:
-    """A ready target with a free slot; `cost` is without the surcharge for another domain."""
-
-    record: _TargetRecord
-    unhealthy_probability: float
-    cost: float
-
-
-@dataclass(slots=True)
-class _TargetSnapshot:
-    """The ready targets at one moment, for the decisions on all queued requests.
-
-    It holds until the next grant.  `available` holds the targets that take a request now, by cost,
-    and `busy` (unhealthy probability, name) of the others, the healthiest first.  `floor_due` holds
-    the free targets that the active-target floor requires, and `unused` the free ones that have had
-    no request yet.
-    """
-
-    available: list[_FreeTarget]
-    busy: list[tuple[float, str]]
-    floor_due: list[_FreeTarget]
-    unused: list[_TargetRecord]
-
-    @property
-    def has_free_target(self) -> bool:
-        """Whether any request can be granted."""
-        return bool(self.available or self.floor_due or self.unused)
-
-
 class SlotBroker:
     """Grants, queues and refuses the slot requests for one service.
 
@@ -192,15 +102,16 @@
         """Create a broker without targets and with an empty retry budget, for a single host."""
         self.service = service
         self._rng = rng
-        self._targets: dict[str, _TargetRecord] = {}
+        self._targets: dict[str, TargetRecord] = {}
         self._leases: dict[str, _Lease] = {}
-        self._queue: list[_PendingRequest] = []
+        self._queue = SlotQueue()
         self._retry_budget = FleetRetryBudget(bounds.retry_burst, rng)
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
         self._mean_work_s = INITIAL_WORK_S
         self._answer_count = 0
         self._poison_tracker = PoisonTracker()
         self._limits = TargetLimits(rng)
+        self._candidates = TargetCandidates(self._limits, self._active_floor, rng)
         self._ended_at: dict[str, float] = {}
         self._refusals: dict[str, tuple[float, Refused]] = {}
 
@@ -268,7 +179,7 @@
         for entry in entries:
             record = previous.get(entry.name)
             if record is None or record.entry.started_ms != entry.started_ms:
-                record = _TargetRecord(entry, warmed_up_at=now + entry.warmup_s)
+                record = TargetRecord(entry, warmed_up_at=now + entry.warmup_s)
                 record.health.updated_at = now
                 if previous:
                     record.joined_at = now
@@ -280,6 +191,7 @@
                 self._targets[lease.target].leases.add(lease_id)
         self._active_floor.retain_targets(self._targets)
         self._limits.retain((name, r.entry.started_ms) for name, r in self._targets.items())
+        self._candidates.set_records(self._targets)
         return self.grant_queued(now)
 
     def request_slot(self, slot_request: SlotRequest, now: float) -> Decision:
@@ -291,7 +203,7 @@
         lease = self._leases.get(slot_request.id)
         if lease is not None:
             return self._make_grant(slot_request, lease.target, now)
-        if any(pending.slot_request.id == slot_request.id for pending in self._queue):
+        if slot_request.id in self._queue:
             return Queued(slot_request.id, slot_request.host)
         if slot_request.id in self._ended_at:
             # This is a delayed duplicate; its host no longer waits for an answer.
@@ -310,11 +222,12 @@
         if refusal is not None:
             self._active_floor.record_request_end(True, now)
             return refusal
-        pending = _PendingRequest(
+        pending = PendingRequest(
             slot_request, now, now + slot_request.time_left_s, now + slot_request.goal_left_s
         )
-        if not self._is_behind_queue(pending):
-            target = self._choose_target(pending, self._snapshot(now), now)
+        if not self._queue.count_ahead_of(slot_request.priority):
+            self._candidates.refresh(now)
+            target = self._choose_target(pending, now)
             if target is not None:
                 return self._grant(pending, target, now)
         return self._enqueue_or_refuse(pending, now)
@@ -326,18 +239,17 @@
         """
         self._remember_ended(report.slot_request_id, now)
         # The report names no target if the host withdrew the request without knowing of the grant.
-        lease = self._release_lease(report.slot_request_id)
+        lease = self._release_lease(report.slot_request_id, now)
         has_connect_failed = report.outcome is AttemptOutcome.CONNECT_FAILED
         if lease and lease.retry_credit_at is not None and has_connect_failed:
             # No target has seen this retry.
             self._retry_budget.refund(lease.retry_credit_at, now)
-        self._queue = [
-            pending for pending in self._queue if pending.slot_request.id != report.slot_request_id
-        ]
+        self._queue.remove(report.slot_request_id)
         record = self._targets.get(report.target)
         is_evidence = lease is not None or report.outcome is not AttemptOutcome.WITHDRAWN
         if record is not None and is_evidence:
             self._update_target(record, report, now)
+            self._candidates.update(record, now)
         if report.notice is not None:
             self.adopt_notice(report.notice, now)
         self._record_floor_result(report, lease, now)
@@ -357,6 +269,7 @@
             self._leases[slot_request_id] = _Lease(host, target, now, expires_at, fingerprint)
             if target in self._targets:
                 self._targets[target].leases.add(slot_request_id)
+        self._candidates.invalidate()
 
     def adopt_result(self, target: str, outcome: AttemptOutcome, observed_at: float) -> None:
         """Learn from an outcome that a host observed before this broker took over.
@@ -366,14 +279,18 @@
         record = self._targets.get(target)
         if record is not None and observed_at > record.health.updated_at - 1:
             record.health.observe(outcome, max(observed_at, record.health.updated_at))
+            self._candidates.invalidate()
 
     def adopt_notice(self, notice: TargetNotice, now: float) -> None:
         """Heed what a target said of itself to any host; ignore another incarnation's notice."""
         self._limits.adopt(notice, now)
         record = self._targets.get(notice.target)
-        if record is not None and record.entry.started_ms == notice.started_ms:
-            # An earlier response may be reported later, so only a restart ends the leaving.
-            record.is_leaving = record.is_leaving or notice.is_leaving
+        if record is None or record.entry.started_ms != notice.started_ms:
+            return
+        # An earlier response may be reported later, so only a restart ends the leaving.
+        if notice.is_leaving and not record.is_leaving:
+            record.is_leaving = True
+            self._candidates.update(record, now)
 
     def crashed_targets(self, fingerprint: str) -> list[str]:
         """Return the target incarnations that a request crashed, as far as they count."""
@@ -400,6 +317,7 @@
         self._limits.forget_savings(now)
         for record in self._targets.values():
             record.leases.clear()
+        self._candidates.invalidate()
 
     def release_host(self, host: str, now: float) -> list[Decision]:
         """Release the slots and queued requests of a host that has ended; return new grants."""
@@ -407,9 +325,9 @@
             slot_request_id for slot_request_id, lease in self._leases.items() if lease.host == host
         ]
         for slot_request_id in lease_ids:
-            self._release_lease(slot_request_id)
+            self._release_lease(slot_request_id, now)
             self._active_floor.record_request_end(True, now)
-        self._queue = [pending for pending in self._queue if pending.slot_request.host != host]
+        self._queue.remove_host(host)
         return self.grant_queued(now)
 
     def tick(self, now: float) -> list[Decision]:
@@ -421,55 +339,42 @@
         for slot_request_id, lease in list(self._leases.items()):
             if now > lease.expires_at:
                 # The outcome was never reported; the host has probably ended.
-                self._release_lease(slot_request_id)
+                self._release_lease(slot_request_id, now)
                 self._active_floor.record_request_end(True, now)
             elif not lease.is_overdue and now - lease.granted_at > self._overdue_after_s():
                 lease.is_overdue = True
                 record = self._targets.get(lease.target)
                 if record is not None:
                     record.health.apply_likelihood_ratio(OVERDUE_LIKELIHOOD_RATIO, now)
-        decisions = self.grant_queued(now)
+                    self._candidates.update(record, now)
+        self._queue.reorder(now, self._mean_work_s)
+        decisions = self.grant_queued(now, len(self._queue))
         return decisions + self._refuse_unservable(now)
 
-    def grant_queued(self, now: float) -> list[Decision]:
-        """Grant free slots to queued requests in priority order; return the grants."""
+    def grant_queued(self, now: float, max_passed_over: int = MAX_PASSED_OVER) -> list[Decision]:
+        """Grant free slots to queued requests in priority order; return the grants.
+
+        The search ends after `max_passed_over` requests in a row that no free target suits.
+        """
         if not self._queue:
             return []
-        decisions: list[Decision] = []
-        granted: set[str] = set()
-        snapshot = self._snapshot(now)
-        for pending in self._queue_by_priority(now):
-            if not snapshot.has_free_target:
+        self._candidates.refresh(now)
+        grants: list[tuple[PendingRequest, Grant]] = []
+        passed_over = 0
+        for pending in self._queue:
+            if not self._candidates.has_free_target or passed_over > max_passed_over:
                 break
             if pending.slot_request.is_retry and not self._retry_budget.has_credit(now):
                 continue
-            target = self._choose_target(pending, snapshot, now)
-            if target is not None:
-                decisions.append(self._grant(pending, target, now))
-                granted.add(pending.slot_request.id)
-                snapshot = self._snapshot(now)
-        if granted:
-            self._queue = [
-                pending for pending in self._queue if pending.slot_request.id not in granted
-            ]
-        return decisions
-
-    def _queue_by_priority(self, now: float) -> list[_PendingRequest]:
-        """Return the queue sorted by priority.
-
-        Within a priority, requests that can still meet their latency goal come first, then the
-        order is that of arrival.
-        """
-        if len(self._queue) < 2:
-            return list(self._queue)
-        return sorted(
-            self._queue,
-            key=lambda pending: (
-                pending.slot_request.priority,
-                pending.goal_at - now < self._mean_work_s / 2,
-                pending.arrived_at,
-            ),
-        )
+            target = self._choose_target(pending, now)
+            if target is None:
+                passed_over += 1
+                continue
+            passed_over = 0
+            grants.append((pending, self._grant(pending, target, now)))
+        for pending, _ in grants:
+            self._queue.remove(pending.slot_request.id)
+        return [grant for _, grant in grants]
 
     def _check_admission(self, slot_request: SlotRequest, now: float) -> Refused | None:
         """Return a refusal if the request can't be served at all.
@@ -487,29 +392,23 @@
                 RefusalReason.NO_TARGET,
                 self._retry_after_s(now),
             )
-        if slot_request.is_retry and not self._retry_budget.may_admit(
-            sum(1 for other in self._queue if other.slot_request.is_retry), now
-        ):
+        if slot_request.is_retry and not self._retry_budget.may_admit(self._queue.retries, now):
             return Refused(
                 slot_request.id, slot_request.host, RefusalReason.RETRY_BUDGET_EXHAUSTED, 0.0
             )
         return None
 
-    def _enqueue_or_refuse(self, pending: _PendingRequest, now: float) -> Decision:
+    def _enqueue_or_refuse(self, pending: PendingRequest, now: float) -> Decision:
         """Queue a request, or refuse it if the queue is full or the expected wait too long."""
         slot_request = pending.slot_request
-        requests_ahead = sum(
-            1 for other in self._queue if other.slot_request.priority <= slot_request.priority
-        )
-        wait_s = (
-            (requests_ahead + 1) * self._mean_work_s / max(1.0, self._expected_healthy_slots(now))
-        )
+        requests_ahead = self._queue.count_ahead_of(slot_request.priority)
+        wait_s = (requests_ahead + 1) * self._mean_work_s / max(1.0, self._healthy_slots(now))
         if len(self._queue) >= MAX_QUEUE_LENGTH or wait_s > self._max_wait_s(slot_request):
             retry_after_s = max(self._retry_after_s(now), wait_s / 2)
             return Refused(
                 slot_request.id, slot_request.host, RefusalReason.OVERLOADED, retry_after_s
             )
-        self._queue.append(pending)
+        self._queue.add(pending, now, self._mean_work_s)
         return Queued(slot_request.id, slot_request.host)
 
     def _max_wait_s(self, slot_request: SlotRequest) -> float:
@@ -526,103 +425,40 @@
     def _refuse_unservable(self, now: float) -> list[Decision]:
         """Remove and refuse queued requests that can't finish before their deadline."""
         decisions: list[Decision] = []
-        remaining: list[_PendingRequest] = []
-        for pending in self._queue:
-            if pending.deadline_at - now < self._mean_work_s / 2:
-                slot_request = pending.slot_request
-                refusal = Refused(
-                    slot_request.id,
-                    slot_request.host,
-                    RefusalReason.OVERLOADED,
-                    self._retry_after_s(now),
-                )
-                self._remember_refusal(refusal, now)
-                decisions.append(refusal)
-            else:
-                remaining.append(pending)
-        self._queue = remaining
+        for pending in self._queue.remove_due_before(now + self._mean_work_s / 2):
+            slot_request = pending.slot_request
+            refusal = Refused(
+                slot_request.id,
+                slot_request.host,
+                RefusalReason.OVERLOADED,
+                self._retry_after_s(now),
+            )
+            self._remember_refusal(refusal, now)
+            decisions.append(refusal)
         return decisions
 
-    def _is_behind_queue(self, pending: _PendingRequest) -> bool:
-        """Return whether a request of the same or a more urgent priority is already queued."""
-        return any(
-            other.slot_request.priority <= pending.slot_request.priority for other in self._queue
-        )
-
-    def _is_eligible(self, record: _TargetRecord, slot_request: SlotRequest) -> bool:
+    def _is_eligible(self, record: TargetRecord, slot_request: SlotRequest) -> bool:
         return record.takes_requests and record.entry.name not in slot_request.excluded
 
-    def _snapshot(self, now: float) -> _TargetSnapshot:
-        """Return the state of the ready targets."""
-        free: list[_FreeTarget] = []
-        busy: list[tuple[float, str]] = []
-        unused: list[_TargetRecord] = []
-        unhealthy: dict[str, float] = {}
-        for name, record in self._targets.items():
-            if not record.takes_requests:
-                continue
-            unhealthy[name] = record.health.unhealthy_at(now)
-            has_room = self._limits.has_room(name, record.entry.started_ms, now)
-            if record.has_free_slot and has_room:
-                cost = record.expected_cost(unhealthy[name], now)
-                if now >= record.paused_until:
-                    cost += JITTER_COST * self._rng.random()
-                free.append(_FreeTarget(record, unhealthy[name], cost))
-                is_new = record.joined_at > float("-inf")
-                if is_new and record.joined_at > self._active_floor.last_granted_at(name):
-                    unused.append(record)
-            if not record.has_free_slot or not has_room or now < record.paused_until:
-                busy.append((unhealthy[name], name))
-        names_due = self._active_floor.targets_due(
-            list(unhealthy), lambda name: unhealthy[name] < FLOOR_MAX_UNHEALTHY, now
-        )
-        return _TargetSnapshot(
-            sorted(
-                (target for target in free if now >= target.record.paused_until),
-                key=lambda target: target.cost,
-            ),
-            sorted(busy),
-            [target for target in free if target.record.entry.name in names_due],
-            unused,
-        )
-
-    def _choose_target(
-        self, pending: _PendingRequest, snapshot: _TargetSnapshot, now: float
-    ) -> _TargetRecord | None:
+    def _choose_target(self, pending: PendingRequest, now: float) -> TargetRecord | None:
         """Return the target for a request, or None if the request should wait.
 
         Targets that the active-target floor requires come first, then new targets without any
         request, then the free target of least cost.
         """
         slot_request = pending.slot_request
-        preferred = self._floor_target(snapshot, slot_request, now) or (
-            _unused_new_target(snapshot, slot_request, now)
+        preferred = self._floor_target(slot_request, now) or (
+            self._unused_new_target(slot_request, now)
         )
         if preferred is not None:
             return preferred
-        best: _FreeTarget | None = None
-        best_cost = 0.0
-        for target in snapshot.available:
-            if best is not None and target.cost > best_cost:
-                break
-            if target.record.entry.name in slot_request.excluded:
-                continue
-            cost = target.cost + _cross_domain_cost(target.record, slot_request)
-            if best is None or cost < best_cost:
-                best, best_cost = target, cost
+        best = self._candidates.cheapest(slot_request.failure_domain, slot_request.excluded)
         if best is None:
             return None
-        min_busy_unhealthy = next(
-            (
-                unhealthy_probability
-                for unhealthy_probability, name in snapshot.busy
-                if name not in slot_request.excluded
-            ),
-            1.0,
-        )
         should_avoid_best = (
             best.unhealthy_probability > AVOID_MIN_UNHEALTHY
-            and min_busy_unhealthy < best.unhealthy_probability - AVOID_MIN_GAIN
+            and self._candidates.least_unhealthy_busy(slot_request.excluded)
+            < best.unhealthy_probability - AVOID_MIN_GAIN
         )
         if (
             should_avoid_best
@@ -632,7 +468,7 @@
             return None
         return best.record
 
-    def _can_wait_for_healthier_target(self, pending: _PendingRequest, now: float) -> bool:
+    def _can_wait_for_healthier_target(self, pending: PendingRequest, now: float) -> bool:
         """Return whether a request has time to wait for a healthier target.
 
         A first attempt waits only while it can still meet its latency goal.  A retry has usually
@@ -642,7 +478,7 @@
         wait_until = pending.deadline_at if pending.slot_request.is_retry else pending.goal_at
         return wait_until - now > AVOID_MIN_WORK_TIMES * self._mean_work_s
 
-    def _may_probe(self, record: _TargetRecord, pending: _PendingRequest, now: float) -> bool:
+    def _may_probe(self, record: TargetRecord, pending: PendingRequest, now: float) -> bool:
         """Return whether a request may probe an avoided target.
 
         Without probes a recovered target stays unused while requests wait for other targets.
@@ -656,25 +492,33 @@
         has_waited = now - pending.arrived_at > PROBE_MIN_WAIT_WORK_TIMES * self._mean_work_s
         return pending.slot_request.can_retry or has_waited
 
-    def _floor_target(
-        self, snapshot: _TargetSnapshot, slot_request: SlotRequest, now: float
-    ) -> _TargetRecord | None:
+    def _floor_target(self, slot_request: SlotRequest, now: float) -> TargetRecord | None:
         """Return the free target that is most likely healthy among those due for the floor."""
         due = [
-            target
-            for target in snapshot.floor_due
-            if target.record.entry.name not in slot_request.excluded
+            candidate
+            for candidate in self._candidates.floor_due
+            if candidate.record.entry.name not in slot_request.excluded
         ]
         if not due:
             return None
         self._active_floor.record_floor_request(now)
+        self._candidates.floor_request_granted()
         return min(
             due,
-            key=lambda target: target.unhealthy_probability
-            + _cross_domain_cost(target.record, slot_request),
+            key=lambda candidate: candidate.unhealthy_probability
+            + cross_domain_cost(candidate.record.entry.failure_domain, slot_request.failure_domain),
         ).record
 
-    def _grant(self, pending: _PendingRequest, record: _TargetRecord, now: float) -> Grant:
+    def _unused_new_target(self, slot_request: SlotRequest, now: float) -> TargetRecord | None:
+        """Return a free target that joined a while ago and has had no request yet, or None."""
+        wait_s = NEW_TARGET_DELAY_RETRYABLE_S if slot_request.can_retry else NEW_TARGET_DELAY_S
+        for record in self._candidates.unused:
+            is_excluded = record.entry.name in slot_request.excluded
+            if not is_excluded and now - record.joined_at > wait_s:
+                return record
+        return None
+
+    def _grant(self, pending: PendingRequest, record: TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
         # Retries are counted when they reach a target, which a queued one does later.
         retry_credit_at = self._retry_budget.spend(now) if slot_request.is_retry else None
@@ -691,6 +535,7 @@
         record.leases.add(slot_request.id)
         self._limits.take(record.entry.name, record.entry.started_ms, now)
         self._active_floor.record_grant(record.entry.name, now)
+        self._candidates.update(record, now)
         retry_wait_s = now - pending.arrived_at if slot_request.is_retry else None
         return self._make_grant(slot_request, record.entry.name, now, retry_wait_s)
 
@@ -712,7 +557,7 @@
             retry_wait_s,
         )
 
-    def _update_target(self, record: _TargetRecord, report: AttemptReport, now: float) -> None:
+    def _update_target(self, record: TargetRecord, report: AttemptReport, now: float) -> None:
         """Update a target's health, slowness and pause, and the poison tracker, from a report."""
         outcome = report.outcome
         if outcome is AttemptOutcome.TIMED_OUT and report.work_s < self._overdue_after_s():
@@ -761,25 +606,17 @@
         ):
             del self._refusals[oldest]
 
-    def _release_lease(self, slot_request_id: str) -> _Lease | None:
+    def _release_lease(self, slot_request_id: str, now: float) -> _Lease | None:
         """Remove a lease and free its slot; return the lease, or None if it is unknown."""
         lease = self._leases.pop(slot_request_id, None)
         if lease is not None and lease.target in self._targets:
-            self._targets[lease.target].leases.discard(slot_request_id)
+            record = self._targets[lease.target]
+            record.leases.discard(slot_request_id)
+            self._candidates.update(record, now)
         return lease
 
-    def _expected_healthy_slots(self, now: float) -> float:
-        """Return the slots of ready targets, weighted by the probability of being healthy."""
-        return sum(
-            self._usable_slots(record.entry) * (1 - record.health.unhealthy_at(now))
-            for record in self._targets.values()
-            if record.takes_requests
-        )
-
-    def _usable_slots(self, entry: TargetEntry) -> float:
-        """Return how many slots of a target its limit lets the service use in the mean."""
-        rate = self._limits.rate_of(entry.name, entry.started_ms)
-        return entry.slots if rate is None else min(entry.slots, rate * self._mean_work_s)
+    def _healthy_slots(self, now: float) -> float:
+        return self._candidates.expected_healthy_slots(self._mean_work_s, now)
 
     def _overdue_after_s(self) -> float:
         """Return the time in seconds after which an attempt is overdue; at least 0.5 s."""
@@ -787,23 +624,5 @@
 
     def _retry_after_s(self, now: float) -> float:
         """Return the retry delay of a refused caller in seconds; randomized to spread retries."""
-        backlog_s = (
-            len(self._queue) * self._mean_work_s / max(1.0, self._expected_healthy_slots(now))
-        )
+        backlog_s = len(self._queue) * self._mean_work_s / max(1.0, self._healthy_slots(now))
         return MIN_RETRY_AFTER_S + backlog_s * self._rng.uniform(0.5, 1.0)
-
-
-def _unused_new_target(
-    snapshot: _TargetSnapshot, slot_request: SlotRequest, now: float
-) -> _TargetRecord | None:
-    """Return a free target that joined a while ago and has had no request yet, or None."""
-    wait_s = NEW_TARGET_DELAY_RETRYABLE_S if slot_request.can_retry else NEW_TARGET_DELAY_S
-    for record in snapshot.unused:
-        is_excluded = record.entry.name in slot_request.excluded
-        if not is_excluded and now - record.joined_at > wait_s:
-            return record
-    return None
-
-
-def _cross_domain_cost(record: _TargetRecord, slot_request: SlotRequest) -> float:
-    return 0.0 if record.entry.failure_domain == slot_request.failure_domain else CROSS_DOMAIN_COST
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -12,6 +12,7 @@
 from toucanspindle_entry.slotbroker import (
     AVOID_MIN_UNHEALTHY,
     AVOIDED_PROBE_INTERVAL_S,
+    MAX_PASSED_OVER,
     NEW_TARGET_DELAY_RETRYABLE_S,
     NEW_TARGET_DELAY_S,
     SlotBroker,
@@ -346,6 +347,50 @@
             long = self.estimates_for_a_report(200, open_targets)
             self.assertLessEqual(long, short + 50, f"{open_targets} open targets")
 
+    def estimates_at_high_rate(self, targets: int) -> int:
+        """Return how often targets are evaluated for 200 requests within a tenth of a second."""
+        broker = make_broker(*(target(f"t{n}", slots=6) for n in range(targets)))
+        with mock.patch.object(
+            HealthEstimate, "unhealthy_at", autospec=True, side_effect=HealthEstimate.unhealthy_at
+        ) as unhealthy_at:
+            for n in range(200):
+                now = n / 2000
+                name = granted_target(broker.request_slot(slot_request(f"r{n}"), now))
+                report = attempt_report(f"r{n}", name, AttemptOutcome.ANSWERED)
+                broker.record_attempt(report, now)
+        return unhealthy_at.call_count
+
+    # Guards against a broker whose work for a decision grows with the targets of its service: in a
+    # burst it falls behind, and late answers make hosts ask again.
+    def test_work_for_a_decision_hardly_grows_with_the_targets(self) -> None:
+        """A burst at a service with many targets."""
+        few, many = self.estimates_at_high_rate(20), self.estimates_at_high_rate(400)
+        # All targets are evaluated at most once in 25 ms.
+        self.assertLessEqual(many - few, 5 * 380)
+
+    def test_queued_requests_that_no_free_target_suits_are_passed_over(self) -> None:
+        """A report grants the freed slot although many requests ahead can't use it."""
+        broker = make_broker(target("a", slots=1), target("b", slots=1))
+        granted_target(broker.request_slot(slot_request("1", excluded=("b",)), 0.0))
+        granted_target(broker.request_slot(slot_request("2", excluded=("a",)), 0.0))
+        for n in range(10):
+            broker.request_slot(slot_request(f"q{n}", excluded=("a",), goal_left_s=3.0), 0.0)
+        broker.request_slot(slot_request("z", goal_left_s=3.0), 0.0)
+        decisions = broker.record_attempt(attempt_report("1", "a", AttemptOutcome.ANSWERED), 0.1)
+        self.assertEqual(["z"], [decision.slot_request_id for decision in decisions])
+
+    def test_tick_serves_requests_behind_many_that_no_free_target_suits(self) -> None:
+        broker = make_broker(target("a", slots=1), target("b", slots=1))
+        granted_target(broker.request_slot(slot_request("1", excluded=("b",)), 0.0))
+        granted_target(broker.request_slot(slot_request("2", excluded=("a",)), 0.0))
+        for n in range(MAX_PASSED_OVER * 2):
+            queued = slot_request(f"q{n}", excluded=("a",), goal_left_s=30.0, time_left_s=30.0)
+            self.assertIsInstance(broker.request_slot(queued, 0.0), Queued)
+        broker.request_slot(slot_request("z", goal_left_s=30.0, time_left_s=30.0), 0.0)
+        report = attempt_report("1", "a", AttemptOutcome.ANSWERED)
+        self.assertEqual([], broker.record_attempt(report, 0.1))
+        self.assertEqual(["z"], [d.slot_request_id for d in broker.tick(0.2)])
+
 
 class RetryTests(TestCase):
     def test_new_broker_grants_no_retry_that_its_predecessor_may_have_spent(self) -> None:
