--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -23,6 +23,7 @@
 from toucanspindle_core.errors import PlatformError
 from toucanspindle_core.hostport import HostPort
 
+from toucanspindle_entry.brokerchoice import broker_capacity
 from toucanspindle_entry.callerconnection import CallerConnection, CallerRequest, CallerResponse
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.entrymetrics import EntryMetrics
@@ -170,7 +171,8 @@
         self._own_entry = HostEntry(
             settings.node, settings.ip, settings.failure_domain, incarnation
         )
-        self._hosts = LiveHosts(self._own_entry, self._rng)
+        capacity = broker_capacity(settings.cores, settings.link_mbps)
+        self._hosts = LiveHosts(self._own_entry, self._rng, capacity)
         self._targets = TargetTable(self._clock)
         self._connection_pool = TargetConnectionPool(self._clock)
         self._metrics = EntryMetrics()
--- a/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
@@ -1,9 +1,11 @@
 """Tells the other hosts that this host has started and whether it is ready, and learns it of them.
 
-    ["hello", name, failure domain, incarnation, is ready]
-    ["welcome", name, failure domain, incarnation, is ready]
+    ["hello", name, failure domain, incarnation, capacity]
+    ["welcome", name, failure domain, incarnation, capacity]
     ["peers", [[name, ip, failure domain, incarnation], ...]]
 
+`capacity` is that of the sender as a broker, or 0 while it isn't ready.
+
 A host sends `hello` to each host that it hears of; the reply is `welcome`, and `peers` if the
 sender isn't ready.  When it becomes ready it sends `hello` again.  All hosts must learn of that: a
 host that takes another one for unready chooses other brokers than the rest of the fleet.  A
@@ -74,21 +76,21 @@
 
         Raises ValueError for a malformed message.
         """
-        kind, name, domain, incarnation, is_ready = message
+        kind, name, domain, incarnation, capacity = message
         self._first_hellos.pop(ip, None)
         is_new = self._hosts.add_host(HostEntry(name, ip, domain, incarnation), now)
         if is_new:
             log.info("event=host_joined host={} name={} incarnation={}", ip, name, incarnation)
             self._confirmed.discard(ip)
             self._ready_hellos.pop(ip, None)
-        self._hosts.set_ready(ip, bool(is_ready))
+        self._hosts.set_capacity(ip, float(capacity))
         if kind == "welcome":
             self._hosts.record_probe_answer(ip, now)  # It answers the `hello` of this host.
         if kind == "hello":
             self._send(ip, self._message("welcome", self._is_ready()))
             if self._is_ready():
                 self._confirmed.add(ip)
-            if not is_ready:
+            if not capacity:
                 self._send_peers(ip)
         elif self._is_ready():
             if self._ready_hellos.get(ip):
@@ -110,7 +112,8 @@
 
     def _message(self, kind: str, is_ready: bool) -> Message:
         own = self._hosts.own
-        return [kind, own.name, own.failure_domain, own.incarnation, int(is_ready)]
+        capacity = self._hosts.own_capacity if is_ready else 0
+        return [kind, own.name, own.failure_domain, own.incarnation, capacity]
 
     def _send_peers(self, ip: str) -> None:
         """Send the other live hosts to a host that has just started."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
@@ -2,7 +2,8 @@
 
 On its first slot request, or after a time without any, the local broker asks all hosts for the
 slots that they hold and the outcomes that they observed recently.  It waits a few milliseconds for
-the answers before it decides on the requests that arrived in the meantime.
+the answers before it decides on the requests that arrived in the meantime.  If the event loop has
+stood still during the wait, the answers are still to be read, so it waits once more.
 """
 
 import asyncio
@@ -21,6 +22,8 @@
 from toucanspindle_entry.targetnotices import TargetNotice
 
 TAKEOVER_WAIT_S: Final = 0.008  # Hosts answer within 2 ms unless their network or CPU is slow.
+MAX_TAKEOVER_DELAY_S: Final = 0.004  # A timer that is later than this begins another wait.
+MAX_TAKEOVER_WAITS: Final = 4
 STATE_EXPIRY_S: Final = 3.0  # After this long without a slot request the state is outdated.
 TICK_INTERVAL_S: Final = 0.1  # Between calls of `SlotBroker.tick`.
 
@@ -183,7 +186,19 @@
         self._deferred_requests = []
         self._broker.clear_leases(self._clock.now())
         self._link.request_sync(self._service)
-        asyncio.get_running_loop().call_later(TAKEOVER_WAIT_S, self._end_takeover)
+        self._wait_for_takeover(MAX_TAKEOVER_WAITS)
+
+    def _wait_for_takeover(self, waits_left: int) -> None:
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + TAKEOVER_WAIT_S
+
+        def end_wait() -> None:
+            if waits_left > 1 and loop.time() - due_at > MAX_TAKEOVER_DELAY_S:
+                self._wait_for_takeover(waits_left - 1)
+            else:
+                self._end_takeover()
+
+        loop.call_at(due_at, end_wait)
 
     def _end_takeover(self) -> None:
         deferred_requests, self._deferred_requests = self._deferred_requests or [], None
--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -30,7 +30,9 @@
     """Identity, listening addresses and limits of an entry process.
 
     `peer_port` is the UDP port of the entry processes, the same on all hosts.  `seeds` are IP
-    addresses of hosts that a new host contacts first.
+    addresses of hosts that a new host contacts first.  `cores` is the processor time that the
+    process has, in cores, and `link_mbps` the bandwidth of the host's link; both decide how likely
+    the host becomes a broker.
     """
 
     node: str
@@ -44,3 +46,5 @@
     peer_port: int
     seeds: tuple[str, ...]
     bounds: FleetBounds
+    cores: float = 1.0
+    link_mbps: float = 100.0
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -1,9 +1,13 @@
 """Requests slots for this host from the brokers of the services, and runs brokers on this host.
 
 The client resends a slot request every few milliseconds until the broker answers.  It skips a
-broker that doesn't answer for a while and asks the next one in rank.  If none answers, this host's
-own broker decides on what it knows.  The client resends attempt reports until they are acknowledged
-or the resends are used up.
+broker that is silent for a while and asks the next one in rank.  If none answers, this host's own
+broker decides on what it knows.  The client resends attempt reports until they are acknowledged or
+the resends are used up.
+
+A broker that answers other requests isn't silent but behind.  Asking the next one as well would
+only add load, so the client waits for it, and doesn't resend what the broker is about to read.  A
+host whose own timers fire late can't tell, so it waits once more.
 """
 
 import asyncio
@@ -18,11 +22,12 @@
 from toucanspindle_core.clock import Clock
 
 from toucanspindle_entry import slotmessages
-from toucanspindle_entry.brokerchoice import rank_brokers
+from toucanspindle_entry.brokerchoice import BrokerRanking
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.localbroker import LocalBroker
 from toucanspindle_entry.retrycredit import RetryCreditSource
+from toucanspindle_entry.roundtrips import RoundTrips
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
 from toucanspindle_entry.targethealth import AttemptOutcome
@@ -30,12 +35,18 @@
 from toucanspindle_entry.targettable import TargetTable
 
 # Waits for an answer before each resend and before giving up; a round trip takes about 2 ms.
-REQUEST_RESEND_S: Final = (0.015, 0.03, 0.06)
+REQUEST_RESEND_S: Final = (0.05, 0.1, 0.15)
 # A queued request is resent this often, which also detects a broker that has failed.
 QUEUED_RENEWAL_S: Final = 0.25
 SILENT_BROKER_SKIP_S: Final = 1.5  # How long a broker that didn't answer is skipped.
+BROKER_SILENCE_S: Final = 0.2  # A broker that sent anything within this time isn't silent.
+MAX_BUSY_BROKER_WAIT_S: Final = 1.0  # For a broker that sends, but doesn't answer the request.
+MAX_RESEND_WAIT_S: Final = 0.25  # Before the resends to a broker that answers late.
+MAX_TIMER_DELAY_S: Final = 0.03  # A host whose timers are later than this is behind.
 MAX_BROKERS_TRIED: Final = 3  # Hosts tried in order of rank before this host's own broker.
-REPORT_RESEND_S: Final = (0.05, 0.1, 0.2)  # Waits for an acknowledgement.
+REPORT_RESEND_S: Final = (0.1, 0.2, 0.4)  # Waits for an acknowledgement.
+# A grant for a request that has ended may arrive this late, and again for each resend.
+ENDED_REQUEST_MEMORY_S: Final = 3.0
 # Older outcomes are no use to a new broker: few episodes last so long.
 RESULT_MEMORY_S: Final = 8.0
 # Hosts that disagree who is alive use other brokers, but hardly any beyond this rank.
@@ -66,12 +77,16 @@
 
 @dataclass
 class _PendingRequest:
-    """A slot request without a decision; `answered` is set by each answer, `queued` included."""
+    """A slot request without a decision; `answered` is set by each answer, `queued` included.
+
+    `broker` is the host that is asked now.
+    """
 
     service: str
     slot_request: SlotRequest
     future: asyncio.Future[SlotGrant | Refused]
     answered: asyncio.Event
+    broker: str = ""
 
 
 @dataclass
@@ -112,9 +127,16 @@
         self._credit_sources: dict[str, RetryCreditSource] = {}
         self._pending: dict[str, _PendingRequest] = {}
         self._held_slots: dict[str, _HeldSlot] = {}
+        self._ended_at: dict[str, float] = {}  # By slot request id, in the order of time.
         self._recent_results: deque[tuple[float, str, str, AttemptOutcome]] = deque()
-        self._unacknowledged: dict[tuple[str, str], asyncio.TimerHandle] = {}
+        # The timer for the next resend and the time of the first send, by broker and request id.
+        self._unacknowledged: dict[tuple[str, str], tuple[asyncio.TimerHandle, float]] = {}
         self._skipped_until: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}  # Last answer of each broker.
+        self._round_trips = RoundTrips()
+        # When a skipped broker was first sent a request, by broker and request id, oldest first.
+        self._asked_in_vain: dict[tuple[str, str], float] = {}
+        self._ranking = BrokerRanking(hosts)
 
     @property
     def local_brokers(self) -> dict[str, LocalBroker]:
@@ -174,9 +196,12 @@
         try:
             while True:
                 broker = self._choose_broker(service)
+                pending.broker = broker
+                asked_at = self._clock.now()
                 if await self._request_from_broker(broker, pending):
                     break
                 self._skip_broker(broker, service)
+                self._asked_in_vain[broker, slot_request.id] = asked_at
                 # The broker may have granted a slot and only its answers were lost.
                 self._send_report(service, broker, _withdrawal_report(slot_request.id, ""))
                 # The broker may have received the credit, so no other one may get it.
@@ -197,6 +222,7 @@
     def report_attempt(self, service: str, grant: SlotGrant, report: AttemptReport) -> None:
         """Report the outcome of a granted attempt to its broker; this releases the slot."""
         self._held_slots.pop(report.slot_request_id, None)
+        self._remember_ended(report.slot_request_id)
         if report.outcome is not AttemptOutcome.WITHDRAWN:
             now = self._clock.now()
             self._recent_results.append((now, service, report.target, report.outcome))
@@ -211,6 +237,7 @@
             service, slot_request = slotmessages.decode_slot_request(ip, message)
             self._local_broker(service).request_slot(slot_request)
         elif kind in {"grant", "queued", "refused"}:
+            self._record_heard(ip)
             self._handle_answer(ip, message)
         elif kind == "end":
             service, report = slotmessages.decode_report(message)
@@ -218,9 +245,11 @@
                 self._endpoint.send(ip, ["noted", report.slot_request_id])
             self._local_broker(service).record_attempt(report)
         elif kind == "noted":
-            timer = self._unacknowledged.pop((ip, message[1]), None)
+            self._record_heard(ip)
+            timer, sent_at = self._unacknowledged.pop((ip, message[1]), (None, 0.0))
             if timer is not None:
                 timer.cancel()
+                self._round_trips.record(ip, self._clock.now() - sent_at)
         elif kind == "sync":
             self._send_held_state(ip, message[1])
         elif kind == "held":
@@ -244,8 +273,7 @@
     def _choose_broker(self, service: str) -> str:
         """Return the highest-ranked host that isn't skipped; otherwise this host."""
         now = self._clock.now()
-        candidates = [*self._hosts.alive_ips(), self._own_ip]
-        for ip in rank_brokers(service, candidates)[:MAX_BROKERS_TRIED]:
+        for ip in self._ranking.live(service)[:MAX_BROKERS_TRIED]:
             if ip == self._own_ip or now >= self._skipped_until.get(ip, 0.0):
                 return ip
         return self._own_ip
@@ -254,6 +282,11 @@
         log.warning("event=broker_silent service={} broker={}", service, broker)
         self._skipped_until[broker] = self._clock.now() + SILENT_BROKER_SKIP_S
 
+    def _record_heard(self, broker: str) -> None:
+        """Record that a broker has sent an answer; it isn't silent."""
+        self._heard_at[broker] = self._clock.now()
+        self._skipped_until.pop(broker, None)
+
     async def _request_from_broker(self, broker: str, pending: _PendingRequest) -> bool:
         """Request a slot from one broker; return False if it doesn't answer."""
         if broker == self._own_ip:
@@ -262,15 +295,10 @@
             return True
         assert self._endpoint is not None
         message = slotmessages.encode_slot_request(pending.service, pending.slot_request)
-        waits = iter(REQUEST_RESEND_S)
         while True:
-            wait_s = next(waits, None)
-            if wait_s is None:
-                return False
             pending.answered.clear()
-            self._endpoint.send(broker, message)
-            if not await _wait_for_answer(pending, wait_s):
-                continue
+            if not await self._send_until_answered(broker, message, pending):
+                return False
             if pending.future.done():
                 return True
             # The request is queued; resend it regularly until the broker decides, without the
@@ -279,18 +307,56 @@
             message = slotmessages.encode_slot_request(pending.service, pending.slot_request)
             if await _wait_for_decision(pending.future, QUEUED_RENEWAL_S):
                 return True
-            waits = iter(REQUEST_RESEND_S)
+
+    async def _send_until_answered(
+        self, broker: str, message: Message, pending: _PendingRequest
+    ) -> bool:
+        """Send a slot request until the broker answers; return False if it is silent."""
+        assert self._endpoint is not None
+        loop = asyncio.get_running_loop()
+        started_at = self._clock.now()
+        waits = iter(REQUEST_RESEND_S)
+        wait_s = next(waits)
+        is_read_soon = False
+        while True:
+            if not is_read_soon:
+                self._endpoint.send(broker, message)
+            sent_at = self._clock.now()
+            this_wait_s = self._round_trips.wait_s(broker, wait_s, MAX_RESEND_WAIT_S)
+            timeout_at = loop.time() + this_wait_s
+            if await _wait_for_answer(pending, this_wait_s):
+                self._round_trips.record(broker, self._clock.now() - started_at)
+                return True
+            now = self._clock.now()
+            if loop.time() - timeout_at > MAX_TIMER_DELAY_S:
+                is_read_soon = True
+                continue
+            heard_at = self._heard_at.get(broker, float("-inf"))
+            is_read_soon = heard_at > sent_at and not is_read_soon
+            next_wait_s = next(waits, None)
+            wait_s = next_wait_s or 2 * wait_s
+            if next_wait_s is None and (
+                now - heard_at > BROKER_SILENCE_S or now - started_at > MAX_BUSY_BROKER_WAIT_S
+            ):
+                return False
 
     def _handle_answer(self, broker: str, message: Message) -> None:
         slot_request_id = str(message[1])
         pending = self._pending.get(slot_request_id)
+        if pending is not None and pending.broker != broker:
+            # The request moved to another broker, and this one was told so.
+            self._measure_late_answer(broker, slot_request_id)
+            return
         if pending is None or pending.future.done():
+            self._measure_late_answer(broker, slot_request_id)
             if (
                 message[0] == "grant"
                 and slot_request_id not in self._held_slots
+                and slot_request_id not in self._ended_at
                 and pending is None
             ):
-                # The request has ended or moved to another broker; release the slot.
+                # The request was withdrawn or moved to another broker; release the slot.
+                self._remember_ended(slot_request_id)
                 report = _withdrawal_report(slot_request_id, str(message[3]))
                 self._send_report(str(message[2]), broker, report)
             return
@@ -322,6 +388,25 @@
             pending.future.set_result(slotmessages.decode_refusal(broker, message))
         pending.answered.set()
 
+    def _measure_late_answer(self, broker: str, slot_request_id: str) -> None:
+        """Record how long a broker took that was skipped meanwhile."""
+        asked_at = self._asked_in_vain.pop((broker, slot_request_id), None)
+        if asked_at is not None:
+            self._round_trips.record(broker, self._clock.now() - asked_at)
+
+    def _remember_ended(self, slot_request_id: str) -> None:
+        """Remember that a slot was released, and forget those of long ago."""
+        now = self._clock.now()
+        self._ended_at.pop(slot_request_id, None)
+        self._ended_at[slot_request_id] = now
+        while now - self._ended_at[oldest := next(iter(self._ended_at))] > ENDED_REQUEST_MEMORY_S:
+            del self._ended_at[oldest]
+        while self._asked_in_vain:
+            key, asked_at = next(iter(self._asked_in_vain.items()))
+            if now - asked_at <= ENDED_REQUEST_MEMORY_S:
+                break
+            del self._asked_in_vain[key]
+
     # Attempt reports.
 
     def _send_report(self, service: str, broker: str, report: AttemptReport) -> None:
@@ -335,11 +420,13 @@
         assert self._endpoint is not None
         key = (broker, str(message[2]))
         self._endpoint.send(broker, message)
-        self._unacknowledged.pop(key, None)
+        _, sent_at = self._unacknowledged.pop(key, (None, self._clock.now()))
         if resends < len(REPORT_RESEND_S):
-            self._unacknowledged[key] = asyncio.get_running_loop().call_later(
-                REPORT_RESEND_S[resends], self._resend_report, broker, message, resends + 1
+            wait_s = self._round_trips.wait_s(broker, REPORT_RESEND_S[resends], MAX_RESEND_WAIT_S)
+            timer = asyncio.get_running_loop().call_later(
+                wait_s, self._resend_report, broker, message, resends + 1
             )
+            self._unacknowledged[key] = (timer, sent_at)
 
     # Brokers on this host.
 
@@ -389,8 +476,7 @@
         """Tell the other hosts that may be asked for slots which targets a request crashed."""
         if self._endpoint is None:
             return
-        candidates = [*self._hosts.alive_ips(), self._own_ip]
-        for ip in rank_brokers(service, candidates)[:MAX_BROKERS_TRIED]:
+        for ip in self._ranking.live(service)[:MAX_BROKERS_TRIED]:
             if ip != self._own_ip:
                 self._endpoint.send(ip, ["crashed", service, fingerprint, targets])
 
@@ -419,7 +505,7 @@
         LIMITED_GRANTS_SHARED_WITH live ones.
         """
         alive = {*self._hosts.alive_ips(), self._own_ip}
-        ranked = rank_brokers(service, [*self._hosts.peers, self._own_ip])
+        ranked = self._ranking.known(service)
         live_ranks = [rank for rank, ip in enumerate(ranked) if ip in alive]
         return ranked[: live_ranks[:LIMITED_GRANTS_SHARED_WITH][-1] + 1]
 
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -64,7 +64,8 @@
     """Size, load and failures of an emulated fleet; shares are of the requests that arrive.
 
     `rate` is in requests per second.  `shed_share` is refused by targets as not run, `fail_share`
-    ends with status 500, and `unreachable_share` of the connects fail.
+    ends with status 500, and `unreachable_share` of the connects fail.  A host needs `datagram_s`
+    of processor time for each datagram, and handles them one after the other.
     """
 
     hosts: int = 24
@@ -77,6 +78,7 @@
     unreachable_share: float = 0.05
     idempotent: bool = True
     max_attempts: int = 3
+    datagram_s: float = 0.0
     bounds: FleetBounds = FleetBounds(2.0, 6.0, 0.2, 10.0, 40.0, 3.0, 0.7)
 
 
@@ -218,6 +220,7 @@
         self.is_cut_off = False
         self.is_muted = False
         self.is_slow = False
+        self.busy_until = 0.0
         self._awake = asyncio.Event()
         self._awake.set()
         self._held_back: list[Callable[[], None]] = []
@@ -302,6 +305,9 @@
         self.leaving: set[str] = set()
         self.limits: dict[str, float] = {}
         self.pause_s = 0.0
+        self.rate_factor = 1.0
+        self.datagrams: Counter[str] = Counter()  # Sent by each host.
+        self.takeovers: set[tuple[str, float]] = set()  # Host and time.
 
     def next_incarnation(self) -> int:
         """Return a number for a new incarnation."""
@@ -325,7 +331,12 @@
             if receiver.is_running and self.hosts[ip] is receiver:
                 receiver.slots.handle_message(sender.ip, message)
 
-        asyncio.get_running_loop().call_later(delay_s, receiver.when_awake, receive)
+        self.datagrams[sender.ip] += 1
+        if message[0] == "sync":
+            self.takeovers.add((sender.ip, self._now()))
+        starts_at = max(receiver.busy_until, self._now() + delay_s)
+        receiver.busy_until = starts_at + self.shape.datagram_s
+        asyncio.get_running_loop().call_at(receiver.busy_until, receiver.when_awake, receive)
 
     async def serve(self, host: EmulatedHost, request: bytes) -> HttpResponse:
         """Record the arrival of a request of a host at its target, and answer it."""
@@ -393,7 +404,7 @@
         probing = loop.create_task(self._answer_probes())
         end_at = loop.time() + duration_s
         while loop.time() < end_at:
-            await asyncio.sleep(self.rng.expovariate(self.shape.rate))
+            await asyncio.sleep(self.rng.expovariate(self.shape.rate * self.rate_factor))
             running = [host for host in self.hosts.values() if host.is_running]
             if running:
                 self.send_request(self.rng.choice(running))
--- a/tests/emulatedmembership.py
+++ b/tests/emulatedmembership.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
@@ -26,7 +27,10 @@
 
 
 class MemberHost:
-    """One incarnation of a host; what arrives while it is frozen is handled when it wakes up."""
+    """One incarnation of a host; what arrives while it is frozen is handled when it wakes up.
+
+    The datagrams of a host that is behind leave `answer_delay_s` late.
+    """
 
     def __init__(self, fleet: "EmulatedMembership", ip: str, incarnation: str) -> None:
         self.ip = ip
@@ -34,6 +38,7 @@
         self.is_ready = False
         self.is_cut_off = False
         self.is_frozen = False
+        self.answer_delay_s = 0.0
         self.started_at = asyncio.get_running_loop().time()
         self.undisturbed_since = self.started_at
         self._fleet = fleet
@@ -128,6 +133,7 @@
         self.loss = loss
         self.off_since: dict[str, float] = {}
         self._incarnations = 0
+        self.datagrams: Counter[str] = Counter()  # Sent by each host, without the lost ones.
         self.hosts: dict[str, MemberHost] = {}
         for n in range(size):
             self.start(f"10.0.0.{n}")
@@ -205,7 +211,9 @@
             if receiver.is_running and self.hosts[ip] is receiver:
                 receiver.receive(sender.ip, message)
 
-        asyncio.get_running_loop().call_later(MESSAGE_DELAY_S, receiver.when_awake, receive)
+        self.datagrams[sender.ip] += 1
+        delay_s = MESSAGE_DELAY_S + sender.answer_delay_s
+        asyncio.get_running_loop().call_later(delay_s, receiver.when_awake, receive)
 
     def calm_hosts(self, calm_for_s: float) -> list[MemberHost]:
         """Return the hosts that have run without a disturbance for `calm_for_s`."""
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -1,11 +1,12 @@
 """Tests of route selection, target registrations, live hosts and broker ranks."""
 
 import dataclasses
+import math
 import random
 
 from testtools import TestCase
 from toucanspindle_core.clock import ManualClock
-from toucanspindle_entry.brokerchoice import rank_brokers
+from toucanspindle_entry.brokerchoice import BrokerRanking, broker_capacity, rank_brokers
 from toucanspindle_entry.livehosts import DEAD_AFTER_MISSED_PROBES, LiveHosts
 from toucanspindle_entry.model import HostEntry, TargetState
 from toucanspindle_entry.routeindex import RouteIndex
@@ -153,6 +154,46 @@
         moved = [s for s in services if rank_brokers(s, remaining_hosts)[0] != before[s]]
         self.assertEqual([s for s in services if before[s] == lost_host], moved)
 
+    # Guards against a broker on a host with half a core and a slow link beside much stronger ones.
+    def test_strong_hosts_are_the_brokers_of_nearly_all_services(self) -> None:
+        """A service of hundreds of requests per second in a fleet of mostly weak hosts."""
+        strong = {f"10.0.0.{n}": broker_capacity(2.15, 200.0) for n in range(8)}
+        weak = {f"10.0.1.{n}": broker_capacity(0.43, 10.0) for n in range(128)}
+        capacities = {**strong, **weak}
+        brokers = [rank_brokers(f"s{n}", capacities, capacities)[0] for n in range(200)]
+        self.assertGreater(sum(broker in strong for broker in brokers), 190)
+        self.assertEqual(set(strong), set(brokers) & set(strong))
+
+    def test_hosts_of_equal_capacity_are_ranked_as_without_one(self) -> None:
+        hosts = [f"10.0.0.{n}" for n in range(20)]
+        for service in ("a", "b", "c"):
+            ranked = rank_brokers(service, hosts, dict.fromkeys(hosts, 0.086))
+            self.assertEqual(rank_brokers(service, hosts), ranked)
+
+    def test_ranking_follows_the_changes_of_hosts(self) -> None:
+        hosts = LiveHosts(make_host_entry("10.0.0.1"), random.Random(1))
+        ranking = BrokerRanking(hosts)
+        self.assertEqual(["10.0.0.1"], ranking.live("s"))
+        hosts.add_host(make_host_entry("10.0.0.2"), 0.0)
+        hosts.set_capacity("10.0.0.2", 50.0)
+        self.assertEqual(["10.0.0.2", "10.0.0.1"], ranking.live("s"))
+        hosts.set_leaving("10.0.0.2", "first")
+        self.assertEqual(["10.0.0.1"], ranking.live("s"))
+        self.assertEqual(["10.0.0.2", "10.0.0.1"], ranking.known("s"))
+
+    def test_restarted_host_keeps_its_capacity(self) -> None:
+        hosts = LiveHosts(make_host_entry("10.0.0.1"), random.Random(1))
+        hosts.add_host(make_host_entry("10.0.0.2"), 0.0)
+        hosts.set_capacity("10.0.0.2", 50.0)
+        hosts.add_host(make_host_entry("10.0.0.2", "second"), 1.0)
+        self.assertEqual(50.0, hosts.capacities()["10.0.0.2"])
+
+    def test_capacity_that_is_no_number_is_refused(self) -> None:
+        hosts = LiveHosts(make_host_entry("10.0.0.1"), random.Random(1))
+        hosts.add_host(make_host_entry("10.0.0.2"), 0.0)
+        for capacity in (-1.0, math.inf, math.nan):
+            self.assertRaises(ValueError, hosts.set_capacity, "10.0.0.2", capacity)
+
 
 def make_host_entry(ip: str, incarnation: str = "first") -> HostEntry:
     return HostEntry(f"node-{ip}", ip, "beaufort", incarnation)
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -124,6 +124,22 @@
 
         self.run_fleet(scenario)
 
+    # Guards against a slot that stays in use at a broker whose late grant is taken for the answer
+    # of the broker that was asked next.
+    def test_late_grant_of_a_skipped_broker_is_not_used(self) -> None:
+        async def scenario(network: FakeNetwork) -> None:
+            client = network.clients[OTHER_HOSTS[0]]
+            network.not_sending.add(BROKER)
+            task = asyncio.get_running_loop().create_task(acquire(network, OTHER_HOSTS[0]))
+            while not network.clients[SECOND_BROKER].local_brokers:
+                await asyncio.sleep(0.001)
+            asked = next(iter(client._pending.values())).slot_request.id
+            late_grant = ["grant", asked, SERVICE, "late", 0.1, 1, "127.0.0.1:9", 1, 1]
+            client.handle_message(BROKER, late_grant)
+            self.assertEqual(SECOND_BROKER, (await task).broker)
+
+        self.run_fleet(scenario)
+
     def test_silent_broker_is_skipped(self) -> None:
         """The next in rank replaces a broker that is killed, frozen or cut off either way."""
 
--- a/tests/test_retry_budget_fleet.py
+++ b/tests/test_retry_budget_fleet.py
@@ -118,7 +118,7 @@
             ranked = rank_brokers(SERVICE, fleet.ips)
             for n, host in enumerate(fleet.hosts.values()):
                 for ip in ranked[: n % 6]:
-                    host.live_hosts.set_ready(ip, False)
+                    host.live_hosts.set_capacity(ip, 0.0)
             failing = fleet.shape
             while True:
                 fleet.shape = dataclasses.replace(failing, shed_share=0.0, fail_share=0.0)
--- a/tests/test_target_limit_fleet.py
+++ b/tests/test_target_limit_fleet.py
@@ -109,7 +109,7 @@
             ranked = rank_brokers(SERVICE, fleet.ips)
             for n, host in enumerate(fleet.hosts.values()):
                 for ip in ranked[: n % 6]:
-                    host.live_hosts.set_ready(ip, False)
+                    host.live_hosts.set_capacity(ip, 0.0)
 
         self.check(disagree)
 
