--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -60,6 +60,17 @@
     return copy_with_field
 
 
+class RouteKindTests(TestCase):
+    # Guards against a download that fails at its first attempt, though it may be sent again.
+    def test_downloads_may_be_sent_again_and_unknown_kinds_may_not(self) -> None:
+        for kind, is_idempotent in (("safe", True), ("download", True), ("other", False)):
+            plan_object = with_field(PLAN_OBJECT, "Spec.Routes.r2.Kind", kind)
+            _, plan = decode_object(ObjectKind.PLAN, plan_object)
+            assert isinstance(plan, FleetPlan)
+            route = next(route for route in plan.routes if route.name == "r2")
+            self.assertEqual(is_idempotent, route.idempotent, kind)
+
+
 class TargetEntryTests(TestCase):
     def test_valid_entry_is_decoded(self) -> None:
         name, entry = decode_object(ObjectKind.TARGETS, TARGET_OBJECT)
