Let few hosts watch the store and pass its changes on by datagram

A watch call that was sent in the last moments of a silent outage held up its host for 28 s, and all hosts send theirs at the same moment after a change.

Change: the first two live hosts by rank in each failure domain watch and pass changes on to their domain and to the watchers of the other domains, with the revision from which and to which they lead. A host that can't follow, or hears of no answer of the store for 1.4 s, calls the store itself. Hosts list the other hosts once up to date, after their own registration; later listings may be outdated.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -44,12 +44,16 @@
 from toucanspindle_entry.routeindex import RouteIndex
 from toucanspindle_entry.settings import EntrySettings
 from toucanspindle_entry.slotclient import SlotClient
+from toucanspindle_entry.storerelay import StoreRelay
 from toucanspindle_entry.storewatch import StoreWatch
 from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targettable import TargetTable
 
 INCARNATION_BYTES: Final = 4
-HOST_LIST_WAITS_S: Final = (0.05, 0.6, 2.0, 15.0)  # Waits between host listings; the last repeats.
+# Waits between host listings; the last repeats.  Only the first listing must be up to date: it
+# follows the own registration, so of two hosts the one that registers later sees the other.
+HOST_LIST_WAITS_S: Final = (0.05, 0.6, 2.0, 15.0)
+MAX_REGISTER_WAIT_S: Final = 1.0  # The first listing of hosts waits this long for the registration.
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
 REGISTER_RETRY_S: Final = 0.5  # Wait between registration attempts, before jitter.
 # A stopping host accepts connections for 2 s, but some callers use a directory response longer.
@@ -193,12 +197,17 @@
         self._slots.attach(self._datagrams)
         self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
         self._prober = HostProber(self._hosts, self._datagrams.send, self, self._clock, self._rng)
+        self._relay = StoreRelay(self._hosts, self._datagrams.send)
         self._plan_watch = self._create_watch(ObjectKind.PLAN, _PlanListener(self))
         self._target_watch = self._create_watch(
             ObjectKind.TARGETS, _TargetListener(self, self._targets)
         )
+        self._relay.set_watches(
+            {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
+        )
         self._missed_targets = MissedChanges()
         self._host_listing_requested = asyncio.Event()
+        self._registered = asyncio.Event()
         self._targets_known = False
         self._announced_ready = False
         self._stopping = False
@@ -288,6 +297,7 @@
             self._register_host,
             self._discover_hosts,
             self._prober.run,
+            self._relay.run,
             self._run_housekeeping,
         ):
             task = loop.create_task(run_background())
@@ -307,6 +317,7 @@
         stop_started_at = self._clock.now()
         stop_deadline = stop_started_at + self._settings.bounds.shutdown_s - STOP_MARGIN_S
         self._stopping = True
+        self._relay.set_ready(False)
         log.info("event=stopping connections={}", len(self._connections))
         for ip in list(self._hosts.peers):
             self._datagrams.send(ip, ["leave", self._own_entry.incarnation])
@@ -370,12 +381,13 @@
         """Send `hello` to all known hosts when this host becomes ready for the first time."""
         if self.is_ready and not self._announced_ready:
             self._announced_ready = True
+            self._relay.set_ready(True)
             log.info("event=ready targets={}", self._targets.size)
             self._announcer.greet_all()
 
     def _handle_datagram(self, ip: str, message: Message) -> None:
         """Process a datagram about slots or about other hosts; ignore unknown kinds."""
-        if self._slots.handle_message(ip, message):
+        if self._slots.handle_message(ip, message) or self._relay.handle_message(ip, message):
             return
         kind = message[0]
         now = self._clock.now()
@@ -406,21 +418,30 @@
         return routes.plan.version if routes is not None else 0
 
     async def _discover_hosts(self) -> None:
-        """Send a hello to the seeds, then to every unknown host that the store lists, forever."""
+        """Send a hello to the seeds, then to every unknown host that the store lists, forever.
+
+        A later listing may be outdated, unless it is requested: it only repeats a lost hello.
+        """
         for ip in self._settings.seeds:
             if ip != self._own_entry.ip:
                 self._announcer.greet(ip)
+        try:
+            async with asyncio.timeout(MAX_REGISTER_WAIT_S):
+                await self._registered.wait()
+        except TimeoutError:
+            pass
         waits = iter(HOST_LIST_WAITS_S)
-        wait_s = next(waits)
+        must_be_current = True
         while True:
-            is_requested = await self._wait_for_host_listing(wait_s * self._rng.uniform(0.9, 1.1))
             wait_s = next(waits, HOST_LIST_WAITS_S[-1])
-            may_be_stale = wait_s == HOST_LIST_WAITS_S[-1] and not is_requested
+            is_requested = await self._wait_for_host_listing(wait_s * self._rng.uniform(0.9, 1.1))
+            must_be_current = must_be_current or is_requested
             try:
-                listing = await self._store.list_all(ObjectKind.HOSTS, may_be_stale)
+                listing = await self._store.list_all(ObjectKind.HOSTS, not must_be_current)
             except PlatformError as error:
                 log.warning("event=host_list_failed error={}", error)
                 continue
+            must_be_current = False
             registrations = [
                 item.value for item in listing.items if isinstance(item.value, HostEntry)
             ]
@@ -449,6 +470,7 @@
                 log.warning("event=register_failed error={}", error)
                 await asyncio.sleep(REGISTER_RETRY_S * self._rng.uniform(0.8, 1.6))
                 continue
+            self._registered.set()
             return
 
     # Housekeeping and servers.
@@ -476,7 +498,7 @@
     def _create_watch(
         self, kind: ObjectKind, listener: _PlanListener | _TargetListener
     ) -> StoreWatch:
-        return StoreWatch(self._store, kind, listener, self._clock, self._rng)
+        return StoreWatch(self._store, kind, listener, self._clock, self._rng, exchange=self._relay)
 
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
@@ -2,13 +2,19 @@
 
 The watch lists all objects and then waits for changes.  A failed call is retried with exponential
 backoff.  After an error or a lost history the watch lists the kind again, because an interrupted
-watch call may have missed changes that the store no longer keeps.  Changes are received once or
-twice a second at most, since the platform charges for each call.  The listener is told whether
-the store was unreachable shortly before: objects missing then may only have expired.
+watch call may have missed changes that the store no longer keeps.  Changes are received a few times
+a second at most, since the platform charges for each call.  The listener is told whether the store
+was unreachable shortly before: objects missing then may only have expired.
+
+A host that isn't a watcher of its failure domain leaves the calls to those, and follows what they
+pass on (`receive`).  It calls the store itself if that doesn't follow from its own revision, or if
+it hears of no answer of the store for MAX_UNCONFIRMED_S.
 """
 
 import asyncio
+import dataclasses
 import random
+from dataclasses import dataclass
 from typing import Final, Protocol
 
 from logbook import Logger
@@ -19,6 +25,7 @@
     HistoryLostError,
     ObjectKind,
     ObjectStore,
+    StoreChange,
     StoreChanges,
     StoreListing,
 )
@@ -28,6 +35,10 @@
 # Pause after each batch of changes.  Drains must take effect within 2 s, and so must a plan on
 # every host.  Targets change more often, in bursts during starts and releases.
 CHANGE_INTERVAL_S: Final = {ObjectKind.PLAN: 0.4, ObjectKind.TARGETS: 0.8, ObjectKind.HOSTS: 0.8}
+# A host that hears of no answer of the store for this long calls it.  Drains must take effect
+# within 2 s.
+MAX_UNCONFIRMED_S: Final = 1.4
+MIN_FOLLOW_S: Final = 0.02
 MIN_OUTAGE_S: Final = 1.0  # Entries may expire in the store during an outage longer than this.
 REGISTRATION_GRACE_S: Final = 2.0  # Live targets register again within this time after an outage.
 MIN_LISTING_INTERVAL_S: Final = 0.3  # Least time from a listing to the next requested one.
@@ -35,6 +46,39 @@
 log = Logger("store")
 
 
+@dataclass(frozen=True)
+class StoreProgress:
+    """What a host knows of a kind: the changes that lead from a revision to a later one.
+
+    Without changes, nothing changed between the two; `changes` is None if they aren't told.  The
+    store confirmed `age_s` seconds ago that the revision is the newest one.  Objects that are
+    missing may be registered again within `grace_s` seconds; 0 means that they are gone.
+    """
+
+    base_revision: int
+    revision: int
+    age_s: float
+    grace_s: float
+    changes: tuple[StoreChange, ...] | None
+
+    def without_changes(self) -> "StoreProgress":
+        """Return the same without changes; a host that lacks them must ask the store."""
+        return dataclasses.replace(self, base_revision=self.revision, changes=None)
+
+
+class ChangeExchange(Protocol):
+    """Decides which hosts watch the store, and passes changes on to the others."""
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this host watches the store for others."""
+        ...
+
+    def pass_on(self, kind: ObjectKind, progress: StoreProgress, is_own: bool) -> None:
+        """Pass new changes on; `is_own` if this host read them from the store itself."""
+        ...
+
+
 class StoreListener(Protocol):
     """Receives the objects of one kind.
 
@@ -61,13 +105,22 @@
         listener: StoreListener,
         clock: Clock,
         rng: random.Random,
+        *,
+        exchange: ChangeExchange | None = None,
     ) -> None:
-        """Create a watch; nothing is called before `start`."""
+        """Create a watch; nothing is called before `start`.
+
+        Without an exchange the host always watches the store itself.
+        """
         self._store = store
         self._kind = kind
         self._listener = listener
         self._clock = clock
         self._rng = rng
+        self._exchange = exchange
+        self._confirmed_at = float("-inf")
+        self._unchanged_since = 0  # Nothing has changed from this revision to the known one.
+        self._needed_revision = 0  # Other hosts tell no changes from earlier revisions on.
         self._revision: int | None = None
         self._outage_began_at: float | None = None
         self._may_have_expired_until = float("-inf")
@@ -75,6 +128,7 @@
         self._retry_wait_s = FIRST_RETRY_WAIT_S
         self._task: asyncio.Task[None] | None = None
         self._listing_requested = asyncio.Event()
+        self._listing_requested_or_behind = asyncio.Event()
 
     @property
     def is_unreachable(self) -> bool:
@@ -86,6 +140,40 @@
         """The store revision up to which changes are known; 0 while a listing is pending."""
         return self._revision or 0
 
+    @property
+    def progress(self) -> StoreProgress | None:
+        """Since when nothing has changed, as far as is known; None without a revision."""
+        if self._revision is None:
+            return None
+        age_s = self._clock.now() - self._confirmed_at
+        return StoreProgress(self._unchanged_since, self._revision, age_s, 0.0, ())
+
+    def receive(self, progress: StoreProgress) -> bool:
+        """Process what another host knows of the kind; return whether changes were applied.
+
+        Changes from an earlier revision than the own one are applied again, which ends in the same
+        state.
+        """
+        if self._revision is None:
+            return False
+        if progress.changes is None or progress.base_revision > self._revision:
+            self._needed_revision = max(self._needed_revision, progress.base_revision)
+            self._listing_requested_or_behind.set()
+            return False
+        now = self._clock.now()
+        has_changes = bool(progress.changes) and progress.revision > self._revision
+        if has_changes:
+            grace_until = now + progress.grace_s if progress.grace_s else None
+            changes = StoreChanges(progress.changes, progress.revision)
+            self._unchanged_since = progress.revision
+            self._listener.on_changes(changes, grace_until)
+        elif not progress.changes and progress.revision >= self._unchanged_since:
+            self._unchanged_since = min(self._unchanged_since, progress.base_revision)
+        if progress.revision >= self._revision:
+            self._revision = progress.revision
+            self._confirmed_at = max(self._confirmed_at, now - progress.age_s)
+        return has_changes
+
     def start(self) -> None:
         """Start the background task that lists and watches."""
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -103,6 +191,7 @@
         """
         if self._clock.now() - self._listed_at > MIN_LISTING_INTERVAL_S:
             self._listing_requested.set()
+            self._listing_requested_or_behind.set()
 
     async def _run(self) -> None:
         while True:
@@ -126,18 +215,54 @@
             self._listed_at = self._clock.now()
             self._record_success()
             self._revision = listing.revision
+            self._unchanged_since = listing.revision
             self._listener.on_listing(listing, self._grace_until())
             return
+        if self._listing_requested.is_set():
+            self._revision = None
+            return
+        if self._may_follow():
+            await self._follow()
+            return
         changes = await self._wait_for_changes(self._revision)
         if changes is None:
             self._revision = None
             return
         self._record_success()
+        if changes.revision <= self._revision:
+            return  # Another host was faster.
         self._revision = changes.revision
         if changes.changes:
+            base_revision, self._unchanged_since = self._unchanged_since, changes.revision
             self._listener.on_changes(changes, self._grace_until())
+            self._pass_on(base_revision, changes)
             await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
 
+    def _may_follow(self) -> bool:
+        """Return whether other hosts watch the store for this one."""
+        if self._exchange is None or self._exchange.is_watcher:
+            return False
+        if self.revision < self._needed_revision:
+            return False
+        return self._clock.now() - self._confirmed_at < MAX_UNCONFIRMED_S
+
+    async def _follow(self) -> None:
+        """Wait while other hosts watch the store, until the last confirmation is too old."""
+        self._listing_requested_or_behind.clear()
+        wait_s = self._confirmed_at + MAX_UNCONFIRMED_S - self._clock.now()
+        try:
+            async with asyncio.timeout(max(MIN_FOLLOW_S, wait_s)):
+                await self._listing_requested_or_behind.wait()
+        except TimeoutError:
+            pass
+
+    def _pass_on(self, base_revision: int, changes: StoreChanges) -> None:
+        if self._exchange is not None:
+            grace_until = self._grace_until()
+            grace_s = grace_until - self._clock.now() if grace_until is not None else 0.0
+            progress = StoreProgress(base_revision, changes.revision, 0.0, grace_s, changes.changes)
+            self._exchange.pass_on(self._kind, progress, is_own=True)
+
     async def _wait_for_changes(self, revision: int) -> StoreChanges | None:
         """Wait for changes; return None if a new listing is requested first."""
         loop = asyncio.get_running_loop()
@@ -161,6 +286,7 @@
     def _record_success(self) -> None:
         """Reset the backoff; after a long outage, start the grace for missing objects."""
         now = self._clock.now()
+        self._confirmed_at = now
         if self._outage_began_at is not None:
             log.info(
                 "event=store_regained kind={} away_s={:.2f}",
