Take attempts that have outlived the usual failures as evidence before their answers

Cause: whether an attempt fails is mostly settled when the target begins it, and failures come within milliseconds, but a broker learned of a healthy target only from the whole answer.

Change: a broker learns how soon attempts of its service fail. An attempt that has outlived this counts for its target at once, and its answer counts little more.

--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -13,11 +13,13 @@
 """
 
 import random
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from toucanspindle_entry.activetargetfloor import ActiveTargetFloor
+from toucanspindle_entry.failuretimes import FailureTimes
 from toucanspindle_entry.fleetretrybudget import FleetRetryBudget
 from toucanspindle_entry.model import TargetEntry
 from toucanspindle_entry.poisontracker import PoisonTracker
@@ -33,11 +35,18 @@
     SlotRequest,
 )
 from toucanspindle_entry.targetcandidates import TargetCandidates, cross_domain_cost
-from toucanspindle_entry.targethealth import OVERDUE_LIKELIHOOD_RATIO, AttemptOutcome
+from toucanspindle_entry.targethealth import (
+    ANSWER_AFTER_SETTLED_RATIO,
+    OVERDUE_LIKELIHOOD_RATIO,
+    SETTLED_LIKELIHOOD_RATIO,
+    AttemptOutcome,
+)
 from toucanspindle_entry.targetlimits import TargetLimits
 from toucanspindle_entry.targetnotices import TargetNotice
 from toucanspindle_entry.targetrecord import TargetRecord
 
+# Outcomes of which unhealthy targets bring about many soon after the request arrives.
+FAST_OUTCOMES: Final = frozenset({AttemptOutcome.FAILED, AttemptOutcome.CONNECTION_LOST})
 LEASE_GRACE_S: Final = 0.5  # A lease without a report expires this long after its deadline.
 INITIAL_WORK_S: Final = 0.3  # Assumed time of an attempt before the first answer.
 INITIAL_WORK_WEIGHT: Final = 4  # In answers; the first answers to arrive are the shortest ones.
@@ -77,7 +86,8 @@
 class _Lease:
     """A granted slot, held until its attempt is reported or the lease expires.
 
-    `retry_credit_at` is when the credit that a retry took was deposited, or None.
+    `retry_credit_at` is when the credit that a retry took was deposited, or None.  `is_settled` is
+    true once the attempt has outlived the failures of unhealthy targets.
     """
 
     host: str
@@ -88,6 +98,7 @@
     can_retry: bool = False
     retry_credit_at: float | None = None
     is_overdue: bool = False
+    is_settled: bool = False
 
 
 class SlotBroker:
@@ -112,6 +123,8 @@
         self._poison_tracker = PoisonTracker()
         self._limits = TargetLimits(rng)
         self._candidates = TargetCandidates(self._limits, self._active_floor, rng)
+        self._failure_times = FailureTimes()
+        self._unsettled: deque[tuple[float, str]] = deque()  # Time of the grant, slot request id.
         self._ended_at: dict[str, float] = {}
         self._refusals: dict[str, tuple[float, Refused]] = {}
 
@@ -218,6 +231,7 @@
 
     def _decide(self, slot_request: SlotRequest, now: float) -> Decision:
         """Decide on a slot request that isn't a duplicate."""
+        self._settle_leases(now)
         refusal = self._check_admission(slot_request, now)
         if refusal is not None:
             self._active_floor.record_request_end(True, now)
@@ -237,6 +251,7 @@
 
         A report also removes its slot request from the queue.
         """
+        self._settle_leases(now)
         self._remember_ended(report.slot_request_id, now)
         # The report names no target if the host withdrew the request without knowing of the grant.
         lease = self._release_lease(report.slot_request_id, now)
@@ -248,7 +263,7 @@
         record = self._targets.get(report.target)
         is_evidence = lease is not None or report.outcome is not AttemptOutcome.WITHDRAWN
         if record is not None and is_evidence:
-            self._update_target(record, report, now)
+            self._update_target(record, report, lease is not None and lease.is_settled, now)
             self._candidates.update(record, now)
         if report.notice is not None:
             self.adopt_notice(report.notice, now)
@@ -336,6 +351,7 @@
         Expires leases, counts overdue attempts as evidence against their targets, grants free
         slots, and refuses queued requests that can't finish before their deadline.
         """
+        self._settle_leases(now)
         for slot_request_id, lease in list(self._leases.items()):
             if now > lease.expires_at:
                 # The outcome was never reported; the host has probably ended.
@@ -533,6 +549,7 @@
             retry_credit_at,
         )
         record.leases.add(slot_request.id)
+        self._unsettled.append((now, slot_request.id))
         self._limits.take(record.entry.name, record.entry.started_ms, now)
         self._active_floor.record_grant(record.entry.name, now)
         self._candidates.update(record, now)
@@ -557,13 +574,38 @@
             retry_wait_s,
         )
 
-    def _update_target(self, record: TargetRecord, report: AttemptReport, now: float) -> None:
-        """Update a target's health, slowness and pause, and the poison tracker, from a report."""
+    def _settle_leases(self, now: float) -> None:
+        """Count attempts that have outlived the failures as evidence for their targets."""
+        settled_after_s = self._failure_times.settled_after_s(self._mean_work_s)
+        if settled_after_s is None:
+            self._unsettled.clear()
+            return
+        while self._unsettled and now - self._unsettled[0][0] > settled_after_s:
+            _, slot_request_id = self._unsettled.popleft()
+            lease = self._leases.get(slot_request_id)
+            record = self._targets.get(lease.target) if lease is not None else None
+            if lease is not None and record is not None:
+                lease.is_settled = True
+                record.health.apply_likelihood_ratio(SETTLED_LIKELIHOOD_RATIO, now)
+                self._candidates.update(record, now)
+
+    def _update_target(
+        self, record: TargetRecord, report: AttemptReport, is_settled: bool, now: float
+    ) -> None:
+        """Update a target's health, slowness and pause, and the poison tracker, from a report.
+
+        The answer of a settled attempt tells little more, as it was settled long before.
+        """
         outcome = report.outcome
         if outcome is AttemptOutcome.TIMED_OUT and report.work_s < self._overdue_after_s():
             # The request's timeout was too short to be evidence against the target.
             return
-        record.health.observe(outcome, now)
+        if is_settled and outcome is AttemptOutcome.ANSWERED:
+            record.health.apply_likelihood_ratio(ANSWER_AFTER_SETTLED_RATIO, now)
+        else:
+            record.health.observe(outcome, now)
+        if outcome in FAST_OUTCOMES:
+            self._failure_times.record(report.work_s)
         if outcome is AttemptOutcome.ANSWERED:
             self._answer_count += 1
             weight = max(WORK_SMOOTHING, 1 / (self._answer_count + INITIAL_WORK_WEIGHT))
--- a/packages/toucanspindle-entry/toucanspindle_entry/targethealth.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targethealth.py
@@ -45,6 +45,10 @@
     AttemptOutcome.MISDIRECTED: 60.0,
 }
 OVERDUE_LIKELIHOOD_RATIO: Final = 4.0  # For an attempt that takes unusually long.
+# For an attempt that has outlived the failures of unhealthy targets, and for its answer.  Together
+# they weigh as much as an answer alone.
+SETTLED_LIKELIHOOD_RATIO: Final = 0.2
+ANSWER_AFTER_SETTLED_RATIO: Final = 0.75
 
 
 @dataclass
