--- a/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
@@ -39,6 +39,9 @@
 # within 2 s.
 MAX_UNCONFIRMED_S: Final = 1.4
 MIN_FOLLOW_S: Final = 0.02
+# A host that has heard of no confirmation for longer lists the kind again: the store may have
+# dropped the changes since, and doesn't always say so.
+MAX_RESUME_GAP_S: Final = 3.0
 MIN_OUTAGE_S: Final = 1.0  # Entries may expire in the store during an outage longer than this.
 REGISTRATION_GRACE_S: Final = 2.0  # Live targets register again within this time after an outage.
 MIN_LISTING_INTERVAL_S: Final = 0.3  # Least time from a listing to the next requested one.
@@ -224,6 +227,9 @@
         if self._may_follow():
             await self._follow()
             return
+        if self._clock.now() - self._confirmed_at > MAX_RESUME_GAP_S:
+            self._revision = None
+            return
         changes = await self._wait_for_changes(self._revision)
         if changes is None:
             self._revision = None
