Name the other hosts only to those that ask, and greet each of them once

Cause: each hello of a host that wasn't ready was answered with the names of all hosts, and each such message made its receiver greet all that it didn't know yet, again for each message.

Change: a starting host asks its few seeds; the replies name all hosts in pieces; a host that is being greeted isn't greeted again before its time.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -398,8 +398,8 @@
             if self._announcer.handle_hello(ip, message, now):
                 self._slots.release_host(ip)
             self._prober.check_sender(ip)
-        elif kind == "peers":
-            self._announcer.handle_peers(message)
+        elif self._announcer.handle_message(ip, message):
+            return
         elif kind == "leave" and self._hosts.set_leaving(ip, message[1]):
             log.info("event=host_leaving host={}", ip)
 
@@ -424,7 +424,7 @@
         """
         for ip in self._settings.seeds:
             if ip != self._own_entry.ip:
-                self._announcer.greet(ip)
+                self._announcer.join(ip)
         try:
             async with asyncio.timeout(MAX_REGISTER_WAIT_S):
                 await self._registered.wait()
@@ -447,9 +447,7 @@
             ]
             self._hosts.record_listing(len(registrations))
             for registration in registrations:
-                known_ips = {self._own_entry.ip, *self._hosts.peers}
-                if registration.ip not in known_ips:
-                    self._announcer.greet(registration.ip)
+                self._announcer.greet_first(registration.ip)
 
     async def _wait_for_host_listing(self, seconds: float) -> bool:
         """Wait until a listing of hosts is requested, or for some seconds; return which."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
@@ -2,18 +2,19 @@
 
     ["hello", name, failure domain, incarnation, capacity]
     ["welcome", name, failure domain, incarnation, capacity]
+    ["who"]
     ["peers", [[name, ip, failure domain, incarnation], ...]]
 
 `capacity` is that of the sender as a broker, or 0 while it isn't ready.
 
-A host sends `hello` to each host that it hears of; the reply is `welcome`, and `peers` if the
-sender isn't ready.  When it becomes ready it sends `hello` again.  All hosts must learn of that: a
-host that takes another one for unready chooses other brokers than the rest of the fleet.  A
-`welcome` to a host that became ready meanwhile is therefore answered with another `hello`, and a
-`hello` that brought no `welcome` is repeated.
+A host sends `hello` to each host that it hears of; the reply is `welcome`.  When it becomes ready
+it sends `hello` again.  All hosts must learn of that: a host that takes another one for unready
+chooses other brokers than the rest of the fleet.  A `welcome` to a host that became ready meanwhile
+is therefore answered with another `hello`, and a `hello` that brought no `welcome` is repeated.
 
-`peers` names the hosts that are alive for its sender.  The receiver greets those that it doesn't
-know, and adds them once they answer.
+A starting host sends `who` to the few hosts that it knows from its settings.  The replies name the
+hosts that are alive for them.  It greets each of those that it doesn't know once, and adds them
+when they answer.  So the datagrams of a start grow with the pairs of hosts, and not faster.
 """
 
 from collections.abc import Callable
@@ -26,6 +27,8 @@
 from toucanspindle_entry.model import HostEntry
 
 MAX_READY_HELLOS: Final = 4  # For each host; a lost datagram is rare.
+MAX_PEERS_NAMED: Final = 64  # In one message; several messages name all.
+MAX_QUESTIONS: Final = 4  # To each host that is asked for the others; a reply may be lost.
 MAX_FIRST_HELLOS: Final = 4  # To a host of which only another host has told.
 
 log = Logger("node")
@@ -36,7 +39,12 @@
 class HostAnnouncer:
     """Exchanges `hello` and `welcome` with the other hosts."""
 
-    def __init__(self, hosts: LiveHosts, send: SendMessage, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        hosts: LiveHosts,
+        send: SendMessage,
+        is_ready: Callable[[], bool],
+    ) -> None:
         """Create an announcer for the host `hosts.own`."""
         self._hosts = hosts
         self._send = send
@@ -44,6 +52,22 @@
         self._ready_hellos: dict[str, int] = {}
         self._confirmed: set[str] = set()
         self._first_hellos: dict[str, int] = {}
+        self._questions: dict[str, int] = {}  # By host that hasn't named the others yet.
+
+    def join(self, ip: str) -> None:
+        """Greet a host and ask it for the other hosts."""
+        self.greet(ip)
+        self._ask(ip)
+
+    def _ask(self, ip: str) -> None:
+        self._questions[ip] = self._questions.get(ip, 0) + 1
+        self._send(ip, ["who"])
+
+    def greet_first(self, ip: str) -> None:
+        """Greet a host that only others know; `repeat` does so again until it answers."""
+        is_known = ip == self._hosts.own.ip or ip in self._hosts.peers
+        if not is_known and ip not in self._first_hellos:
+            self._greet_first(ip)
 
     def greet(self, ip: str) -> None:
         """Send `hello` to a host."""
@@ -59,6 +83,11 @@
 
     def repeat(self) -> None:
         """Send `hello` again to hosts that haven't answered or confirmed that this one is ready."""
+        for ip, count in list(self._questions.items()):
+            if count < MAX_QUESTIONS:
+                self._ask(ip)
+            else:
+                del self._questions[ip]
         for ip, count in list(self._first_hellos.items()):
             if count < MAX_FIRST_HELLOS:
                 self._greet_first(ip)
@@ -90,8 +119,6 @@
             self._send(ip, self._message("welcome", self._is_ready()))
             if self._is_ready():
                 self._confirmed.add(ip)
-            if not capacity:
-                self._send_peers(ip)
         elif self._is_ready():
             if self._ready_hellos.get(ip):
                 self._confirmed.add(ip)
@@ -99,11 +126,20 @@
                 self.greet(ip)
         return is_new
 
-    def handle_peers(self, message: Message) -> None:
-        """Greet the hosts that another host knows and this one doesn't."""
-        for _, ip, _, _ in message[1]:
-            if ip != self._hosts.own.ip and ip not in self._hosts.peers:
-                self._greet_first(ip)
+    def handle_message(self, ip: str, message: Message) -> bool:
+        """Handle a message that names hosts or asks for them; return False for any other.
+
+        Raises ValueError for a malformed one.
+        """
+        if message[0] == "who":
+            self._send_peers(ip)
+        elif message[0] == "peers":
+            self._questions.pop(ip, None)
+            for _, other, _, _ in message[1]:
+                self.greet_first(other)
+        else:
+            return False
+        return True
 
     def _greet_first(self, ip: str) -> None:
         """Send `hello` to a host that hasn't answered yet."""
@@ -117,9 +153,12 @@
 
     def _send_peers(self, ip: str) -> None:
         """Send the other live hosts to a host that has just started."""
-        known_hosts = [
-            [p.entry.name, p.entry.ip, p.entry.failure_domain, p.entry.incarnation]
-            for p in self._hosts.peers.values()
-            if p.entry.ip != ip and p.is_alive
+        entries = [
+            self._hosts.peers[other].entry for other in self._hosts.alive_ips() if other != ip
         ]
-        self._send(ip, ["peers", known_hosts])
+        for first in range(0, max(1, len(entries)), MAX_PEERS_NAMED):
+            named = [
+                [entry.name, entry.ip, entry.failure_domain, entry.incarnation]
+                for entry in entries[first : first + MAX_PEERS_NAMED]
+            ]
+            self._send(ip, ["peers", named])
--- a/tests/emulatedmembership.py
+++ b/tests/emulatedmembership.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Final
 
+import orjson
 from toucanspindle_entry.datagrams import Message
 from toucanspindle_entry.hostannouncer import HostAnnouncer
 from toucanspindle_entry.hostprober import HostProber, HostStatus
@@ -80,8 +81,8 @@
         elif message[0] in {"hello", "welcome"}:
             self.announcer.handle_hello(ip, message, now)
             self.prober.check_sender(ip)
-        elif message[0] == "peers":
-            self.announcer.handle_peers(message)
+        elif self.announcer.handle_message(ip, message):
+            return
         elif message[0] == "leave":
             self.hosts.set_leaving(ip, message[1])
 
@@ -133,6 +134,7 @@
         self.loss = loss
         self.off_since: dict[str, float] = {}
         self._incarnations = 0
+        self.bytes_sent = 0
         self.datagrams: Counter[str] = Counter()  # Sent by each host, without the lost ones.
         self.hosts: dict[str, MemberHost] = {}
         for n in range(size):
@@ -146,8 +148,7 @@
     def list_hosts(self, host: MemberHost) -> None:
         """Let a host greet those that it doesn't know, by the registrations of all hosts."""
         for ip in self.hosts:
-            if ip != host.ip and ip not in host.hosts.peers:
-                host.announcer.greet(ip)
+            host.announcer.greet_first(ip)
 
     def running(self) -> list[MemberHost]:
         """Return the hosts that aren't off."""
@@ -161,7 +162,7 @@
         self.hosts[ip] = host
         self.off_since.pop(ip, None)
         for seed in seeds:
-            host.announcer.greet(seed.ip)
+            host.announcer.join(seed.ip)
         asyncio.get_running_loop().call_later(READY_AFTER_S, host.become_ready)
         asyncio.get_running_loop().call_later(LISTING_AFTER_S, self.list_hosts, host)
         return host
@@ -212,6 +213,7 @@
                 receiver.receive(sender.ip, message)
 
         self.datagrams[sender.ip] += 1
+        self.bytes_sent += len(orjson.dumps(message))
         delay_s = MESSAGE_DELAY_S + sender.answer_delay_s
         asyncio.get_running_loop().call_later(delay_s, receiver.when_awake, receive)
 
--- a/tests/test_entry_hostannouncer.py
+++ b/tests/test_entry_hostannouncer.py
@@ -18,7 +18,9 @@
         self.outbox: list[tuple[str, Message]] = []
         self.hosts = LiveHosts(HostEntry(name, name, "beaufort", f"{name}-1"), random.Random(1))
         self.announcer = HostAnnouncer(
-            self.hosts, lambda ip, message: self.outbox.append((ip, message)), lambda: self.is_ready
+            self.hosts,
+            lambda ip, message: self.outbox.append((ip, message)),
+            lambda: self.is_ready,
         )
 
     def become_ready(self) -> None:
@@ -37,9 +39,7 @@
 def deliver_from(host: AnnouncedHost, by_ip: dict[str, AnnouncedHost]) -> None:
     messages, host.outbox = host.outbox, []
     for ip, message in messages:
-        if message[0] == "peers":
-            by_ip[ip].announcer.handle_peers(message)
-        else:
+        if not by_ip[ip].announcer.handle_message(host.ip, message):
             by_ip[ip].announcer.handle_hello(host.ip, message, 0.0)
 
 
--- a/tests/test_entry_overload.py
+++ b/tests/test_entry_overload.py
@@ -22,6 +22,7 @@
 # Of datagrams that a host sends per second and host, in the mean over a loss of half of the fleet.
 MAX_DATAGRAMS_PER_S: Final = 300.0
 MAX_DECLARED_DEAD_BY: Final = 5
+STARTED_HOSTS: Final = 130
 # Callers may keep a directory response for 5 s, so a longer delay makes itself felt.
 MAX_OFF_S: Final = 5.0
 
@@ -121,6 +122,26 @@
         # A host isn't in its own directory.
         self.assertLessEqual(max(declared_dead) - 1, MAX_DECLARED_DEAD_BY)
 
+    # Guards against a start at which each host is told of all others by all others, and greets each
+    # of them again for each of these messages.
+    def test_start_of_many_hosts_costs_datagrams_by_their_pairs(self) -> None:
+        async def start_hosts(fleet: EmulatedMembership) -> None:
+            await asyncio.sleep(GREETINGS_S)
+            fleet.datagrams.clear()
+            fleet.bytes_sent = 0
+            for n in range(STARTED_HOSTS):
+                fleet.start(f"10.0.1.{n}")
+
+        running = HOST_SIZES[0]
+        fleet, _ = self.play(start_hosts, running, 3.0)
+        size = running + STARTED_HOSTS
+        self.assertEqual({size - 1}, {len(host.directory) for host in fleet.running()})
+        # A hello and a welcome when a host hears of another one and again when it becomes ready,
+        # from both sides, and what is sent in 3 s anyway.
+        pairs = STARTED_HOSTS * size
+        self.assertLess(sum(fleet.datagrams.values()), 8 * pairs + 3 * 10 * size)
+        self.assertLess(fleet.bytes_sent, 8 * 100 * pairs)
+
     # Guards against reports whose number grows with the square of the hosts.
     def test_loss_of_half_of_the_fleet_costs_each_survivor_a_bounded_number_of_datagrams(
         self,
