Let starting hosts find the others by their seeds and by outdated listings

Each start listed all hosts up to date, six pages for 293 hosts; an outdated listing costs a tenth. It counts for the limits that are split among the hosts only if it is newer than the own registration.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -50,10 +50,10 @@
 from toucanspindle_entry.targettable import TargetTable
 
 INCARNATION_BYTES: Final = 4
-# Waits between host listings; the last repeats.  Only the first listing must be up to date: it
-# follows the own registration, so of two hosts the one that registers later sees the other.
-HOST_LIST_WAITS_S: Final = (0.05, 0.6, 2.0, 15.0)
-MAX_REGISTER_WAIT_S: Final = 1.0  # The first listing of hosts waits this long for the registration.
+# Waits between host listings; the last repeats.  At a first start the entries of the others may
+# be missing in an outdated listing for some seconds.
+HOST_LIST_WAITS_S: Final = (0.05, 0.6, 2.0, 3.0, 5.0, 15.0)
+LONE_HOST_WAIT_S: Final = 2.0  # From this wait on a host that knows no other needs a new listing.
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
 REGISTER_RETRY_S: Final = 0.5  # Wait between registration attempts, before jitter.
 # A stopping host accepts connections for 2 s, but some callers use a directory response longer.
@@ -207,7 +207,6 @@
         )
         self._missed_targets = MissedChanges()
         self._host_listing_requested = asyncio.Event()
-        self._registered = asyncio.Event()
         self._targets_known = False
         self._announced_ready = False
         self._stopping = False
@@ -418,34 +417,32 @@
         return routes.plan.version if routes is not None else 0
 
     async def _discover_hosts(self) -> None:
-        """Send a hello to the seeds, then to every unknown host that the store lists, forever.
+        """Ask the seeds for the other hosts, and greet each unknown host that the store lists.
 
-        A later listing may be outdated, unless it is requested: it only repeats a lost hello.
+        Outdated listings cost the store little.  Only a requested listing is up to date, and those
+        of a host that hasn't found any other.
         """
-        for ip in self._settings.seeds:
-            if ip != self._own_entry.ip:
-                self._announcer.join(ip)
-        try:
-            async with asyncio.timeout(MAX_REGISTER_WAIT_S):
-                await self._registered.wait()
-        except TimeoutError:
-            pass
         waits = iter(HOST_LIST_WAITS_S)
-        must_be_current = True
         while True:
+            for ip in self._settings.seeds:
+                if ip != self._own_entry.ip:
+                    self._announcer.join(ip)
             wait_s = next(waits, HOST_LIST_WAITS_S[-1])
             is_requested = await self._wait_for_host_listing(wait_s * self._rng.uniform(0.9, 1.1))
-            must_be_current = must_be_current or is_requested
+            is_alone = wait_s >= LONE_HOST_WAIT_S and not self._hosts.peers
+            may_be_stale = not (is_requested or is_alone)
             try:
-                listing = await self._store.list_all(ObjectKind.HOSTS, not must_be_current)
+                listing = await self._store.list_all(ObjectKind.HOSTS, may_be_stale)
             except PlatformError as error:
                 log.warning("event=host_list_failed error={}", error)
                 continue
-            must_be_current = False
             registrations = [
                 item.value for item in listing.items if isinstance(item.value, HostEntry)
             ]
-            self._hosts.record_listing(len(registrations))
+            # An outdated listing counts only if it is newer than this host's registration: one from
+            # before may lack hosts, and would make the parts of limits that are split too large.
+            if not may_be_stale or self._own_entry in registrations:
+                self._hosts.record_listing(len(registrations))
             for registration in registrations:
                 self._announcer.greet_first(registration.ip)
 
@@ -468,7 +465,6 @@
                 log.warning("event=register_failed error={}", error)
                 await asyncio.sleep(REGISTER_RETRY_S * self._rng.uniform(0.8, 1.6))
                 continue
-            self._registered.set()
             return
 
     # Housekeeping and servers.
