--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -422,11 +422,15 @@
         Outdated listings cost the store little.  Only a requested listing is up to date, and those
         of a host that hasn't found any other.
         """
+        seeds = [ip for ip in self._settings.seeds if ip != self._own_entry.ip]
+        self._rng.shuffle(seeds)
+        for ip in seeds:
+            self._announcer.greet(ip)
         waits = iter(HOST_LIST_WAITS_S)
         while True:
-            for ip in self._settings.seeds:
-                if ip != self._own_entry.ip:
-                    self._announcer.join(ip)
+            # One seed at a time, since each names all hosts.
+            if seeds:
+                self._announcer.ask_for_hosts(seeds.pop())
             wait_s = next(waits, HOST_LIST_WAITS_S[-1])
             is_requested = await self._wait_for_host_listing(wait_s * self._rng.uniform(0.9, 1.1))
             is_alone = wait_s >= LONE_HOST_WAIT_S and not self._hosts.peers
--- a/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
@@ -3,7 +3,7 @@
     ["hello", name, failure domain, incarnation, capacity]
     ["welcome", name, failure domain, incarnation, capacity]
     ["who"]
-    ["peers", [[name, ip, failure domain, incarnation], ...]]
+    ["peers", [["", ip, "", ""], ...]]
 
 `capacity` is that of the sender as a broker, or 0 while it isn't ready.
 
@@ -54,12 +54,8 @@
         self._first_hellos: dict[str, int] = {}
         self._questions: dict[str, int] = {}  # By host that hasn't named the others yet.
 
-    def join(self, ip: str) -> None:
-        """Greet a host and ask it for the other hosts."""
-        self.greet(ip)
-        self._ask(ip)
-
-    def _ask(self, ip: str) -> None:
+    def ask_for_hosts(self, ip: str) -> None:
+        """Ask a host for the other hosts; `repeat` does so again until it answers."""
         self._questions[ip] = self._questions.get(ip, 0) + 1
         self._send(ip, ["who"])
 
@@ -85,7 +81,7 @@
         """Send `hello` again to hosts that haven't answered or confirmed that this one is ready."""
         for ip, count in list(self._questions.items()):
             if count < MAX_QUESTIONS:
-                self._ask(ip)
+                self.ask_for_hosts(ip)
             else:
                 del self._questions[ip]
         for ip, count in list(self._first_hellos.items()):
@@ -153,12 +149,8 @@
 
     def _send_peers(self, ip: str) -> None:
         """Send the other live hosts to a host that has just started."""
-        entries = [
-            self._hosts.peers[other].entry for other in self._hosts.alive_ips() if other != ip
-        ]
-        for first in range(0, max(1, len(entries)), MAX_PEERS_NAMED):
-            named = [
-                [entry.name, entry.ip, entry.failure_domain, entry.incarnation]
-                for entry in entries[first : first + MAX_PEERS_NAMED]
-            ]
-            self._send(ip, ["peers", named])
+        others = [other for other in self._hosts.alive_ips() if other != ip]
+        for first in range(0, max(1, len(others)), MAX_PEERS_NAMED):
+            named = others[first : first + MAX_PEERS_NAMED]
+            # Hosts of earlier versions expect four fields and use this one.
+            self._send(ip, ["peers", [["", other, "", ""] for other in named]])
--- a/tests/emulatedmembership.py
+++ b/tests/emulatedmembership.py
@@ -162,7 +162,8 @@
         self.hosts[ip] = host
         self.off_since.pop(ip, None)
         for seed in seeds:
-            host.announcer.join(seed.ip)
+            host.announcer.greet(seed.ip)
+            host.announcer.ask_for_hosts(seed.ip)
         asyncio.get_running_loop().call_later(READY_AFTER_S, host.become_ready)
         asyncio.get_running_loop().call_later(LISTING_AFTER_S, self.list_hosts, host)
         return host
