--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -6,15 +6,17 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import cast
+from typing import Any, cast
 
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_entry.brokerchoice import rank_brokers
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.localbroker import TAKEOVER_WAIT_S
 from toucanspindle_entry.model import HostEntry
 from toucanspindle_entry.slotclient import SlotClient, SlotGrant
 from toucanspindle_entry.slottypes import AttemptReport, Refused
@@ -37,11 +39,17 @@
         self.not_receiving: set[str] = set()
         self.not_sending: set[str] = set()
         self.sent: Counter[str] = Counter()
+        self.sent_by: Counter[tuple[str, str]] = Counter()
         self._loss = loss
         self._rng = random.Random(7)
 
+    def pending(self, ip: str) -> list[Any]:
+        """Return the slot requests of a host that wait for a decision."""
+        return list(self.clients[ip]._pending.values())
+
     def deliver(self, sender: str, receiver: str, message: Message) -> None:
         self.sent[message[0]] += 1
+        self.sent_by[sender, message[0]] += 1
         is_lost = self._rng.random() < self._loss
         if is_lost or sender in self.not_sending or receiver in self.not_receiving:
             return
@@ -133,7 +141,7 @@
             task = asyncio.get_running_loop().create_task(acquire(network, OTHER_HOSTS[0]))
             while not network.clients[SECOND_BROKER].local_brokers:
                 await asyncio.sleep(0.001)
-            asked = next(iter(client._pending.values())).slot_request.id
+            asked = network.pending(OTHER_HOSTS[0])[0].slot_request.id
             late_grant = ["grant", asked, SERVICE, "late", 0.1, 1, "127.0.0.1:9", 1, 1]
             client.handle_message(BROKER, late_grant)
             self.assertEqual(SECOND_BROKER, (await task).broker)
@@ -168,6 +176,31 @@
 
         self.run_fleet(scenario)
 
+    # Guards against a takeover that ends before the answers of the hosts are read, since the event
+    # loop stood still meanwhile.
+    def test_new_broker_whose_event_loop_stands_still_adopts_held_slots(self) -> None:
+        async def scenario(network: FakeNetwork) -> None:
+            grant = await acquire(network, OTHER_HOSTS[0])
+            network.not_receiving.add(BROKER)
+            network.not_sending.add(BROKER)
+            second = network.clients[SECOND_BROKER]
+            syncs = network.sent["sync"]
+            task = asyncio.get_running_loop().create_task(acquire(network, OTHER_HOSTS[1]))
+            while SECOND_BROKER not in {p.broker for p in network.pending(OTHER_HOSTS[1])}:
+                await asyncio.sleep(0.001)
+            while network.sent["sync"] == syncs:
+                await asyncio.sleep(0)
+            time.sleep(4 * TAKEOVER_WAIT_S)  # The answers are on their way, but not read.
+            broker = second.local_brokers[SERVICE].broker
+            while not broker.slots_in_use:
+                await asyncio.sleep(0)
+            # What the hosts hold is known before the first grant.
+            self.assertEqual(0, network.sent_by[SECOND_BROKER, "grant"])
+            await task
+            self.assertEqual(2, broker.slots_in_use, grant.target)
+
+        self.run_fleet(scenario)
+
     def test_isolated_host_uses_its_own_broker(self) -> None:
         async def scenario(network: FakeNetwork) -> None:
             network.not_receiving.add(OTHER_HOSTS[0])
