Use each target that may have recovered at a high failure rate, not only 70% of all

Cause: operators count the floor over the targets without a disturbance.

Change: at a high failure rate a target that hasn't failed for 2.2 s and got nothing for 1.2 s is due, the longest idle first, one in 25 ms.

Measured: in the new test 10 of 15 recovered targets were used in a window of 2 s before, 15 after.

--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -47,6 +47,10 @@
 
 # Outcomes of which unhealthy targets bring about many soon after the request arrives.
 FAST_OUTCOMES: Final = frozenset({AttemptOutcome.FAILED, AttemptOutcome.CONNECTION_LOST})
+# Outcomes that don't show a target failing by itself.
+HARMLESS_OUTCOMES: Final = frozenset(
+    {AttemptOutcome.ANSWERED, AttemptOutcome.SHED, AttemptOutcome.WITHDRAWN}
+)
 LEASE_GRACE_S: Final = 0.5  # A lease without a report expires this long after its deadline.
 INITIAL_WORK_S: Final = 0.3  # Assumed time of an attempt before the first answer.
 INITIAL_WORK_WEIGHT: Final = 4  # In answers; the first answers to arrive are the shortest ones.
@@ -509,7 +513,10 @@
         return pending.slot_request.can_retry or has_waited
 
     def _floor_target(self, slot_request: SlotRequest, now: float) -> TargetRecord | None:
-        """Return the free target that is most likely healthy among those due for the floor."""
+        """Return one of the free targets due for the floor.
+
+        It is the one most likely healthy, or the one idle for longest if the floor prefers that.
+        """
         due = [
             candidate
             for candidate in self._candidates.floor_due
@@ -519,6 +526,11 @@
             return None
         self._active_floor.record_floor_request(now)
         self._candidates.floor_request_granted()
+        if self._active_floor.prefers_longest_idle:
+            return min(
+                (candidate.record for candidate in due),
+                key=lambda record: self._active_floor.last_granted_at(record.entry.name),
+            )
         return min(
             due,
             key=lambda candidate: candidate.unhealthy_probability
@@ -604,6 +616,8 @@
             record.health.apply_likelihood_ratio(ANSWER_AFTER_SETTLED_RATIO, now)
         else:
             record.health.observe(outcome, now)
+        if outcome not in HARMLESS_OUTCOMES:
+            self._active_floor.record_failure(record.entry.name, now)
         if outcome in FAST_OUTCOMES:
             self._failure_times.record(report.work_s)
         if outcome is AttemptOutcome.ANSWERED:
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections import deque
 from unittest import mock
 
 from hypothesis import given
@@ -490,6 +491,33 @@
             used = {name for at, name in grants if window_start <= at < window_start + 2}
             self.assertGreaterEqual(len(used), 7, window_start)
 
+    # Guards against sound targets that stay unused since enough of all targets are in use: most of
+    # those may be disturbed, and operators count only the others.
+    def test_recovered_targets_are_used_again_at_a_high_failure_rate(self) -> None:
+        """A gray spell ends at 15 of 60 targets while a fifth of all requests still fail."""
+        rng = random.Random(5)
+        names = [f"t{n}" for n in range(60)]
+        recovering, failing = set(names[:15]), set(names[15:25])
+        broker = make_broker(*(target(name, slots=4) for name in names))
+        grants: list[tuple[float, str]] = []
+        running: deque[tuple[float, AttemptReport]] = deque()
+        for step in range(1000):
+            now = step * 0.012
+            while running and running[0][0] <= now:
+                ends_at, report = running.popleft()
+                broker.record_attempt(report, ends_at)
+            request = slot_request(str(step), time_left_s=9.0, goal_left_s=9.0)
+            name = granted_target(broker.request_slot(request, now))
+            grants.append((now, name))
+            is_sick = name in failing or (name in recovering and now < 4.0)
+            fails = is_sick or (name not in recovering and rng.random() < 0.2)
+            outcome = AttemptOutcome.FAILED if fails else AttemptOutcome.ANSWERED
+            running.append((now + 0.5, attempt_report(str(step), name, outcome, 0.5)))
+        # A target that failed by itself counts again 2 s later.
+        for start in (6.5, 7.5, 8.5, 9.5):
+            used = {name for at, name in grants if start <= at < start + 2}
+            self.assertGreaterEqual(len(used & recovering), 0.7 * len(recovering), start)
+
     def test_floor_is_kept_in_each_second_at_a_normal_failure_rate(self) -> None:
         """All hosts lose power at once: only the targets used in the last second count."""
         rng = random.Random(3)
