--- a/packages/toucanspindle-entry/toucanspindle_entry/hostprober.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hostprober.py
@@ -13,8 +13,8 @@
 Under load, late answers must not add load.  A host whose timers fire late doesn't count a missed
 probe, as the answer may wait to be read.  A host that misses the answers of several others in a row
 is likely behind itself, so it waits longer until one of them answers.  A host that answers late is
-given twice that time from then on.  The reports that a host sends and the suspects
-that it probes at a time are limited.
+given twice that time from then on.  The reports that a host sends and the suspects that it probes
+at a time are limited.
 
 In turn a dead host that sends a message is probed at once.  A host that finds itself named, or gets
 answers again after it was isolated, greets all others.
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -1,6 +1,6 @@
 """Requests slots for this host from the brokers of the services, and runs brokers on this host.
 
-The client resends a slot request every few milliseconds until the broker answers.  It skips a
+The client resends a slot request a few times until the broker answers.  It skips a
 broker that is silent for a while and asks the next one in rank.  If none answers, this host's own
 broker decides on what it knows.  The client resends attempt reports until they are acknowledged or
 the resends are used up.
