Forget the candidates when the targets change

A target that registered another failure domain was looked up under the new one, so the report that should have updated it was lost (KeyError; found by reading, the test fails before).

--- a/packages/toucanspindle-entry/toucanspindle_entry/targetcandidates.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targetcandidates.py
@@ -78,20 +78,16 @@
         self.invalidate()
 
     def invalidate(self) -> None:
-        """Have all targets evaluated before the next decision."""
+        """Forget what is known of the targets; they are evaluated before the next decision."""
         self._evaluated_at = float("-inf")
+        self._clear()
 
     def refresh(self, now: float) -> None:
         """Evaluate all targets unless that was done within MAX_AGE_S."""
         if now - self._evaluated_at < MAX_AGE_S:
             return
         self._evaluated_at = now
-        self._candidates.clear()
-        self._available.clear()
-        self._busy.clear()
-        self._unused.clear()
-        self._floor_due.clear()
-        self._expected_healthy = None
+        self._clear()
         for name, record in self._records.items():
             self._insert(name, record, now)
         names_due = self._active_floor.targets_due(
@@ -154,6 +150,14 @@
             )
         return self._expected_healthy
 
+    def _clear(self) -> None:
+        self._candidates.clear()
+        self._available.clear()
+        self._busy.clear()
+        self._unused.clear()
+        self._floor_due.clear()
+        self._expected_healthy = None
+
     def _usable_slots(self, record: TargetRecord, work_s: float) -> float:
         """Return how many slots of a target its limit lets the service use in the mean."""
         entry = record.entry
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -392,6 +392,19 @@
         self.assertEqual([], broker.record_attempt(report, 0.1))
         self.assertEqual(["z"], [d.slot_request_id for d in broker.tick(0.2)])
 
+    # Guards against a lost report: its target has registered another failure domain meanwhile.
+    def test_report_of_a_target_that_moved_to_another_failure_domain_frees_its_slot(self) -> None:
+        broker = make_broker(target("a", slots=1), target("b", slots=1, domain="graaff"))
+        granted_target(broker.request_slot(slot_request("1", excluded=("b",)), 0.0))
+        granted_target(broker.request_slot(slot_request("2", excluded=("a",)), 0.0))
+        broker.record_attempt(attempt_report("1", "a", AttemptOutcome.ANSWERED), 0.01)
+        moved = [target("a", slots=1, domain="deaar"), target("b", slots=1, domain="deaar")]
+        broker.set_targets(moved, frozenset(), 0.02)
+        broker.record_attempt(attempt_report("1", "a", AttemptOutcome.ANSWERED), 0.03)
+        broker.record_attempt(attempt_report("2", "b", AttemptOutcome.ANSWERED), 0.03)
+        names = {granted_target(broker.request_slot(slot_request(n), 0.04)) for n in "34"}
+        self.assertEqual({"a", "b"}, names)
+
 
 class RetryTests(TestCase):
     def test_new_broker_grants_no_retry_that_its_predecessor_may_have_spent(self) -> None:
