--- a/review/standins.py
+++ b/review/standins.py
@@ -468,8 +468,16 @@
 class Deployment:
     """A store, servers and entry processes; use it as an asynchronous context manager."""
 
-    def __init__(self, record, hosts=3, servers=4, services=("lotbook", "reservedesk")):
+    def __init__(
+        self,
+        record,
+        hosts=3,
+        servers=4,
+        services=("lotbook", "reservedesk"),
+        timeout_ms=TIMEOUT_MS,
+    ):
         self.record = record
+        self._timeout_ms = timeout_ms
         self._services = services
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         base = random.Random(os.getpid()).randrange(1, 250)
@@ -519,7 +527,7 @@
     async def put_config(self, version, **routes):
         def route(prefix, kind, service):
             return {
-                "Host": HOST_NAME, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": TIMEOUT_MS,
+                "Host": HOST_NAME, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": self._timeout_ms,
                 "TargetLatencyMs": 1500, "Priority": 1, "Service": service, "MaxAttempts": 2,
             }
 
