--- a/review/standins.py
+++ b/review/standins.py
@@ -257,7 +257,8 @@
 
     SLOTS = 4
     QUEUE = 16
-    DOWN_S = 1.0
+    DOWN_S = 2.0
+    ENTRY_LAPSES_S = 4.5  # Three heartbeat intervals.
 
     def __init__(self, name, service, ip, port, store, record, slots=None):
         self.name = name
@@ -379,14 +380,18 @@
                 self._record.write(f"{'done' if is_done else 'dropped'} {attempt} at {self.id}")
 
     async def _crash(self):
-        """Reset all connections, and start again as a new incarnation after DOWN_S."""
+        """Reset all connections, and start again as a new incarnation after DOWN_S.
+
+        The old entry lapses later, so for some time two entries name the same address.
+        """
         self._server.close()
         old_id = self.id
         for task in list(self._tasks):
             task.cancel()
         await asyncio.sleep(self.DOWN_S)
-        await self._store.remove("servers", old_id)
         await self.start()
+        await asyncio.sleep(self.ENTRY_LAPSES_S - self.DOWN_S)
+        await self._store.remove("servers", old_id)
 
 
 class EntryProcess:
