Log and count requests that are rejected before they are complete

Cause: a 431, 413, 408 or 400 left no trace at the host that sent it, so neither logs nor metrics told whether one head was too long or several were added up.

Change: the log line request_rejected with what was read of the request, and the counter rejected_total by status.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -12,6 +12,7 @@
 from typing import Final, Protocol
 
 import httptools
+from logbook import Logger
 from toucanspindle_core.clock import Clock
 
 from toucanspindle_entry.httpclient import tune_socket
@@ -47,6 +48,8 @@
     504: b"Gateway Timeout",
 }
 
+log = Logger("callers")
+
 
 @dataclass
 class CallerRequest:
@@ -109,6 +112,10 @@
         """Remove a closed connection."""
         ...
 
+    def count_rejected(self, status: int) -> None:
+        """Count a request that was rejected before it was complete."""
+        ...
+
 
 @dataclass
 class _Exchange:
@@ -333,6 +340,16 @@
         """Queue an error response after the pending ones; the connection closes after it."""
         self._rejected = True
         self._cancel_timer()
+        self._owner.count_rejected(status)
+        log.info(
+            "event=request_rejected status={} head_bytes={} partial_head_bytes={} body_bytes={}"
+            " unanswered={}",
+            status,
+            self._parsed_head_bytes,
+            self._partial_head_bytes,
+            self._body_bytes,
+            len(self._exchanges),
+        )
         request = CallerRequest("GET", "/", [], b"", self._clock.now())
         exchange = _Exchange(request, keep_alive=False, response=CallerResponse(status))
         # The task keeps _start_exchanges from passing this exchange to the request handler.
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -22,6 +22,7 @@
         self._retries: Counter[str] = Counter()
         self._disconnected_callers: Counter[str] = Counter()
         self._unrouted: Counter[int] = Counter()
+        self._rejected: Counter[int] = Counter()
         self._buckets: dict[str, list[int]] = {}
         self._latency_sums_ms: Counter[str] = Counter()
 
@@ -52,6 +53,10 @@
         """Count an error response to a request without a route."""
         self._unrouted[status] += 1
 
+    def count_rejected(self, status: int) -> None:
+        """Count an error response to a request that wasn't read completely."""
+        self._rejected[status] += 1
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         prefix = "toucanspindle_entry"
@@ -74,9 +79,10 @@
         lines.append(f"# TYPE {prefix}_callers_left_total counter")
         for service, count in sorted(self._disconnected_callers.items()):
             lines.append(f'{prefix}_callers_left_total{{service="{service}"}} {count}')
-        lines.append(f"# TYPE {prefix}_unrouted_total counter")
-        for status, count in sorted(self._unrouted.items()):
-            lines.append(f'{prefix}_unrouted_total{{status="{status}"}} {count}')
+        for name, statuses in (("unrouted", self._unrouted), ("rejected", self._rejected)):
+            lines.append(f"# TYPE {prefix}_{name}_total counter")
+            for status, count in sorted(statuses.items()):
+                lines.append(f'{prefix}_{name}_total{{status="{status}"}} {count}')
         lines += self._histogram_lines(f"{prefix}_latency_seconds")
         return ("\n".join(lines) + "\n").encode()
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -277,6 +277,10 @@
         """Remove a closed caller connection."""
         self._connections.discard(connection)
 
+    def count_rejected(self, status: int) -> None:
+        """Count a request that was rejected before it was complete."""
+        self._metrics.count_rejected(status)
+
     # Start and shutdown.
 
     async def start(self) -> None:
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -18,6 +18,7 @@
         self.limits = LIMITS
         self.is_stopping = False
         self.connections: set[CallerConnection] = set()
+        self.rejected: list[int] = []
 
     def connection_opened(self, connection: CallerConnection) -> None:
         self.connections.add(connection)
@@ -25,6 +26,9 @@
     def connection_closed(self, connection: CallerConnection) -> None:
         self.connections.discard(connection)
 
+    def count_rejected(self, status: int) -> None:
+        self.rejected.append(status)
+
 
 Client = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -68,12 +72,16 @@
 
         asyncio.run(run())
 
-    def send_and_read(self, data: bytes) -> bytes:
-        """Send bytes and return all that is received until the connection closes."""
+    def send_and_read(self, *pieces: bytes) -> bytes:
+        """Send pieces of bytes in separate segments; return what is received until the end."""
         received: list[bytes] = []
 
         async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            writer.write(data)
+            for piece in pieces:
+                if reader.at_eof():
+                    break
+                writer.write(piece)
+                await asyncio.sleep(0.0005)
             received.append(await reader.read())
 
         self.run_client(client)
@@ -151,6 +159,8 @@
         ):
             received = self.send_and_read(data)
             self.assertTrue(received.startswith(b"HTTP/1.1 " + status), (name, received))
+            self.assertEqual([int(status)], self.owner.rejected, name)
+            self.owner.rejected.clear()
         self.assertEqual([], self.handled)
 
     def test_idle_connection_is_closed(self) -> None:
