Count the bytes of an incomplete head for each request, not over several

Cause: the count of an incomplete head went on with each read that ended within a head. If each read ends within the head of another request, the heads, and bodies in the same reads, are added up.

Change: parse in slices of 4 KiB, and begin the count where the head begins, or with the next slice if that isn't known. A head without end is still rejected, at most one slice above the limit.

Result: test_pipelined_heads_are_limited_one_by_one failed before (2 of 6 requests answered with pieces of 90 bytes) and passes; an endless head behind a complete request still gets 431.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -18,6 +18,9 @@
 from toucanspindle_entry.httpclient import tune_socket
 from toucanspindle_entry.model import CallerLimits
 
+# Bytes are parsed in slices of this size.  A head may exceed its limit by one slice before it is
+# rejected, since the parser doesn't tell where in a slice the head begins.
+PARSE_BYTES: Final = 4096
 MAX_PIPELINED: Final = 16  # Reading pauses at this many unanswered requests.
 PARALLEL_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
 # After the last response, bytes from the caller are read and dropped for this long.  Closing at
@@ -146,6 +149,8 @@
         self._parsed_head_bytes = 0
         self._reading_head = True
         self._partial_head_bytes = 0
+        self._heads_begun = 0
+        self._is_reading_message = False
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
         self._request_began_at: float | None = None
@@ -198,6 +203,15 @@
         if self._request_began_at is None:
             self._request_began_at = self._clock.now()
             self._restart_timer(self._owner.limits.header_timeout_s)
+        for begin in range(0, len(data), PARSE_BYTES):
+            if self._is_closing or self._rejected:
+                return
+            self._parse(data[begin : begin + PARSE_BYTES])
+
+    def _parse(self, data: bytes) -> None:
+        """Parse a slice; count the bytes of an incomplete head, which the parser doesn't report."""
+        heads_begun = self._heads_begun
+        was_between_requests = not self._is_reading_message
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -207,8 +221,13 @@
                 raise
         except httptools.HttpParserError:
             self._reject(400)
-        # The parser reports only complete headers, so an incomplete head is counted here.
-        self._partial_head_bytes = self._partial_head_bytes + len(data) if self._reading_head else 0
+        heads_begun = self._heads_begun - heads_begun
+        if not self._reading_head or heads_begun > 1:
+            self._partial_head_bytes = 0
+        elif heads_begun == 1:
+            self._partial_head_bytes = len(data) if was_between_requests else 0
+        else:
+            self._partial_head_bytes += len(data)
         if not self._rejected and self._partial_head_bytes > self._owner.limits.header_bytes:
             self._reject(431)
 
@@ -233,6 +252,8 @@
         if self._request_began_at is None:
             self._request_began_at = self._clock.now()
         self._reading_head = True
+        self._heads_begun += 1
+        self._is_reading_message = True
         self._url = b""
         self._headers = []
         self._parsed_head_bytes = 0
@@ -279,6 +300,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request and start those that may run now."""
+        self._is_reading_message = False
         if self._rejected or self._is_closing:
             return
         request = CallerRequest(
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -163,5 +163,25 @@
             self.owner.rejected.clear()
         self.assertEqual([], self.handled)
 
+    def test_pipelined_heads_are_limited_one_by_one(self) -> None:
+        """Guards against adding up the heads of pipelined requests that arrive in pieces."""
+        head = b"GET /%d HTTP/1.1\r\nHost: a\r\nX-Long: " + b"x" * 200 + b"\r\n\r\n"
+        body = b"POST /4 HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n" + b"x" * 900
+        last = b"GET /5 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        data = b"".join(head % number for number in range(4)) + body + last
+        for piece_bytes in (7, 90, 150, 200, 241, 400, 1100, len(data)):
+            received = self.send_and_read(
+                *(data[begin : begin + piece_bytes] for begin in range(0, len(data), piece_bytes))
+            )
+            self.assertEqual(6, received.count(b"HTTP/1.1 200 OK"), (piece_bytes, received))
+
+    def test_endless_head_behind_a_complete_request_is_rejected(self) -> None:
+        """Guards against a limit that holds only for the first head of a connection."""
+        complete = get_request("/a")
+        endless = b"GET /b HTTP/1.1\r\nX-Long: " + b"x" * 400
+        received = self.send_and_read(complete + endless, *[b"x" * 400] * 20)
+        statuses = [part[:3] for part in received.split(b"HTTP/1.1 ")[1:]]
+        self.assertEqual([b"200", b"431"], statuses)
+
     def test_idle_connection_is_closed(self) -> None:
         self.assertEqual(b"", self.send_and_read(b""))
