Notice a caller that closes while reading is paused

Cause: reading pauses at 16 unanswered requests, and the end of the stream is learned by reading alone.

Change: while reading is paused, for this or for lack of memory, poll the socket each 0.2 s for the peer's end of the stream, and end the connection as a close that is read does.

Result: test_close_is_noticed_behind_many_unanswered_requests failed before, no request was cancelled within 0.5 s, and passes.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -6,10 +6,13 @@
 connection, its requests are cancelled.
 
 Reading pauses at MAX_PIPELINED unanswered requests, and while there is no memory for a body.  A
-request whose body gets no memory for MEMORY_WAIT_S is rejected; it has not run.
+request whose body gets no memory for MEMORY_WAIT_S is rejected; it has not run.  A caller that
+closes while reading is paused is noticed by a poll.
 """
 
 import asyncio
+import select
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
@@ -35,6 +38,7 @@
 MEMORY_WAIT_S: Final = 1.0
 MEMORY_RETRY_AFTER_S: Final = 1.0
 WRITE_BUFFER_BYTES: Final = 32_768  # What may wait to be sent; writing pauses above.
+CLOSE_POLL_INTERVAL_S: Final = 0.2  # While reading is paused.
 
 log = Logger("callers")
 
@@ -106,6 +110,7 @@
         self._closes_after_unsent = False
         self._is_write_paused = False
         self._timer: asyncio.TimerHandle | None = None
+        self._close_poll: asyncio.TimerHandle | None = None
         self._timed_phase: tuple[float | None, float] | None = None
         self._is_closing = False
 
@@ -224,6 +229,8 @@
         """Cancel the requests in progress."""
         self._is_closing = True
         self._cancel_timer()
+        if self._close_poll is not None:
+            self._close_poll.cancel()
         self._reader.stop()
         for exchange in self._exchanges:
             if exchange.task is not None:
@@ -250,6 +257,7 @@
         is_paused = lacks_memory or self._reader.has_unparsed or not self.can_take_request
         if is_paused:
             transport.pause_reading()
+            self._poll_for_close()
         else:
             transport.resume_reading()
         limit_s: float | None = None
@@ -267,6 +275,23 @@
         elif not self.is_idle:
             self._cancel_timer()
 
+    def _poll_for_close(self) -> None:
+        """Begin to poll whether the caller closes while reading is paused."""
+        if self._close_poll is None:
+            self._close_poll = asyncio.get_running_loop().call_later(
+                CLOSE_POLL_INTERVAL_S, self._check_closed_by_caller
+            )
+
+    def _check_closed_by_caller(self) -> None:
+        self._close_poll = None
+        transport = self._transport
+        if transport is None or transport.is_closing() or transport.is_reading():
+            return
+        if _has_peer_closed(transport.get_extra_info("socket")):
+            transport.abort()
+        else:
+            self._poll_for_close()
+
     # Responses.
 
     def _start_exchanges(self) -> None:
@@ -362,3 +387,10 @@
             self.reject(408)
         elif self.is_idle:
             self._close_gracefully()
+
+
+def _has_peer_closed(sock: socket.socket) -> bool:
+    """Return whether the peer has ended its stream or reset it, whatever is still to be read."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -6,7 +6,7 @@
 
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
-from toucanspindle_entry.callerconnection import CallerConnection
+from toucanspindle_entry.callerconnection import MAX_PIPELINED, CallerConnection
 from toucanspindle_entry.callermessages import CallerRequest, CallerResponse
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import CallerLimits
@@ -144,6 +144,22 @@
         self.run_client(client)
         self.assertEqual(["/never"], self.cancelled)
 
+    def test_close_is_noticed_behind_many_unanswered_requests(self) -> None:
+        """Guards against targets at work for callers that have left while reading is paused."""
+
+        async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(get_request("/never") * 40)
+            while len(self.handled) < MAX_PIPELINED:
+                await asyncio.sleep(0.01)
+            writer.close()
+            async with asyncio.timeout(0.5):  # The time of the pages for a client that has left.
+                while len(self.cancelled) < MAX_PIPELINED:
+                    await asyncio.sleep(0.01)
+
+        self.run_client(client)
+        self.assertEqual(MAX_PIPELINED, len(self.handled))
+        self.assertEqual(set(), self.owner.connections)
+
 
 class MemoryTests(CallerCase):
     """Uploads of callers when the process has no memory for them."""
