Bear a caller that pauses within a long answer, for a stated time

Cause: TCP_USER_TIMEOUT of 2.5 s was set for callers as for targets. Linux applies it to the probes of a closed window too, so the connection of a peer that is alive but doesn't read is reset.

Change: callers get no such limit from the system.

Result: the two tests of SlowReaderTests failed before (reset with a pause of 4 s; a caller that read nothing for 1.5 s wasn't ended with a bound of 0.4 s) and pass.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -6,8 +6,11 @@
 connection, its requests are cancelled.
 
 Reading pauses at MAX_PIPELINED unanswered requests, and while there is no memory for a body.  A
-request whose body gets no memory for MEMORY_WAIT_S is rejected; it has not run.  A caller that
-closes while reading is paused is noticed by a poll.
+request whose body gets no memory for MEMORY_WAIT_S is rejected; it has not run.
+
+A caller that closes while reading is paused is noticed by a poll.  A caller that doesn't read is no
+vanished one: only if it has taken nothing of what is to be sent for `caller_stall_s`, the
+connection is ended.
 """
 
 import asyncio
@@ -39,6 +42,7 @@
 MEMORY_RETRY_AFTER_S: Final = 1.0
 WRITE_BUFFER_BYTES: Final = 32_768  # What may wait to be sent; writing pauses above.
 CLOSE_POLL_INTERVAL_S: Final = 0.2  # While reading is paused.
+STALL_CHECKS: Final = 4  # Checks of the progress of a caller within `caller_stall_s`.
 
 log = Logger("callers")
 
@@ -58,6 +62,11 @@
         """The memory that peers may hold."""
         ...
 
+    @property
+    def caller_stall_s(self) -> float:
+        """How long a caller may take nothing of a response before its connection ends."""
+        ...
+
     @property
     def is_stopping(self) -> bool:
         """Whether connections close after the response in progress."""
@@ -75,6 +84,10 @@
         """Count a request that was rejected before it was complete."""
         ...
 
+    def count_stalled(self) -> None:
+        """Count a connection that was ended because its caller took nothing of a response."""
+        ...
+
 
 @dataclass
 class _Exchange:
@@ -111,6 +124,10 @@
         self._is_write_paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._close_poll: asyncio.TimerHandle | None = None
+        self._stall_check: asyncio.TimerHandle | None = None
+        self._stalled_checks = 0
+        self._written_bytes = 0
+        self._taken_bytes = 0
         self._timed_phase: tuple[float | None, float] | None = None
         self._is_closing = False
 
@@ -200,7 +217,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
-        tune_socket(transport.get_extra_info("socket"))
+        # No limit for unacknowledged data: Linux applies it to callers that read nothing, too.
+        tune_socket(transport.get_extra_info("socket"), unacked_timeout_ms=0)
         self._owner.connection_opened(self)
         self._restart_timer(self._owner.limits.idle_timeout_s)
 
@@ -229,8 +247,7 @@
         """Cancel the requests in progress."""
         self._is_closing = True
         self._cancel_timer()
-        if self._close_poll is not None:
-            self._close_poll.cancel()
+        self._stop_checks()
         self._reader.stop()
         for exchange in self._exchanges:
             if exchange.task is not None:
@@ -320,6 +337,7 @@
             if self._closes_after_unsent and self._unsent is None:
                 self._close_gracefully()
                 return
+        self._check_progress()
         self._start_exchanges()
         self._read_more(b"")
         if self.is_idle:
@@ -332,7 +350,7 @@
             if block is None:
                 self._unsent = None
             else:
-                transport.write(block)
+                self._write(transport, block)
             return True
         if not self._exchanges or self._exchanges[0].response is None:
             return False
@@ -345,14 +363,51 @@
         )
         head = encode_head(response, exchange.method, self._closes_after_unsent)
         if exchange.method == "HEAD":
-            transport.write(head)
+            self._write(transport, head)
         elif isinstance(response.body, BodyBuffer) and len(response.body) > BLOCK_BYTES:
-            transport.write(head)
+            self._write(transport, head)
             self._unsent = response.body.take_blocks()
         else:
-            transport.write(head + bytes(response.body))
+            self._write(transport, head + bytes(response.body))
         return True
 
+    def _write(self, transport: asyncio.Transport, data: bytes | bytearray) -> None:
+        self._written_bytes += len(data)
+        transport.write(data)
+
+    def _check_progress(self) -> None:
+        """Begin to check whether the caller takes what is to be sent."""
+        if self._transport is None or self._stall_check is not None:
+            return
+        if self._transport.get_write_buffer_size():
+            self._stalled_checks = 0
+            self._taken_bytes = self._count_taken_bytes(self._transport)
+            self._schedule_stall_check()
+
+    def _schedule_stall_check(self) -> None:
+        self._stall_check = asyncio.get_running_loop().call_later(
+            self._owner.caller_stall_s / STALL_CHECKS, self._check_stall
+        )
+
+    def _check_stall(self) -> None:
+        """End the connection of a caller that has taken nothing for `caller_stall_s`."""
+        self._stall_check = None
+        transport = self._transport
+        if transport is None or not transport.get_write_buffer_size():
+            return
+        taken_bytes = self._count_taken_bytes(transport)
+        self._stalled_checks = self._stalled_checks + 1 if taken_bytes == self._taken_bytes else 0
+        self._taken_bytes = taken_bytes
+        if self._stalled_checks < STALL_CHECKS:
+            self._schedule_stall_check()
+            return
+        log.info("event=caller_stalled taken_bytes={}", taken_bytes)
+        self._owner.count_stalled()
+        transport.abort()
+
+    def _count_taken_bytes(self, transport: asyncio.Transport) -> int:
+        return self._written_bytes - transport.get_write_buffer_size()
+
     def _is_unstarted(self, exchange: _Exchange) -> bool:
         return exchange.task is None and exchange.response is None
 
@@ -369,6 +424,11 @@
             transport.write_eof()
         asyncio.get_running_loop().call_later(CLOSE_LINGER_S, transport.close)
 
+    def _stop_checks(self) -> None:
+        for check in (self._close_poll, self._stall_check):
+            if check is not None:
+                check.cancel()
+
     def _restart_timer(self, seconds: float) -> None:
         self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(seconds, self._on_timeout)
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -234,6 +234,11 @@
         """The memory that peers may hold."""
         return self._memory
 
+    @property
+    def caller_stall_s(self) -> float:
+        """How long a caller may take nothing of a response before its connection ends."""
+        return self._settings.caller_stall_s
+
     @property
     def is_stopping(self) -> bool:
         """Whether `close` was called."""
@@ -293,6 +298,10 @@
         """Count a request that was rejected before it was complete."""
         self._metrics.count_rejected(status)
 
+    def count_stalled(self) -> None:
+        """Count a connection that was ended because its caller took nothing of a response."""
+        self._metrics.count_stalled_caller()
+
     # Start and shutdown.
 
     async def start(self) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/httpclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/httpclient.py
@@ -85,14 +85,18 @@
 ResponseMatcher = Callable[[HttpResponse], bool]
 
 
-def tune_socket(sock: socket.socket) -> None:
-    """Set TCP options with which a connection to an unresponsive peer fails within seconds."""
+def tune_socket(sock: socket.socket, unacked_timeout_ms: int = UNACKED_TIMEOUT_MS) -> None:
+    """Set TCP options with which a connection to an unresponsive peer fails within seconds.
+
+    `unacked_timeout_ms` is the longest time for which sent data may stay unacknowledged, or with
+    which the peer may take nothing; 0 leaves it to the system.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_timeout_ms)
 
 
 class HttpConnection(asyncio.BufferedProtocol):
--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -39,6 +39,7 @@
     addresses of hosts that a new host contacts first.  `cores` is the processor time that the
     process has, in cores, and `link_mbps` the bandwidth of the host's link; both decide how likely
     the host becomes a broker.  `memory_mb` is the memory that the process has, in MB (2**20 bytes).
+    The connection of a caller that takes nothing of a response for `caller_stall_s` is ended.
     """
 
     node: str
@@ -55,6 +56,7 @@
     cores: float = 1.0
     link_mbps: float = 100.0
     memory_mb: float = 200.0
+    caller_stall_s: float = 15.0
 
     @property
     def peer_memory_bytes(self) -> int:
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import gc
+import socket
 from collections.abc import Awaitable, Callable
 
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
+from toucanspindle_entry.bodybuffer import BodyBuffer
 from toucanspindle_entry.callerconnection import MAX_PIPELINED, CallerConnection
 from toucanspindle_entry.callermessages import CallerRequest, CallerResponse
 from toucanspindle_entry.memoryaccount import MemoryAccount
@@ -13,6 +15,7 @@
 
 LIMITS = CallerLimits(header_bytes=500, body_bytes=1000, header_timeout_s=0.2, idle_timeout_s=0.3)
 MEMORY_BYTES = 1_000_000
+LARGE_RESPONSE_BYTES = 8_000_000  # More than the buffers of a connection hold.
 
 
 class FakeOwner:
@@ -22,6 +25,8 @@
         self.limits = LIMITS
         self.memory = MemoryAccount(MEMORY_BYTES)
         self.is_stopping = False
+        self.caller_stall_s = 15.0
+        self.stalled = 0
         self.connections: set[CallerConnection] = set()
         self.rejected: list[int] = []
 
@@ -34,6 +39,9 @@
     def count_rejected(self, status: int) -> None:
         self.rejected.append(status)
 
+    def count_stalled(self) -> None:
+        self.stalled += 1
+
 
 Client = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -56,9 +64,15 @@
         except asyncio.CancelledError:
             self.cancelled.append(request.path)
             raise
+        if request.path == "/large":
+            body = BodyBuffer(self.owner.memory.lease())
+            body.append(b"x" * LARGE_RESPONSE_BYTES)
+            body.lease.charge(body.uncharged_bytes)
+            body.record_charge(body.uncharged_bytes)
+            return CallerResponse(200, [], body)
         return CallerResponse(200, [(b"x-kept", b"1")], request.path.encode())
 
-    def run_client(self, client: Client) -> None:
+    def run_client(self, client: Client, timeout_s: float = 5) -> None:
         async def run() -> None:
             loop = asyncio.get_running_loop()
             server = await loop.create_server(
@@ -69,7 +83,7 @@
             port = server.sockets[0].getsockname()[1]
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             try:
-                async with asyncio.timeout(5):
+                async with asyncio.timeout(timeout_s):
                     await client(reader, writer)
             finally:
                 writer.close()
@@ -161,6 +175,57 @@
         self.assertEqual(set(), self.owner.connections)
 
 
+class SlowReaderTests(CallerCase):
+    """Callers that are alive but read a long response slowly, or not at all."""
+
+    async def read_with_pause(self, writer: asyncio.StreamWriter, pause_s: float) -> bytes:
+        """Ask for a long and a short response on a new connection, and read after a pause."""
+        loop = asyncio.get_running_loop()
+        with socket.socket() as sock:
+            sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+            await loop.sock_connect(sock, writer.get_extra_info("peername"))
+            await loop.sock_sendall(sock, get_request("/large") + get_request("/b"))
+            await asyncio.sleep(pause_s)
+            received = bytearray()
+            try:
+                while not received.endswith(b"/b"):
+                    data = await loop.sock_recv(sock, 65_536)
+                    if not data:
+                        break
+                    received += data
+            except ConnectionResetError:
+                pass
+            return bytes(received)
+
+    def test_caller_that_pauses_gets_all_responses(self) -> None:
+        """Guards against taking a caller that doesn't read for one that has vanished."""
+        received: list[bytes] = []
+
+        async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            received.append(await self.read_with_pause(writer, 4.0))
+
+        self.run_client(client, timeout_s=10)
+        self.assertTrue(received[0].endswith(b"/b"))
+        self.assertGreater(len(received[0]), LARGE_RESPONSE_BYTES)
+
+    def test_caller_that_takes_nothing_holds_no_memory_for_ever(self) -> None:
+        """Guards against memory and places that a caller holds by not reading."""
+        self.owner.caller_stall_s = 0.4
+        received: list[bytes] = []
+
+        async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            received.append(await self.read_with_pause(writer, 1.5))
+
+        self.run_client(client)
+        self.assertLess(len(received[0]), LARGE_RESPONSE_BYTES)
+        self.assertEqual(1, self.owner.stalled)
+        self.assertEqual(set(), self.owner.connections)
+        self.handled.clear()
+        gc.collect()
+        self.assertEqual(0, self.owner.memory.held_bytes)
+
+
 class MemoryTests(CallerCase):
     """Uploads of callers when the process has no memory for them."""
 
