Let the outage of a test last until each host has noticed it

Cause: the test ends its outage after 40 lookups. A host that follows the watchers calls the store only when it has heard nothing for 1.4 s, and so doesn't notice a shorter outage. Two traced failures: the hosts had lost the store 2, 1 and 0 times (then 1, 2, 0), and regained it as often.

Change: each of the two outages lasts until each host has logged that it lost the store, lookups are sent before and after that, and each host must regain it after each. This is stricter than before.

--- a/tests/test_platform_deployed.py
+++ b/tests/test_platform_deployed.py
@@ -51,10 +51,11 @@
             lambda n: self.fleet.request(n % self.hosts, f"/reserve/{n}", "POST"), count
         )
 
-    def wait_until_logged(self, host_index: int, text: str) -> None:
-        """Wait until the log of a host contains a text."""
+    def wait_until_logged(self, host_index: int, text: str, times: int = 1) -> None:
+        """Wait until the log of a host contains a text some number of times."""
         wait_until(
-            lambda: text in self.fleet.log(host_index), what=f"host {host_index} logs {text}"
+            lambda: self.fleet.log(host_index).count(text) >= times,
+            what=f"host {host_index} logs {text}",
         )
 
     def wait_until_served(self, host_index: int, path: str = "/lookup/1") -> None:
@@ -156,15 +157,19 @@
 
     def test_hosts_serve_during_a_store_outage_and_catch_up_after_it(self) -> None:
         outages: tuple[Literal["busy", "silent"], ...] = ("busy", "silent")
-        for outage in outages:
+        for times, outage in enumerate(outages, start=1):
             self.set_outage(outage)
             self.assertEqual({200: 40}, self.send_lookups(40))
+            # A host that follows others calls the store only when it hears nothing from them.
+            for n in range(self.hosts):
+                self.wait_until_logged(n, "event=store_lost kind=plan", times)
+            self.assertEqual({200: 40}, self.send_lookups(40))
             self.set_outage("no")
+            for n in range(self.hosts):
+                self.wait_until_logged(n, "event=store_regained kind=plan", times)
         self.fleet.put_plan(9)
         for n in range(self.hosts):
             self.wait_until_logged(n, "version=9")
-            # The plan may come from another host before this one has reached the store again.
-            self.wait_until_logged(n, "event=store_regained")
 
 
 class TargetTests(DeployedCase):
