Read on behind a request that offers another protocol

Cause: the parser stops behind the head, since it expects the other protocol from there. The connection took this for the end of all requests, but answered as on a kept connection. A body behind the head was dropped.

Change: a new parser reads on; before a body it is given a head with only the fields about body and connection. After CONNECT the connection ends.

--- a/packages/toucanspindle-entry/toucanspindle_entry/requestreader.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestreader.py
@@ -20,6 +20,7 @@
 # where in a slice the head begins.
 SLICE_BYTES: Final = 1024
 REQUEST_OVERHEAD_BYTES: Final = 4096  # Of the objects around a request while it is handled.
+FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
 HEADER_OVERHEAD_BYTES: Final = 180  # Of the objects around a header.
 HEADER_FRAMING_BYTES: Final = 3  # The colon and the line end of a header.
 
@@ -67,9 +68,11 @@
         self._is_stopped = False
         self._lacks_memory = False
         self._heads_begun = 0
+        self._is_head_repeated = False
         self._partial_head_bytes = 0
         self._framing_bytes = 0
         self._has_read_body = False
+        self._is_body_outstanding = False
         self._pieces_read = 0
         self._unread_body_bytes = 0
         self._began_at: float | None = None
@@ -147,8 +150,11 @@
         self._has_read_body = False
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._is_stopped = True
+        except httptools.HttpParserUpgrade as upgrade:
+            self._ignore_upgrade()
+            if not self._is_stopped:
+                self._parse(data[upgrade.args[0] :])
+            return
         except httptools.HttpParserCallbackError:
             if not self._is_stopped:
                 raise
@@ -174,9 +180,33 @@
         ):
             self._reject(400)
 
+    def _ignore_upgrade(self) -> None:
+        """Read on as if no other protocol had been offered, as RFC 9110, 7.8 allows.
+
+        The parser takes what follows the head for the other protocol.  A new one reads the body, if
+        there is one, behind a head that has only the fields about the body and the connection.
+        """
+        version = self._parser.get_http_version().encode()
+        self._parser = httptools.HttpRequestParser(self)
+        if self._is_stopped or not self._is_body_outstanding:
+            return
+        lines = [b"POST / HTTP/" + version]
+        lines += [name + b": " + value for name, value in self._headers if name in FRAMING_HEADERS]
+        if any(
+            name == b"connection" and b"close" in value.lower() for name, value in self._headers
+        ):
+            lines.append(b"connection: close")
+        self._is_head_repeated = True
+        try:
+            self._parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+        finally:
+            self._is_head_repeated = False
+        self._is_body_outstanding = False
+
     def _begin_request(self, lease: MemoryLease) -> None:
         self._lease = lease
         self._body = BodyBuffer(lease)
+        self._method = ""
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
@@ -212,6 +242,8 @@
 
     def on_message_begin(self) -> None:
         """Begin a request if there is memory for it."""
+        if self._is_head_repeated:
+            return
         self._heads_begun += 1
         if self._is_stopped:
             return
@@ -222,12 +254,14 @@
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
+        if self._is_head_repeated:
+            return
         self._url += url
         self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header, but no trailer."""
-        if self._is_stopped:
+        if self._is_stopped or self._is_head_repeated:
             return
         self._head_bytes += len(name) + len(value) + HEADER_FRAMING_BYTES
         if self._head_bytes > self._sink.limits.header_bytes:
@@ -240,6 +274,9 @@
 
     def on_headers_complete(self) -> None:
         """Check the size of the declared body, and take memory for it."""
+        if self._is_head_repeated:
+            return
+        self._method = self._parser.get_method().decode("ascii")
         self._is_head_complete = True
         self._framing_bytes = 0
         if self._is_stopped:
@@ -250,10 +287,13 @@
                 self._is_continue_expected = True
             elif name == b"content-length":
                 length = int(value)
+            elif name == b"transfer-encoding":
+                self._is_body_outstanding = True
         if length > self._sink.limits.body_bytes:
             self._reject(413)
             return
         self._unread_body_bytes = length
+        self._is_body_outstanding = self._is_body_outstanding or length > 0
         if not self._lease.try_grow(body_cost(length)):
             self._wait_for_memory(body_cost(length))
             return
@@ -284,11 +324,11 @@
 
     def on_message_complete(self) -> None:
         """Hand the complete request to the sink."""
-        if self._is_stopped:
+        if self._is_stopped or (self._parser.should_upgrade() and self._is_body_outstanding):
             return
         assert self._began_at is not None
         request = CallerRequest(
-            method=self._parser.get_method().decode("ascii"),
+            method=self._method,
             target=self._url.decode("latin-1"),
             headers=self._headers,
             body=self._body,
@@ -299,4 +339,8 @@
         self._unread_body_bytes = 0
         self._lacks_memory = False
         self._lease.stop_waiting()
-        self._sink.take_request(request, self._parser.should_keep_alive())
+        # What follows CONNECT is for the tunnel that it asks for, and there is none.
+        keep_alive = self._parser.should_keep_alive() and request.method != "CONNECT"
+        self._sink.take_request(request, keep_alive)
+        if not keep_alive:
+            self.stop()
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -145,6 +145,32 @@
         self.assertTrue(received.endswith(b"/slow"))
 
 
+class UpgradeTests(CallerCase):
+    UPGRADE = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AA\r\n"
+
+    def test_requests_behind_an_upgrade_header_are_answered(self) -> None:
+        """Guards against a connection that is never read again after an Upgrade header."""
+        get = b"GET /a HTTP/1.1\r\nHost: a\r\n" + self.UPGRADE + b"\r\n"
+        post = b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n" + self.UPGRADE + b"\r\nhi"
+        last = b"GET /z HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        for pieces in (
+            (get, post, last),
+            (get + post + last,),
+            (get + post[:-1], post[-1:] + last),
+        ):
+            received = self.send_and_read(*pieces)
+            bodies = [part.rpartition(b"\r\n\r\n")[2] for part in received.split(b"HTTP/1.1 ")[1:]]
+            self.assertEqual([b"/a", b"/p", b"/z"], bodies, (pieces, received))
+
+    def test_connection_ends_after_connect(self) -> None:
+        """Guards against taking the bytes of a tunnel for requests."""
+        received = self.send_and_read(
+            b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n" + get_request("/tunnel")
+        )
+        self.assertIn(b"connection: close", received)
+        self.assertEqual(["CONNECT"], [request.method for request in self.handled])
+
+
 class DisconnectTests(CallerCase):
     def test_disconnected_caller_cancels_its_request(self) -> None:
         async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
