Answer a request whose handler fails, and bound numbers in headers

A deadline of 400 digits got no answer, nor did the requests behind it on the connection; the process logged nothing (found by the review).

Cause: int(...) / 1000 raises OverflowError, and an exception of a handler ended its task in silence.

Change: an exception of a handler ends in 504, a log line and a counter. The deadline is read as a float, so the route's timeout bounds it; the Keep-Alive time of a target counts up to 300 s.

Result: test_request_whose_handler_fails_is_answered and test_numbers_of_any_length_are_bounded failed before (OverflowError) and pass.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -84,6 +84,10 @@
         """Count a request that was rejected before it was complete."""
         ...
 
+    def count_handler_failure(self) -> None:
+        """Count a request whose handler ended with an exception."""
+        ...
+
     def count_stalled(self) -> None:
         """Count a connection that was ended because its caller took nothing of a response."""
         ...
@@ -325,7 +329,18 @@
                 return
 
     async def _run_exchange(self, exchange: _Exchange, request: CallerRequest) -> None:
-        exchange.response = await self._handle_request(request)
+        try:
+            exchange.response = await self._handle_request(request)
+        except Exception as error:
+            # A request without a response would hold up those behind it for ever.
+            log.exception("event=handler_failed method={} error={!r}", request.method, error)
+            self._owner.count_handler_failure()
+            exchange.response = answers.error_response(
+                errorcodes.UNKNOWN_PROXY_FAILED,
+                "The host failed while serving the request, which may have run.",
+                "look whether it took effect before sending it again; report the host's log",
+                504,
+            )
         self._write_responses()
 
     def _write_responses(self) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -24,6 +24,7 @@
         self._unrouted: Counter[int] = Counter()
         self._rejected: Counter[int] = Counter()
         self._stalled_callers = 0
+        self._handler_failures = 0
         self._buckets: dict[str, list[int]] = {}
         self._latency_sums_ms: Counter[str] = Counter()
 
@@ -58,6 +59,10 @@
         """Count an error response to a request that wasn't read completely."""
         self._rejected[status] += 1
 
+    def count_handler_failure(self) -> None:
+        """Count a request whose handler ended with an exception."""
+        self._handler_failures += 1
+
     def count_stalled_caller(self) -> None:
         """Count a caller whose connection was ended because it took nothing of a response."""
         self._stalled_callers += 1
@@ -86,8 +91,12 @@
         lines.append(f"# TYPE {prefix}_callers_left_total counter")
         for service, count in sorted(self._disconnected_callers.items()):
             lines.append(f'{prefix}_callers_left_total{{service="{service}"}} {count}')
-        lines.append(f"# TYPE {prefix}_callers_stalled_total counter")
-        lines.append(f"{prefix}_callers_stalled_total {self._stalled_callers}")
+        for name, count in (
+            ("callers_stalled", self._stalled_callers),
+            ("handler_failures", self._handler_failures),
+        ):
+            lines.append(f"# TYPE {prefix}_{name}_total counter")
+            lines.append(f"{prefix}_{name}_total {count}")
         for name, statuses in (("unrouted", self._unrouted), ("rejected", self._rejected)):
             lines.append(f"# TYPE {prefix}_{name}_total counter")
             for status, count in sorted(statuses.items()):
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -298,6 +298,10 @@
         """Count a request that was rejected before it was complete."""
         self._metrics.count_rejected(status)
 
+    def count_handler_failure(self) -> None:
+        """Count a request whose handler ended with an exception."""
+        self._metrics.count_handler_failure()
+
     def count_stalled(self) -> None:
         """Count a connection that was ended because its caller took nothing of a response."""
         self._metrics.count_stalled_caller()
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
@@ -544,8 +544,11 @@
 
 
 def _parse_deadline_s(header_value: str) -> float:
-    """Convert a deadline header in milliseconds; return the default if it isn't a number."""
-    return int(header_value) / 1000 if header_value.isdecimal() else DEFAULT_DEADLINE_S
+    """Convert a deadline header in milliseconds; return the default if it isn't a number.
+
+    A number beyond the range of a float is infinity, and the route's timeout applies.
+    """
+    return float(header_value) / 1000 if header_value.isdecimal() else DEFAULT_DEADLINE_S
 
 
 def _connection_headers(request: CallerRequest) -> set[bytes]:
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetconnectionpool.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targetconnectionpool.py
@@ -15,6 +15,7 @@
 
 CONNECT_TIMEOUT_S: Final = 0.3  # Connecting takes about 1 ms, or 1 s if the SYN packet is lost.
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0  # For a target that sends no timeout of its own.
+MAX_IDLE_TIMEOUT_S: Final = 300.0
 KEEP_ALIVE_SHARE: Final = 0.6  # Share of the target's Keep-Alive timeout that is used.
 MAX_IDLE_PER_TARGET: Final = 2
 
@@ -78,5 +79,5 @@
     for parameter in (response.header(b"keep-alive") or b"").split(b","):
         name, _, value = parameter.strip().partition(b"=")
         if name.lower() == b"timeout" and value.strip().isdigit():
-            return int(value) * KEEP_ALIVE_SHARE
+            return min(MAX_IDLE_TIMEOUT_S, float(value) * KEEP_ALIVE_SHARE)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -27,6 +27,7 @@
         self.is_stopping = False
         self.caller_stall_s = 15.0
         self.stalled = 0
+        self.handler_failures = 0
         self.connections: set[CallerConnection] = set()
         self.rejected: list[int] = []
 
@@ -39,6 +40,9 @@
     def count_rejected(self, status: int) -> None:
         self.rejected.append(status)
 
+    def count_handler_failure(self) -> None:
+        self.handler_failures += 1
+
     def count_stalled(self) -> None:
         self.stalled += 1
 
@@ -59,6 +63,8 @@
         try:
             if request.path == "/slow":
                 await asyncio.sleep(0.1)
+            if request.path == "/raise":
+                raise ValueError("a fault of the program")
             if request.path == "/never":
                 await asyncio.sleep(60)
         except asyncio.CancelledError:
@@ -171,6 +177,16 @@
         self.assertEqual(["CONNECT"], [request.method for request in self.handled])
 
 
+class FailedHandlerTests(CallerCase):
+    def test_request_whose_handler_fails_is_answered(self) -> None:
+        """Guards against requests that are never answered, and hold up those behind them."""
+        last = b"GET /z HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        received = self.send_and_read(get_request("/raise") + get_request("/a") + last)
+        statuses = [part[:3] for part in received.split(b"HTTP/1.1 ")[1:]]
+        self.assertEqual([b"504", b"200", b"200"], statuses)
+        self.assertEqual(1, self.owner.handler_failures)
+
+
 class DisconnectTests(CallerCase):
     def test_disconnected_caller_cancels_its_request(self) -> None:
         async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_entry_requestpath.py
+++ b/tests/test_entry_requestpath.py
@@ -81,6 +81,7 @@
         method: str = "GET",
         max_attempts: int = 1,
         granted: str = "t",
+        deadline_ms: bytes = b"1000",
     ) -> tuple[list[CallerResponse], int]:
         """Send requests one after another; return the responses and the number of connections.
 
@@ -130,7 +131,7 @@
             )
             responses: list[CallerResponse] = []
             for request_id in request_ids:
-                headers = [(b"host", b"shop"), (b"x-deadline-ms", b"1000")]
+                headers = [(b"host", b"shop"), (b"x-deadline-ms", deadline_ms)]
                 if request_id:
                     headers.append((b"x-request-id", request_id.encode()))
                 request = CallerRequest(method, "/a", headers, b"", clock.now())
@@ -144,6 +145,22 @@
         return asyncio.run(run()), connections
 
 
+class NumberTests(FaultyTargetCase):
+    def test_numbers_of_any_length_are_bounded(self) -> None:
+        """Guards against requests that are never answered because a number is out of range."""
+        keep_alive = b"Keep-Alive: timeout=" + b"9" * 400 + b"\r\n"
+
+        async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(response(request_id, extra=keep_alive))
+
+        for digits in (1, 400, 5000):
+            self.heads.clear()
+            responses, _ = self.send(answer, "q1", "q2", deadline_ms=b"9" * 3 + b"9" * digits)
+            self.assertEqual([200, 200], [r.status for r in responses], digits)
+            # The timeout of the route is the bound.
+            self.assertLessEqual(int(self.heads[0][b"x-deadline-ms"]), DEADLINE_S * 1000)
+
+
 class RepeatedRefusalTests(FaultyTargetCase):
     """A target writes an earlier refusal once more on a kept connection."""
 
