Limit the time of each part of each request

A caller that stopped within a body, or within a head that came in one piece with an earlier request, kept its connection for ever; on connections of four of six such kinds were open after 3 s, with a header timeout of 0.2 s. A request that isn't served is to be told so.

Cause: the timer for heads began only with a read that found no request begun, and ended for good at the end of a head.

Change: a head has the header timeout, a body the idle timeout without progress and 60 s altogether, each counted for one request and only while the connection reads.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -8,6 +8,9 @@
 Reading pauses at MAX_PIPELINED unanswered requests, and while there is no memory for a body.  A
 request whose body gets no memory for MEMORY_WAIT_S is rejected; it has not run.
 
+A head must be complete within the header timeout, and a body must go on within the idle timeout and
+end within MAX_REQUEST_READ_S.  Time in which reading is paused doesn't count.
+
 A caller that closes while reading is paused is noticed by a poll.  A caller that doesn't read is no
 vanished one: only if it has taken nothing of what is to be sent for `caller_stall_s`, the
 connection is ended.
@@ -38,6 +41,8 @@
 # After the last response, bytes from the caller are read and dropped for this long.  Closing at
 # once could reset the connection before the caller has read the response.
 CLOSE_LINGER_S: Final = 0.3
+# A request that takes longer to arrive is past the timeout of its route by far.
+MAX_REQUEST_READ_S: Final = 60.0
 MEMORY_WAIT_S: Final = 1.0
 MEMORY_RETRY_AFTER_S: Final = 1.0
 WRITE_BUFFER_BYTES: Final = 32_768  # What may wait to be sent; writing pauses above.
@@ -120,6 +125,7 @@
         """Create a connection; `handle_request` returns the response to each request."""
         self._owner = owner
         self._handle_request = handle_request
+        self._clock = clock
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(self, owner.memory, clock)
         self._exchanges: deque[_Exchange] = deque()
@@ -132,7 +138,7 @@
         self._stalled_checks = 0
         self._written_bytes = 0
         self._taken_bytes = 0
-        self._timed_phase: tuple[float | None, float] | None = None
+        self._timed_phase: tuple[float, str, int] | None = None
         self._is_closing = False
 
     # RequestSink.
@@ -281,17 +287,26 @@
             self._poll_for_close()
         else:
             transport.resume_reading()
-        limit_s: float | None = None
-        if lacks_memory:
-            limit_s = MEMORY_WAIT_S
-        elif self._reader.is_reading_head and not is_paused:
-            limit_s = self._owner.limits.header_timeout_s
-        # The time begins with each phase of each request.
-        timed_phase = (self._reader.began_at, limit_s) if limit_s is not None else None
+        began_at = self._reader.began_at
+        limits = self._owner.limits
+        # The time begins with each phase of each request, and in a body with each part of it.
+        timed_phase: tuple[float, str, int] | None = None
+        if began_at is None:
+            limit_s = 0.0
+        elif lacks_memory:
+            limit_s, timed_phase = MEMORY_WAIT_S, (began_at, "memory", 0)
+        elif is_paused:
+            limit_s = 0.0
+        elif self._reader.is_reading_head:
+            limit_s, timed_phase = limits.header_timeout_s, (began_at, "head", 0)
+        else:
+            left_s = began_at + MAX_REQUEST_READ_S - self._clock.now()
+            limit_s = max(0.0, min(limits.idle_timeout_s, left_s))
+            timed_phase = (began_at, "body", self._reader.body_bytes)
         if timed_phase == self._timed_phase:
             return
         self._timed_phase = timed_phase
-        if limit_s is not None:
+        if timed_phase is not None:
             self._restart_timer(limit_s)
         elif not self.is_idle:
             self._cancel_timer()
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestreader.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestreader.py
@@ -103,6 +103,11 @@
         """Whether bytes that were read are still to be parsed."""
         return bool(self._unparsed)
 
+    @property
+    def body_bytes(self) -> int:
+        """The length of what was read of the body."""
+        return len(self._body)
+
     @property
     def pieces_read(self) -> int:
         """The parts of bodies in the bytes that were fed last."""
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -65,6 +65,8 @@
                 await asyncio.sleep(0.1)
             if request.path == "/raise":
                 raise ValueError("a fault of the program")
+            if request.path == "/longer":
+                await asyncio.sleep(0.5)
             if request.path == "/never":
                 await asyncio.sleep(60)
         except asyncio.CancelledError:
@@ -97,7 +99,7 @@
 
         asyncio.run(run())
 
-    def send_and_read(self, *pieces: bytes) -> bytes:
+    def send_and_read(self, *pieces: bytes, gap_s: float = 0.0005) -> bytes:
         """Send pieces of bytes in separate segments; return what is received until the end."""
         received: list[bytes] = []
 
@@ -106,7 +108,7 @@
                 if reader.at_eof():
                     break
                 writer.write(piece)
-                await asyncio.sleep(0.0005)
+                await asyncio.sleep(gap_s)
             received.append(await reader.read())
 
         self.run_client(client)
@@ -378,5 +380,35 @@
         received = self.send_and_read(head, *[b"X: yyyyyyyyyyyyyyyyyyyyy\r\n" * 20] * 20)
         self.assertTrue(received.startswith(b"HTTP/1.1 4"), received)
 
+    def test_incomplete_requests_behind_a_complete_one_time_out(self) -> None:
+        """Guards against heads and bodies that are waited for without end."""
+        post = b"POST /p HTTP/1.1\r\nHost: a\r\n"
+        rests = {
+            "head": b"GET /b HTTP/1.1\r\nX: ",
+            "body": post + b"Content-Length: 9\r\n\r\nabc",
+            "chunks": post + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+        }
+        for name, rest in rests.items():
+            for expected, pieces in (
+                ([b"200", b"408"], (get_request("/a") + rest,)),
+                ([b"200", b"408"], (get_request("/slow"), rest)),
+                ([b"408"], (rest,)),
+            ):
+                received = self.send_and_read(*pieces)
+                statuses = [part[:3] for part in received.split(b"HTTP/1.1 ")[1:]]
+                self.assertEqual(expected, statuses, (name, pieces))
+
+    def test_body_that_goes_on_is_waited_for(self) -> None:
+        """Guards against a limit on the whole body in place of the time without progress."""
+        head = b"POST /p HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 6\r\n\r\n"
+        received = self.send_and_read(head, *[b"x"] * 6, gap_s=0.15)
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+
+    def test_time_in_which_reading_is_paused_does_not_count(self) -> None:
+        """Guards against rejecting requests that the connection itself didn't read."""
+        last = b"GET /z HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        received = self.send_and_read(get_request("/longer") * (MAX_PIPELINED + 1) + last)
+        self.assertEqual(MAX_PIPELINED + 2, received.count(b"HTTP/1.1 200 "), received)
+
     def test_idle_connection_is_closed(self) -> None:
         self.assertEqual(b"", self.send_and_read(b""))
