Count the crashes of a request over all services of the fleet

Cause: brokers told crashes to the hosts next in rank for their service alone. An answer exempted a request without an end.

Change: a host has one tracker for all its brokers. Crashes also go to the request's keepers, who add them up over services; whoever finds that a request is poison tells all live hosts.

--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
@@ -15,6 +15,7 @@
 from toucanspindle_core.clock import Clock
 
 from toucanspindle_entry.model import TargetEntry
+from toucanspindle_entry.poisontracker import PoisonTracker
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.slotbroker import AVOID_MIN_UNHEALTHY, SlotBroker
 from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
@@ -38,6 +39,11 @@
         """Number of hosts, or None while it isn't known."""
         ...
 
+    @property
+    def poison_tracker(self) -> PoisonTracker:
+        """The tracker for the brokers of all services on this host."""
+        ...
+
     def send_decision(self, service: str, decision: Decision) -> None:
         """Send a decision to the host that requested the slot."""
         ...
@@ -54,8 +60,8 @@
         """Tell the hosts that may be brokers too what was granted of limited targets."""
         ...
 
-    def share_crashes(self, service: str, fingerprint: str, targets: list[str]) -> None:
-        """Tell the hosts next in rank which targets a request crashed; none if one answered."""
+    def share_crashes(self, service: str, fingerprint: str) -> None:
+        """Tell other hosts which targets a request crashed; none if one has answered."""
         ...
 
 
@@ -74,7 +80,8 @@
         self._service = service
         self._clock = clock
         self._link = link
-        self._broker = SlotBroker(service, bounds, rng)
+        self._poison_tracker = link.poison_tracker
+        self._broker = SlotBroker(service, bounds, rng, link.poison_tracker)
         self._last_request_at = float("-inf")
         self._deferred_requests: list[SlotRequest] | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -111,11 +118,10 @@
         """Record the outcome of an attempt and send the grants that became possible."""
         now = self._clock.now()
         probability_before = self._broker.unhealthy_probability(report.target, now)
-        crashed_before = self._broker.crashed_targets(report.fingerprint)
+        crashed_before = self._poison_tracker.crashed_targets(report.fingerprint)
         decisions = self._broker.record_attempt(report, now)
-        crashed = self._broker.crashed_targets(report.fingerprint)
-        if crashed != crashed_before:
-            self._link.share_crashes(self._service, report.fingerprint, crashed)
+        if self._poison_tracker.crashed_targets(report.fingerprint) != crashed_before:
+            self._link.share_crashes(self._service, report.fingerprint)
         self._log_health_change(
             report, probability_before, self._broker.unhealthy_probability(report.target, now)
         )
@@ -141,10 +147,6 @@
         for target, outcome, age_ms in sorted(results, key=lambda result: -result[2]):
             self._broker.adopt_result(str(target), AttemptOutcome(outcome), now - age_ms / 1000)
 
-    def adopt_crashes(self, fingerprint: str, targets: list[str]) -> None:
-        """Count the crashes that another broker saw; no targets mean that one has answered."""
-        self._broker.adopt_crashes(fingerprint, targets, self._clock.now())
-
     def adopt_notices(self, notices: Iterable[TargetNotice]) -> None:
         """Heed what targets said of themselves to a host."""
         for notice in notices:
--- /dev/null
+++ b/packages/toucanspindle-entry/toucanspindle_entry/poisonsharing.py
@@ -0,0 +1,77 @@
+"""Adds up over the fleet which targets a request crashed, and tells all hosts of poison messages.
+
+    ["crashed", service, fingerprint, targets]
+
+A broker sends this for a request that crashed targets, or without targets once one has answered it.
+It goes to the hosts next in rank for the service, and to the keepers of the request: the first
+KEEPERS live hosts by rank for its fingerprint.  Brokers of different services so tell the same
+keepers.  A host that finds that a request is poison tells all live hosts.  A host that is told of a
+crash by another broker that doesn't know this answers with what it knows, as its message may have
+been lost.
+"""
+
+from typing import Final
+
+from toucanspindle_core.clock import Clock
+
+from toucanspindle_entry.brokerchoice import BrokerRanking, rank_brokers
+from toucanspindle_entry.datagrams import Message
+from toucanspindle_entry.hostannouncer import SendMessage
+from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.poisontracker import MIN_CRASHED_TARGETS, PoisonTracker
+
+KEEPERS: Final = 2
+MAX_BROKERS_TOLD: Final = 3  # Hosts in order of rank that may be asked for slots of the service.
+
+
+class PoisonSharing:
+    """Keeps the poison tracker of this host in step with those of the other hosts."""
+
+    def __init__(
+        self, hosts: LiveHosts, ranking: BrokerRanking, clock: Clock, send: SendMessage
+    ) -> None:
+        """Create the sharing of an empty tracker."""
+        self._hosts = hosts
+        self._ranking = ranking
+        self._clock = clock
+        self._send = send
+        self._tracker = PoisonTracker()
+
+    @property
+    def tracker(self) -> PoisonTracker:
+        """The tracker for the brokers of all services on this host."""
+        return self._tracker
+
+    def share(self, service: str, fingerprint: str) -> None:
+        """Tell others what the crashed targets of a request are now; none if one answered."""
+        if self._tracker.is_poison(fingerprint, self._clock.now()):
+            self._tell_all(service, fingerprint)
+            return
+        receivers = {*self._ranking.live(service)[:MAX_BROKERS_TOLD], *self._keepers(fingerprint)}
+        for ip in receivers - {self._hosts.own.ip}:
+            self._send(ip, self._message(service, fingerprint))
+
+    def handle_message(self, ip: str, message: Message) -> None:
+        """Adopt what another host knows of a request; tell all hosts if it is poison with that."""
+        service, fingerprint = str(message[1]), str(message[2])
+        targets = [str(target) for target in message[3]]
+        now = self._clock.now()
+        was_poison = self._tracker.is_poison(fingerprint, now)
+        self._tracker.adopt(fingerprint, targets, now)
+        if not 0 < len(targets) < MIN_CRASHED_TARGETS:
+            return
+        if was_poison:
+            self._send(ip, self._message(service, fingerprint))
+        elif self._tracker.is_poison(fingerprint, now):
+            self._tell_all(service, fingerprint)
+
+    def _keepers(self, fingerprint: str) -> list[str]:
+        candidates = [*self._hosts.alive_ips(), self._hosts.own.ip]
+        return rank_brokers(fingerprint, candidates, self._hosts.capacities())[:KEEPERS]
+
+    def _tell_all(self, service: str, fingerprint: str) -> None:
+        for ip in self._hosts.alive_ips():
+            self._send(ip, self._message(service, fingerprint))
+
+    def _message(self, service: str, fingerprint: str) -> Message:
+        return ["crashed", service, fingerprint, self._tracker.crashed_targets(fingerprint)]
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
@@ -113,8 +113,17 @@
     Invariant: a target has at most as many leases as slots, not counting leases adopted from hosts.
     """
 
-    def __init__(self, service: str, bounds: FleetBounds, rng: random.Random) -> None:
-        """Create a broker without targets and with an empty retry budget, for a single host."""
+    def __init__(
+        self,
+        service: str,
+        bounds: FleetBounds,
+        rng: random.Random,
+        poison_tracker: PoisonTracker | None = None,
+    ) -> None:
+        """Create a broker without targets and with an empty retry budget, for a single host.
+
+        `poison_tracker` is shared by the brokers of a host; without it the broker has its own.
+        """
         self.service = service
         self._rng = rng
         self._targets: dict[str, TargetRecord] = {}
@@ -124,7 +133,7 @@
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
         self._mean_work_s = INITIAL_WORK_S
         self._answer_count = 0
-        self._poison_tracker = PoisonTracker()
+        self._poison_tracker = poison_tracker or PoisonTracker()
         self._limits = TargetLimits(rng)
         self._candidates = TargetCandidates(self._limits, self._active_floor, rng)
         self._failure_times = FailureTimes()
@@ -311,25 +320,6 @@
             record.is_leaving = True
             self._candidates.update(record, now)
 
-    def crashed_targets(self, fingerprint: str) -> list[str]:
-        """Return the target incarnations that a request crashed, as far as they count."""
-        return self._poison_tracker.crashed_targets(fingerprint)
-
-    def poison_messages(self, now: float) -> list[tuple[str, list[str]]]:
-        """Return the fingerprints that are refused, with the targets that they crashed."""
-        return [
-            (fingerprint, self.crashed_targets(fingerprint))
-            for fingerprint in self._poison_tracker.poison_messages(now)
-        ]
-
-    def adopt_crashes(self, fingerprint: str, targets: Iterable[str], now: float) -> None:
-        """Count the crashes that another broker saw; no targets mean that one has answered."""
-        targets = list(targets)
-        if not targets:
-            self._poison_tracker.record_answer(fingerprint, now)
-        for target in targets:
-            self._poison_tracker.record_crash(fingerprint, target, now)
-
     def clear_leases(self, now: float) -> None:
         """Drop all leases, before they are adopted again from the hosts."""
         self._leases.clear()
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
@@ -26,6 +26,8 @@
 from toucanspindle_entry.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.livehosts import LiveHosts
 from toucanspindle_entry.localbroker import LocalBroker
+from toucanspindle_entry.poisonsharing import PoisonSharing
+from toucanspindle_entry.poisontracker import PoisonTracker
 from toucanspindle_entry.retrycredit import RetryCreditSource
 from toucanspindle_entry.roundtrips import RoundTrips
 from toucanspindle_entry.settings import FleetBounds
@@ -137,6 +139,7 @@
         # When a skipped broker was first sent a request, by broker and request id, oldest first.
         self._asked_in_vain: dict[tuple[str, str], float] = {}
         self._ranking = BrokerRanking(hosts)
+        self._poison = PoisonSharing(hosts, self._ranking, clock, self._send)
 
     @property
     def local_brokers(self) -> dict[str, LocalBroker]:
@@ -148,6 +151,11 @@
         """Number of hosts, or None while it isn't known."""
         return self._hosts.fleet_size
 
+    @property
+    def poison_tracker(self) -> PoisonTracker:
+        """The tracker for the brokers of all services on this host."""
+        return self._poison.tracker
+
     def attach(self, endpoint: DatagramEndpoint) -> None:
         """Set the datagram endpoint for sending messages."""
         self._endpoint = endpoint
@@ -255,12 +263,11 @@
         elif kind == "held":
             self._local_broker(message[1]).adopt_host_state(ip, message[2], message[3])
             for fingerprint, targets in message[4] if len(message) > 4 else ():
-                self._local_broker(message[1]).adopt_crashes(str(fingerprint), targets)
+                self._poison.tracker.adopt(str(fingerprint), targets, self._clock.now())
             notices = message[5] if len(message) > 5 else []
             self._local_broker(message[1]).adopt_notices(map(decode_notice, notices))
         elif kind == "crashed":
-            targets = [str(target) for target in message[3]]
-            self._local_broker(str(message[1])).adopt_crashes(str(message[2]), targets)
+            self._poison.handle_message(ip, message)
         elif kind == "granted":
             grants = [(decode_notice(notice), int(count)) for notice, count in message[2]]
             self._local_broker(str(message[1])).debit_limited_grants(grants)
@@ -472,13 +479,9 @@
             self._endpoint.send(ip, ["sync", service])
         self._send_held_state(self._own_ip, service)
 
-    def share_crashes(self, service: str, fingerprint: str, targets: list[str]) -> None:
-        """Tell the other hosts that may be asked for slots which targets a request crashed."""
-        if self._endpoint is None:
-            return
-        for ip in self._ranking.live(service)[:MAX_BROKERS_TRIED]:
-            if ip != self._own_ip:
-                self._endpoint.send(ip, ["crashed", service, fingerprint, targets])
+    def share_crashes(self, service: str, fingerprint: str) -> None:
+        """Tell other hosts which targets a request crashed; none if one has answered."""
+        self._poison.share(service, fingerprint)
 
     def limit_share(self, service: str) -> float:
         """Return the share of the targets' limits that a broker on this host may grant.
@@ -498,6 +501,10 @@
             if ip != self._own_ip and self._endpoint is not None:
                 self._endpoint.send(ip, ["granted", service, encoded])
 
+    def _send(self, ip: str, message: Message) -> None:
+        if self._endpoint is not None:
+            self._endpoint.send(ip, message)
+
     def _brokers(self, service: str) -> list[str]:
         """Return the hosts that may be brokers of a service, by rank.
 
@@ -512,8 +519,8 @@
     def _send_held_state(self, ip: str, service: str) -> None:
         """Send what this host knows of a service to its new broker.
 
-        These are the slots that it holds, its recent outcomes, the notices of targets and, if it
-        was a broker of the service, the poison messages.
+        These are the slots that it holds, its recent outcomes, the notices of targets and the
+        poison messages.
         """
         now = self._clock.now()
         leases = [
@@ -534,8 +541,7 @@
         if ip == self._own_ip:
             self._local_broker(service).adopt_host_state(ip, leases, results)
             return
-        local_broker = self._local_brokers.get(service)
-        poison = local_broker.broker.poison_messages(now) if local_broker else []
+        poison = self._poison.tracker.poison_messages(now)
         notices = [encode_notice(notice) for notice in self._targets.notices_of_service(service)]
         if self._endpoint is not None and (leases or results or poison or notices):
             self._endpoint.send(ip, ["held", service, leases, results, poison, notices])
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -64,6 +64,7 @@
 class FleetShape:
     """Size, load and failures of an emulated fleet; shares are of the requests that arrive.
 
+    The route is split evenly over the services, and each target belongs to one of them.
     `rate` is in requests per second.  `shed_share` is refused by targets as not run, `fail_share`
     ends with status 500, and `unreachable_share` of the connects fail.  A host needs `datagram_s`
     of processor time for each datagram, and handles them one after the other.
@@ -71,6 +72,7 @@
 
     hosts: int = 24
     targets: int = 12
+    services: int = 1
     slots: int = 8
     rate: float = 60.0
     work_s: float = 0.1
@@ -285,6 +287,7 @@
         self.rng = random.Random(seed)
         self.record = TargetRecord()
         self.ips = [f"10.0.0.{n}" for n in range(1, shape.hosts + 1)]
+        services = [SERVICE, *(f"{SERVICE}{n}" for n in range(1, shape.services))]
         route = Route(
             "r",
             "shop",
@@ -294,13 +297,16 @@
             1.5,
             shape.max_attempts,
             1,
-            (WeightedService(SERVICE, 1.0),),
+            tuple(WeightedService(service, 1.0) for service in services),
         )
-        self.plan = FleetPlan(1, (route,), frozenset({SERVICE}))
+        self.plan = FleetPlan(1, (route,), frozenset(services))
         self._incarnations = 0
         self.store_revision = shape.targets
         self._entries = [
-            dataclasses.replace(target(f"t{n}", slots=shape.slots), revision=n + 1)
+            dataclasses.replace(
+                target(f"t{n}", slots=shape.slots, service=services[n % shape.services]),
+                revision=n + 1,
+            )
             for n in range(shape.targets)
         ]
         self.hosts = {ip: EmulatedHost(self, ip, self._entries) for ip in self.ips}
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 from toucanspindle_entry.model import TargetState
+from toucanspindle_entry.poisontracker import ANSWER_EXEMPTION_S, PoisonTracker
 from toucanspindle_entry.retrycredit import RetryCreditSource
 from toucanspindle_entry.slotbroker import (
     AVOID_MIN_UNHEALTHY,
@@ -480,6 +481,17 @@
             )
         granted_target(broker.request_slot(slot_request("again", fingerprint="popular"), 6.0))
 
+    def test_past_answer_exempts_a_request_for_a_while_only(self) -> None:
+        """Guards against a request that was answered once and crashes targets without end."""
+        tracker = PoisonTracker()
+        tracker.record_answer("f", 0.0)
+        for n in range(5):
+            tracker.record_crash("f", f"t{n}", 1.0 + n)
+        self.assertFalse(tracker.is_poison("f", 6.0))
+        for n in range(3):
+            tracker.record_crash("f", f"t{n}", ANSWER_EXEMPTION_S + 1.0 + n)
+        self.assertTrue(tracker.is_poison("f", ANSWER_EXEMPTION_S + 4.0))
+
 
 class FloorTests(TestCase):
     def test_floor_is_kept_at_a_high_failure_rate(self) -> None:
--- a/tests/test_retry_budget_fleet.py
+++ b/tests/test_retry_budget_fleet.py
@@ -195,14 +195,15 @@
 class PoisonMessageTests(FleetCase):
     """A request that crashes its targets comes again and again, at any host."""
 
-    def check(self, scenario: Scenario) -> None:
-        shape = FleetShape(shed_share=0.0, fail_share=0.02, unreachable_share=0.0)
+    SHAPE = FleetShape(shed_share=0.0, fail_share=0.02, unreachable_share=0.0)
+
+    def check(self, scenario: Scenario, shape: FleetShape = SHAPE, gap_s: float = 0.4) -> None:
         for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
 
             async def play(fleet: EmulatedFleet) -> None:
                 failures = asyncio.get_running_loop().create_task(scenario(fleet))
                 while True:
-                    await asyncio.sleep(0.4)
+                    await asyncio.sleep(gap_s)
                     running = [host for host in fleet.hosts.values() if host.is_running]
                     fleet.send_poison(fleet.rng.choice(running))
                     if failures.done():
@@ -225,6 +226,20 @@
 
         self.check(kill_brokers)
 
+    def test_crashes_of_all_services_of_a_split_route_count_together(self) -> None:
+        """Guards against a poison message that crashes three targets of each service."""
+
+        async def kill_hosts(fleet: EmulatedFleet) -> None:
+            while True:
+                await asyncio.sleep(fleet.rng.uniform(2.0, 4.0))
+                ip = fleet.rng.choice(fleet.ips)
+                if fleet.hosts[ip].is_running:
+                    fleet.kill(ip, fleet.rng.uniform(0.3, 2.0))
+
+        # One target is crashed at a time, so that no service alone gets there in time.
+        shape = dataclasses.replace(self.SHAPE, targets=48, services=4, max_attempts=1)
+        self.check(kill_hosts, shape, gap_s=1.0)
+
     def test_crashed_targets_are_remembered_by_all_of_several_brokers(self) -> None:
         """Hosts that skip a slow broker by turns use several brokers at once."""
 
