--- a/packages/toucanspindle-node/toucanspindle_node/targetanswer.py
+++ b/packages/toucanspindle-node/toucanspindle_node/targetanswer.py
@@ -5,7 +5,8 @@
 from a truncated one and is rejected.  A response followed by further bytes is rejected as well.
 
 A faulty target may send bytes without end, so the bytes of the body are limited, and those around
-it (heads, chunk sizes, trailers) as well.
+it (heads, chunk sizes, trailers) as well.  Trailers are dropped: as headers they would take many
+times their bytes.
 """
 
 import socket
@@ -64,15 +65,19 @@
         self.parser = HttpResponseParser(self)
         self.has_trailing_data = False
         self.body_bytes = 0
+        self._is_head_complete = False
         self._body_chunks: list[bytes] = []
 
     def on_message_begin(self) -> None:
         self.has_trailing_data = self.response.is_complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._is_head_complete:
+            return  # A trailer, which RFC 9110, 6.5.1 lets a recipient drop.
         self.response.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
+        self._is_head_complete = self.parser.get_status_code() >= FIRST_FINAL_STATUS
         self.response.status = self.parser.get_status_code()
         self.response.keep_alive = self.parser.should_keep_alive()
         if self.response.method == "HEAD":
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -6,12 +6,14 @@
 
 import socket
 import threading
+import time
 from collections.abc import Callable
 from typing import Final
 
 from testtools import TestCase
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_core.policy import Target
+from toucanspindle_node.targetanswer import read_response
 from toucanspindle_node.targetclient import Attempt, AttemptKind, AttemptResult, TargetClient
 from toucanspindle_node.targetconnections import CONNECT_TIMEOUT_S
 
@@ -219,6 +221,20 @@
             # Several megabytes are in the buffers of the sockets.
             self.assertLess(taken[0], 16_000_000, name)
 
+    def test_trailers_are_not_kept(self) -> None:
+        """Guards against trailers that take many times their bytes as headers of a response."""
+        body = b"x" * 100_000
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n" % len(body)
+        data = head + body + b"\r\n0\r\n" + b"a:\r\n" * 100_000 + b"\r\n"
+        here, there = socket.socketpair()
+        with here, there:
+            sender = threading.Thread(target=there.sendall, args=(data,))
+            sender.start()
+            response = read_response(here, "GET", time.monotonic() + 5.0)
+            sender.join()
+        self.assertEqual([("Transfer-Encoding", "chunked")], response.headers)
+        self.assertEqual(body, response.body)
+
     def test_malformed_or_incomplete_responses_are_broken(self) -> None:
         head = b"HTTP/1.1 200 OK\r\n" + ECHOED_ID
         malformed = {
