--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
@@ -18,9 +18,9 @@
 A host sends `ask` for a slot, `end` for the outcome of an attempt, and `held` with its slots,
 recent outcomes, known poison messages and targets' notices in reply to `sync`.  A broker answers
 `ask` with `grant`, `queued` or `refused`, acknowledges `end` with `noted`, and sends `sync` when it
-takes over.  `crashed` is described in `poisonsharing`.  A broker sends `granted` to the hosts that may be brokers too for
-its grants of targets that limit their requests.  `id` is that of the slot request.  A notice is
-encoded as in `targetnotices`; it is null if the target sent no response.
+takes over.  `crashed` is described in `poisonsharing`.  A broker sends `granted` to the hosts that
+may be brokers too for its grants of targets that limit their requests.  `id` is that of the slot
+request.  A notice is encoded as in `targetnotices`; it is null if the target sent no response.
 """
 
 from toucanspindle_entry.datagrams import Message
