Write no response to a connection that a write has found reset

Callers saw nothing; the process wrote warnings of the event loop, and started requests of a caller that was gone.

Cause: since responses are written block by block, the loop that writes went on after a write had found the connection reset.

Change: stop at a connection that is closing.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -363,10 +363,14 @@
         transport = self._transport
         if transport is None or transport.is_closing() or self._is_closing:
             return
-        while not self._is_write_paused and self._write_next(transport):
+        while (
+            not self._is_write_paused and not transport.is_closing() and self._write_next(transport)
+        ):
             if self._closes_after_unsent and self._unsent is None:
                 self._close_gracefully()
                 return
+        if transport.is_closing():
+            return  # The caller has reset the connection; `connection_lost` follows.
         self._check_progress()
         self._start_exchanges()
         self._read_more(b"")
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -6,13 +6,18 @@
 
 import asyncio
 import itertools
+import os
 import random
+import sys
 import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, Final, Literal
 
+from toucanspindle_standins.processes import ManagedProcess
+
 from backend import SimulatedTarget
 from deployedfleet import HOST_NAME, DeployedFleet
 
@@ -21,6 +26,8 @@
 RESTART_AFTER_S: Final = (0.2, 2.0)
 LEAVING_TARGET_SERVES_S: Final = 5.0
 LEARNING_MARGIN_S: Final = 3.0  # A fault that ended less than this before still counts.
+CROWD_CONNECTIONS: Final = 20
+CROWD_SCENARIOS: Final = ("upload", "chunks", "trailers", "extension", "heads")
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
 
@@ -94,8 +101,9 @@
 class SoakWorld:
     """A fleet under random faults, with callers; `run` plays one seed."""
 
-    def __init__(self, fleet: DeployedFleet, seed: int, callers: int) -> None:
+    def __init__(self, fleet: DeployedFleet, seed: int, callers: int, folder: Path) -> None:
         self._fleet = fleet
+        self._folder = folder
         self._rng = random.Random(seed)
         self._callers = callers
         self._ids = itertools.count(1)
@@ -158,13 +166,8 @@
             request = SentRequest(f"a{next(self._ids):015x}", method, time.monotonic())
             sent.append(request)
             self.record.requests.append(request)
-            path = "/lookup/1" if method == "GET" else "/reserve/1"
             work_s = rng.choice((0.0, 0.02, 0.2, 1.0))
-            writer.write(
-                f"{method} {path}?{request.id} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-                f"X-Attempt-Id: {request.id}\r\nX-Deadline-Ms: 4000\r\nX-Work-S: {work_s}\r\n"
-                "Content-Length: 0\r\n\r\n".encode()
-            )
+            writer.write(_encode_request(request, str(work_s)))
             await asyncio.sleep(gap_s)
 
     # Faults.
@@ -183,6 +186,8 @@
             self._replace_target,
             self._fail_target,
             self._limit_target,
+            self._crowd_host,
+            self._leave_behind_many_requests,
         ]
 
     def _free(self, count: int, taken: set[int]) -> int | None:
@@ -303,6 +308,43 @@
         target.notices = ()
         self._changed_targets.discard(index)
 
+    async def _crowd_host(self) -> None:
+        """Let callers make a host hold as much as they can, for some time."""
+        scenario = self._rng.choice(CROWD_SCENARIOS)
+        address = self._fleet.caller_address(self._rng.randrange(len(self._fleet.processes)))
+        arguments = ["tests.memorypeers", "call", scenario, str(address), str(CROWD_CONNECTIONS)]
+        variables = {"PYTHONPATH": os.pathsep.join(sys.path)}
+        crowd = ManagedProcess(f"crowd{next(self._ids)}", arguments, self._folder, variables)
+        try:
+            crowd.start()
+            await asyncio.sleep(self._rng.uniform(1.0, 3.0))
+        finally:
+            await asyncio.to_thread(crowd.kill)
+
+    async def _leave_behind_many_requests(self) -> None:
+        """Send many requests ahead, and leave while reading is paused."""
+        address = self._fleet.caller_address(self._rng.randrange(len(self._fleet.processes)))
+        try:
+            async with asyncio.timeout(1.0):
+                _, writer = await asyncio.open_connection(address.ip, address.port)
+        except (OSError, TimeoutError):
+            return
+        for _ in range(40):
+            request = SentRequest(f"a{next(self._ids):015x}", "GET", time.monotonic())
+            self.record.requests.append(request)
+            writer.write(_encode_request(request, "1.0"))
+        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        writer.close()
+
+
+def _encode_request(request: SentRequest, work_s: str) -> bytes:
+    path = "/lookup/1" if request.method == "GET" else "/reserve/1"
+    return (
+        f"{request.method} {path}?{request.id} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+        f"X-Attempt-Id: {request.id}\r\nX-Deadline-Ms: 4000\r\nX-Work-S: {work_s}\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+
 
 async def _read_responses(reader: asyncio.StreamReader, sent: list[SentRequest]) -> None:
     """Read the responses to the requests of a connection until it closes."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,10 +32,11 @@
             self.play(seed)
 
     def play(self, seed: int) -> None:
-        fleet = DeployedFleet(temporary_folder(self), HOSTS, TARGETS)
+        folder = temporary_folder(self)
+        fleet = DeployedFleet(folder, HOSTS, TARGETS)
         try:
             fleet.start()
-            world = SoakWorld(fleet, seed, callers=CALLERS_PER_HOST * HOSTS)
+            world = SoakWorld(fleet, seed, callers=CALLERS_PER_HOST * HOSTS, folder=folder)
             asyncio.run(world.run(DURATION_S))
             # The requests that callers left behind may still be in progress.
             wait_until(
