Send 100 Continue behind the responses before it

A caller that sent a request with Expect behind another one could have got the interim response within the body of the earlier response.

Cause: it was written as soon as the head had been read.

Change: it is owed until no earlier response is outstanding.

Result: test_100_continue_is_sent_behind_earlier_responses failed before (100 in place of the first response) and passes.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -131,6 +131,7 @@
         self._exchanges: deque[_Exchange] = deque()
         self._unsent: Iterator[bytearray] | None = None
         self._closes_after_unsent = False
+        self._owes_continue = False
         self._is_write_paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._close_poll: asyncio.TimerHandle | None = None
@@ -155,6 +156,7 @@
 
     def take_request(self, request: CallerRequest, keep_alive: bool) -> None:
         """Queue a complete request and start those that may run now."""
+        self._owes_continue = False
         self._exchanges.append(_Exchange(request, keep_alive))
         self._start_exchanges()
 
@@ -187,9 +189,9 @@
         self._read_more(b"")
 
     def send_continue(self) -> None:
-        """Tell the caller to send the body of its request."""
-        if self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Tell the caller to send the body of its request, behind the responses before it."""
+        self._owes_continue = True
+        self._send_owed_continue()
 
     # For the owner.
 
@@ -371,6 +373,7 @@
                 return
         if transport.is_closing():
             return  # The caller has reset the connection; `connection_lost` follows.
+        self._send_owed_continue()
         self._check_progress()
         self._start_exchanges()
         self._read_more(b"")
@@ -405,6 +408,12 @@
             self._write(transport, head + bytes(response.body))
         return True
 
+    def _send_owed_continue(self) -> None:
+        if self._owes_continue and not self._exchanges and self._unsent is None:
+            self._owes_continue = False
+            if self._transport is not None:
+                self._write(self._transport, b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _write(self, transport: asyncio.Transport, data: bytes | bytearray) -> None:
         self._written_bytes += len(data)
         transport.write(data)
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -146,6 +146,32 @@
 
         self.run_client(client)
 
+    def test_100_continue_is_sent_behind_earlier_responses(self) -> None:
+        """Guards against an interim response within the body of an earlier response."""
+        expecting = (
+            b"POST /c HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        )
+        for path, body_bytes in (("/slow", 5), ("/large", LARGE_RESPONSE_BYTES)):
+
+            async def client(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                path: str = path,
+                body_bytes: int = body_bytes,
+            ) -> None:
+                writer.write(get_request(path) + expecting)
+                await asyncio.sleep(0.05)
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.assertIn(b"200 OK", head)
+                body = await reader.readexactly(body_bytes)
+                self.assertNotIn(b"HTTP", body)
+                self.assertEqual(b"HTTP/1.1 100 Continue\r\n", await reader.readline())
+                writer.write(b"ab")
+                await reader.readuntil(b"/c")
+
+            self.run_client(client)
+
     def test_stopping_process_closes_after_the_response(self) -> None:
         self.owner.is_stopping = True
         received = self.send_and_read(get_request("/slow"))
