--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -22,7 +22,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Final, Literal, Protocol
 
 from logbook import Logger
 from toucanspindle_core import errorcodes
@@ -35,6 +35,7 @@
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import CallerLimits
 from toucanspindle_entry.requestreader import RequestReader
+from toucanspindle_entry.stallcheck import StallCheck
 
 MAX_PIPELINED: Final = 16  # Reading pauses at this many unanswered requests.
 PARALLEL_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -47,7 +48,6 @@
 MEMORY_RETRY_AFTER_S: Final = 1.0
 WRITE_BUFFER_BYTES: Final = 32_768  # What may wait to be sent; writing pauses above.
 CLOSE_POLL_INTERVAL_S: Final = 0.2  # While reading is paused.
-STALL_CHECKS: Final = 4  # Checks of the progress of a caller within `caller_stall_s`.
 
 log = Logger("callers")
 
@@ -116,6 +116,15 @@
         return self.request.method if self.request is not None else "GET"
 
 
+@dataclass(frozen=True)
+class _ReadingPhase:
+    """What the connection waits for in a request that began at a time, and how far a body is."""
+
+    began_at: float
+    awaited: Literal["head", "body", "memory"]
+    body_bytes: int = 0
+
+
 class CallerConnection(asyncio.BufferedProtocol):
     """Reads requests from one caller and writes their responses."""
 
@@ -135,11 +144,8 @@
         self._is_write_paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._close_poll: asyncio.TimerHandle | None = None
-        self._stall_check: asyncio.TimerHandle | None = None
-        self._stalled_checks = 0
-        self._written_bytes = 0
-        self._taken_bytes = 0
-        self._timed_phase: tuple[float, str, int] | None = None
+        self._stall_check: StallCheck | None = None
+        self._reading_phase: _ReadingPhase | None = None
         self._is_closing = False
 
     # RequestSink.
@@ -228,6 +234,7 @@
         """Register the connection and start the idle timeout."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._stall_check = StallCheck(transport, self._end_stalled)
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         # No limit for unacknowledged data: Linux applies it to callers that read nothing, too.
         tune_socket(transport.get_extra_info("socket"), unacked_timeout_ms=0)
@@ -259,7 +266,10 @@
         """Cancel the requests in progress."""
         self._is_closing = True
         self._cancel_timer()
-        self._stop_checks()
+        if self._close_poll is not None:
+            self._close_poll.cancel()
+        if self._stall_check is not None:
+            self._stall_check.close()
         self._reader.stop()
         for exchange in self._exchanges:
             if exchange.task is not None:
@@ -289,26 +299,29 @@
             self._poll_for_close()
         else:
             transport.resume_reading()
-        began_at = self._reader.began_at
+        self._limit_reading_time(is_paused)
+
+    def _limit_reading_time(self, is_paused: bool) -> None:
+        """Restart the timer if the request being read is in another phase or has made progress."""
         limits = self._owner.limits
-        # The time begins with each phase of each request, and in a body with each part of it.
-        timed_phase: tuple[float, str, int] | None = None
+        began_at = self._reader.began_at
+        phase: _ReadingPhase | None = None
         if began_at is None:
             limit_s = 0.0
-        elif lacks_memory:
-            limit_s, timed_phase = MEMORY_WAIT_S, (began_at, "memory", 0)
+        elif self._reader.lacks_memory:
+            phase, limit_s = _ReadingPhase(began_at, "memory"), MEMORY_WAIT_S
         elif is_paused:
             limit_s = 0.0
         elif self._reader.is_reading_head:
-            limit_s, timed_phase = limits.header_timeout_s, (began_at, "head", 0)
+            phase, limit_s = _ReadingPhase(began_at, "head"), limits.header_timeout_s
         else:
+            phase = _ReadingPhase(began_at, "body", self._reader.body_bytes)
             left_s = began_at + MAX_REQUEST_READ_S - self._clock.now()
             limit_s = max(0.0, min(limits.idle_timeout_s, left_s))
-            timed_phase = (began_at, "body", self._reader.body_bytes)
-        if timed_phase == self._timed_phase:
+        if phase == self._reading_phase:
             return
-        self._timed_phase = timed_phase
-        if timed_phase is not None:
+        self._reading_phase = phase
+        if phase is not None:
             self._restart_timer(limit_s)
         elif not self.is_idle:
             self._cancel_timer()
@@ -374,7 +387,8 @@
         if transport.is_closing():
             return  # The caller has reset the connection; `connection_lost` follows.
         self._send_owed_continue()
-        self._check_progress()
+        if self._stall_check is not None:
+            self._stall_check.start(self._owner.caller_stall_s)
         self._start_exchanges()
         self._read_more(b"")
         if self.is_idle:
@@ -415,41 +429,15 @@
                 self._write(self._transport, b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _write(self, transport: asyncio.Transport, data: bytes | bytearray) -> None:
-        self._written_bytes += len(data)
+        if self._stall_check is not None:
+            self._stall_check.record_written(len(data))
         transport.write(data)
 
-    def _check_progress(self) -> None:
-        """Begin to check whether the caller takes what is to be sent."""
-        if self._transport is None or self._stall_check is not None:
-            return
-        if self._transport.get_write_buffer_size():
-            self._stalled_checks = 0
-            self._taken_bytes = self._count_taken_bytes(self._transport)
-            self._schedule_stall_check()
-
-    def _schedule_stall_check(self) -> None:
-        self._stall_check = asyncio.get_running_loop().call_later(
-            self._owner.caller_stall_s / STALL_CHECKS, self._check_stall
-        )
-
-    def _check_stall(self) -> None:
+    def _end_stalled(self, taken_bytes: int) -> None:
         """End the connection of a caller that has taken nothing for `caller_stall_s`."""
-        self._stall_check = None
-        transport = self._transport
-        if transport is None or not transport.get_write_buffer_size():
-            return
-        taken_bytes = self._count_taken_bytes(transport)
-        self._stalled_checks = self._stalled_checks + 1 if taken_bytes == self._taken_bytes else 0
-        self._taken_bytes = taken_bytes
-        if self._stalled_checks < STALL_CHECKS:
-            self._schedule_stall_check()
-            return
         log.info("event=caller_stalled taken_bytes={}", taken_bytes)
         self._owner.count_stalled()
-        transport.abort()
-
-    def _count_taken_bytes(self, transport: asyncio.Transport) -> int:
-        return self._written_bytes - transport.get_write_buffer_size()
+        self.abort()
 
     def _is_unstarted(self, exchange: _Exchange) -> bool:
         return exchange.task is None and exchange.response is None
@@ -467,11 +455,6 @@
             transport.write_eof()
         asyncio.get_running_loop().call_later(CLOSE_LINGER_S, transport.close)
 
-    def _stop_checks(self) -> None:
-        for check in (self._close_poll, self._stall_check):
-            if check is not None:
-                check.cancel()
-
     def _restart_timer(self, seconds: float) -> None:
         self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(seconds, self._on_timeout)
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestreader.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/requestreader.py
@@ -68,7 +68,7 @@
         self._is_stopped = False
         self._lacks_memory = False
         self._heads_begun = 0
-        self._is_head_repeated = False
+        self._is_head_repeated = False  # The head being parsed is the one of `_ignore_upgrade`.
         self._partial_head_bytes = 0
         self._framing_bytes = 0
         self._has_read_body = False
@@ -176,13 +176,13 @@
             self._partial_head_bytes += len(data)
         if not self._is_stopped and self._partial_head_bytes > self._sink.limits.header_bytes:
             self._reject(431)
-        # Chunk sizes, chunk extensions and trailers.
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Reject a body with chunk sizes, chunk extensions or trailers without end."""
         is_in_body = self._is_head_complete and self._began_at is not None
-        if (
-            is_in_body
-            and not self._is_stopped
-            and self._framing_bytes > self._sink.limits.header_bytes
-        ):
+        is_too_much = self._framing_bytes > self._sink.limits.header_bytes
+        if is_in_body and is_too_much and not self._is_stopped:
             self._reject(400)
 
     def _ignore_upgrade(self) -> None:
