Go on with a stop when a caller has just reset its connection

A host that was asked to stop could end with an error, and with it the requests in progress there.

Cause: each idle connection is closed at a stop, and write_eof fails with ENOTCONN if the caller has reset it unnoticed so far.

Change: end such a connection at once. The soak now shows the output of the hosts before any other finding.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
@@ -451,8 +451,12 @@
         if transport is None or transport.is_closing():
             return
         transport.resume_reading()
-        if transport.can_write_eof():
+        try:
             transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, which the event loop hasn't read yet.
+            transport.abort()
+            return
         asyncio.get_running_loop().call_later(CLOSE_LINGER_S, transport.close)
 
     def _restart_timer(self, seconds: float) -> None:
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 from testtools import TestCase
@@ -244,6 +245,23 @@
         self.assertEqual(MAX_PIPELINED, len(self.handled))
         self.assertEqual(set(), self.owner.connections)
 
+    def test_connection_that_was_reset_unnoticed_can_be_closed(self) -> None:
+        """Guards against a stop that ends with an error because a caller has just reset."""
+
+        async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            sock = socket.create_connection(writer.get_extra_info("peername"))
+            while len(self.owner.connections) < 2:
+                await asyncio.sleep(0.01)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()
+            # The event loop hasn't read the reset yet.
+            for connection in list(self.owner.connections):
+                connection.close_if_idle()
+            while self.owner.connections:
+                await asyncio.sleep(0.01)
+
+        self.run_client(client)
+
 
 class SlowReaderTests(CallerCase):
     """Callers that are alive but read a long response slowly, or not at all."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,8 +53,9 @@
             fleet.close()
         record = world.record
         what = f"seed {seed}, after {record.faults}"
-        self.assertEqual([], record.violations(DRAIN_S), what)
+        # First, as it tells why a host ended.
         self.assertEqual([], [error for error in errors if error.strip()], what)
+        self.assertEqual([], record.violations(DRAIN_S), what)
         failures = [
             line
             for log in logs
