--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,18 +1,19 @@
 """Tests of the client of the platform's store against raw bytes of listings and watches."""
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 import logbook
 import orjson
 from testtools import ExpectedException, TestCase
-from toucanspindle_core.errors import PlatformError
+from toucanspindle_core.errors import PlatformError, PlatformUncertainError
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import HostEntry
 from toucanspindle_entry.objectstore import ObjectKind
 
-from platformstore import PlatformStore
+from platformstore import MAX_LISTING_BYTES, MAX_RESPONSE_BYTES, PlatformStore
 from platformwire import encode_host
 from tests.rawstore import BodySource, RawStore
 
@@ -77,6 +78,34 @@
 
         self.run_with_store(body_of, use)
 
+    def test_listing_without_end_is_an_error(self) -> None:
+        """Guards against pages without end, which would take the memory of the process."""
+        pages = itertools.count()
+
+        async def body_of(path: str) -> bytes:  # noqa: ARG001
+            page = listing(entry(f"t{next(pages):06}"), has_more=True)
+            return page + b" " * (MAX_RESPONSE_BYTES - 1000)
+
+        async def use(store: PlatformStore, raw_store: RawStore) -> None:
+            with ExpectedException(PlatformError, ".*exceeds.*"):
+                await store.list_all(ObjectKind.TARGETS)
+            # The limit is for the whole listing: no page alone is too large.
+            self.assertGreater(len(raw_store.paths), MAX_LISTING_BYTES // MAX_RESPONSE_BYTES)
+
+        self.run_with_store(body_of, use)
+
+    def test_page_above_its_limit_is_an_error(self) -> None:
+        """Guards against a page that takes many times its bytes once it is decoded."""
+
+        async def body_of(path: str) -> bytes:  # noqa: ARG001
+            return listing(b"[]," * (MAX_RESPONSE_BYTES // 3) + b"[]")
+
+        async def use(store: PlatformStore, raw_store: RawStore) -> None:
+            with ExpectedException(PlatformUncertainError, ".*exceeds.*"):
+                await store.list_all(ObjectKind.TARGETS)
+
+        self.run_with_store(body_of, use)
+
 
 def with_value(field: bytes, value: bytes) -> bytes:
     """Return the bytes of an entry named "odd" with one value replaced by raw bytes."""
