Group the modules of the entry process in subpackages

The package had 46 modules in one folder. They are now in callers, targets, broker, hosts and store; what several of these use stays at the top. Imports between them run one way: callers to broker and targets, broker to targets and hosts, store to hosts.

--- a/bench/serviceemulator.py
+++ b/bench/serviceemulator.py
@@ -26,12 +26,18 @@
 from typing import Final, Protocol
 
 from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.broker.retrycredit import RetryCreditSource
+from toucanspindle_entry.broker.slotbroker import SlotBroker
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    Decision,
+    Grant,
+    Refused,
+    SlotRequest,
+)
 from toucanspindle_entry.model import TargetEntry, TargetState
-from toucanspindle_entry.retrycredit import RetryCreditSource
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import SlotBroker
-from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
-from toucanspindle_entry.targethealth import AttemptOutcome, HealthEstimate
+from toucanspindle_entry.targets.targethealth import AttemptOutcome, HealthEstimate
 
 MESSAGE_DELAY_S: Final = 0.001  # One way between two hosts, including the processing.
 SHARED_VIEW_LAG_S: Final = 0.005  # Age of the information that hosts share.
--- a/packages/toucanspindle-entry/toucanspindle_entry/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/localbroker.py
@@ -14,13 +14,19 @@
 from logbook import Logger
 from toucanspindle_core.clock import Clock
 
+from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.slotbroker import AVOID_MIN_UNHEALTHY, SlotBroker
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    Decision,
+    Grant,
+    Refused,
+    SlotRequest,
+)
 from toucanspindle_entry.model import TargetEntry
-from toucanspindle_entry.poisontracker import PoisonTracker
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import AVOID_MIN_UNHEALTHY, SlotBroker
-from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
-from toucanspindle_entry.targethealth import AttemptOutcome
-from toucanspindle_entry.targetnotices import TargetNotice
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targetnotices import TargetNotice
 
 TAKEOVER_WAIT_S: Final = 0.008  # Hosts answer within 2 ms unless their network or CPU is slow.
 MAX_TAKEOVER_DELAY_S: Final = 0.004  # A timer that is later than this begins another wait.
--- a/packages/toucanspindle-entry/toucanspindle_entry/poisonsharing.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/poisonsharing.py
@@ -14,11 +14,11 @@
 
 from toucanspindle_core.clock import Clock
 
-from toucanspindle_entry.brokerchoice import BrokerRanking, rank_brokers
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.hostannouncer import SendMessage
-from toucanspindle_entry.livehosts import LiveHosts
-from toucanspindle_entry.poisontracker import MIN_CRASHED_TARGETS, PoisonTracker
+from toucanspindle_entry.broker.poisontracker import MIN_CRASHED_TARGETS, PoisonTracker
+from toucanspindle_entry.hosts.brokerchoice import BrokerRanking, rank_brokers
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.hosts.hostannouncer import SendMessage
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 
 KEEPERS: Final = 2
 MAX_BROKERS_TOLD: Final = 3  # Hosts in order of rank that may be asked for slots of the service.
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -18,14 +18,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-from toucanspindle_entry.activetargetfloor import ActiveTargetFloor
-from toucanspindle_entry.failuretimes import FailureTimes
-from toucanspindle_entry.fleetretrybudget import FleetRetryBudget
-from toucanspindle_entry.model import TargetEntry
-from toucanspindle_entry.poisontracker import PoisonTracker
-from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotqueue import PendingRequest, SlotQueue
-from toucanspindle_entry.slottypes import (
+from toucanspindle_entry.broker.activetargetfloor import ActiveTargetFloor
+from toucanspindle_entry.broker.failuretimes import FailureTimes
+from toucanspindle_entry.broker.fleetretrybudget import FleetRetryBudget
+from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.slotqueue import PendingRequest, SlotQueue
+from toucanspindle_entry.broker.slottypes import (
     AttemptReport,
     Decision,
     Grant,
@@ -34,16 +32,18 @@
     Refused,
     SlotRequest,
 )
-from toucanspindle_entry.targetcandidates import TargetCandidates, cross_domain_cost
-from toucanspindle_entry.targethealth import (
+from toucanspindle_entry.broker.targetcandidates import TargetCandidates, cross_domain_cost
+from toucanspindle_entry.broker.targetlimits import TargetLimits
+from toucanspindle_entry.broker.targetrecord import TargetRecord
+from toucanspindle_entry.model import TargetEntry
+from toucanspindle_entry.settings import FleetBounds
+from toucanspindle_entry.targets.targethealth import (
     ANSWER_AFTER_SETTLED_RATIO,
     OVERDUE_LIKELIHOOD_RATIO,
     SETTLED_LIKELIHOOD_RATIO,
     AttemptOutcome,
 )
-from toucanspindle_entry.targetlimits import TargetLimits
-from toucanspindle_entry.targetnotices import TargetNotice
-from toucanspindle_entry.targetrecord import TargetRecord
+from toucanspindle_entry.targets.targetnotices import TargetNotice
 
 # Outcomes of which unhealthy targets bring about many soon after the request arrives.
 FAST_OUTCOMES: Final = frozenset({AttemptOutcome.FAILED, AttemptOutcome.CONNECTION_LOST})
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -21,20 +21,26 @@
 from logbook import Logger
 from toucanspindle_core.clock import Clock
 
-from toucanspindle_entry import slotmessages
-from toucanspindle_entry.brokerchoice import BrokerRanking
-from toucanspindle_entry.datagrams import DatagramEndpoint, Message
-from toucanspindle_entry.livehosts import LiveHosts
-from toucanspindle_entry.localbroker import LocalBroker
-from toucanspindle_entry.poisonsharing import PoisonSharing
-from toucanspindle_entry.poisontracker import PoisonTracker
-from toucanspindle_entry.retrycredit import RetryCreditSource
-from toucanspindle_entry.roundtrips import RoundTrips
+from toucanspindle_entry.broker import slotmessages
+from toucanspindle_entry.broker.localbroker import LocalBroker
+from toucanspindle_entry.broker.poisonsharing import PoisonSharing
+from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.retrycredit import RetryCreditSource
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    Decision,
+    Grant,
+    Refused,
+    SlotRequest,
+)
+from toucanspindle_entry.hosts.brokerchoice import BrokerRanking
+from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
+from toucanspindle_entry.hosts.livehosts import LiveHosts
+from toucanspindle_entry.hosts.roundtrips import RoundTrips
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slottypes import AttemptReport, Decision, Grant, Refused, SlotRequest
-from toucanspindle_entry.targethealth import AttemptOutcome
-from toucanspindle_entry.targetnotices import TargetNotice, decode_notice, encode_notice
-from toucanspindle_entry.targettable import TargetTable
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targetnotices import TargetNotice, decode_notice, encode_notice
+from toucanspindle_entry.targets.targettable import TargetTable
 
 # Waits for an answer before each resend and before giving up; a round trip takes about 2 ms.
 REQUEST_RESEND_S: Final = (0.05, 0.1, 0.15)
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -23,9 +23,7 @@
 request.  A notice is encoded as in `targetnotices`; it is null if the target sent no response.
 """
 
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.model import TargetEntry
-from toucanspindle_entry.slottypes import (
+from toucanspindle_entry.broker.slottypes import (
     AttemptReport,
     Decision,
     Grant,
@@ -33,8 +31,10 @@
     Refused,
     SlotRequest,
 )
-from toucanspindle_entry.targethealth import AttemptOutcome
-from toucanspindle_entry.targetnotices import decode_notice, encode_notice
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.model import TargetEntry
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targetnotices import decode_notice, encode_notice
 
 MS_PER_S = 1000
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/slotqueue.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from toucanspindle_entry.slottypes import SlotRequest
+from toucanspindle_entry.broker.slottypes import SlotRequest
 
 # Priority, whether the latency goal is missed, time of arrival, slot request id.
 _Key = tuple[int, bool, float, str]
--- a/packages/toucanspindle-entry/toucanspindle_entry/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from toucanspindle_entry.targethealth import AttemptOutcome
-from toucanspindle_entry.targetnotices import TargetNotice
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targetnotices import TargetNotice
 
 
 class RefusalReason(Enum):
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetcandidates.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/targetcandidates.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from toucanspindle_entry.activetargetfloor import ActiveTargetFloor
-from toucanspindle_entry.targetlimits import TargetLimits
-from toucanspindle_entry.targetrecord import TargetRecord
+from toucanspindle_entry.broker.activetargetfloor import ActiveTargetFloor
+from toucanspindle_entry.broker.targetlimits import TargetLimits
+from toucanspindle_entry.broker.targetrecord import TargetRecord
 
 MAX_AGE_S: Final = 0.025  # Half the least time between two requests for the active-target floor.
 CROSS_DOMAIN_COST: Final = 0.04  # Cross-domain traffic is charged for and slightly slower.
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetlimits.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/targetlimits.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from toucanspindle_entry.targetnotices import TargetNotice
+from toucanspindle_entry.targets.targetnotices import TargetNotice
 
 # A target without requests could never tell that its limit has ended.
 MIN_RATE: Final = 0.25  # In requests per second, of all hosts.
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetrecord.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/targetrecord.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from toucanspindle_entry.model import TargetEntry, TargetState
-from toucanspindle_entry.targethealth import HealthEstimate
+from toucanspindle_entry.targets.targethealth import HealthEstimate
 
 # Costs are in units of failure probability.
 UTILIZATION_COST: Final = 0.08  # Times the share of the target's slots in use.
--- a/packages/toucanspindle-entry/toucanspindle_entry/answers.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/answers.py
@@ -6,8 +6,8 @@
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errorcodes import ErrorCode
 
-from toucanspindle_entry.callermessages import CallerResponse
-from toucanspindle_entry.slottypes import RefusalReason
+from toucanspindle_entry.broker.slottypes import RefusalReason
+from toucanspindle_entry.callers.callermessages import CallerResponse
 
 MAX_RETRY_AFTER_S: Final = 5.0
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -28,14 +28,14 @@
 from toucanspindle_core import errorcodes
 from toucanspindle_core.clock import Clock
 
-from toucanspindle_entry import answers
 from toucanspindle_entry.bodybuffer import BLOCK_BYTES, BodyBuffer
-from toucanspindle_entry.callermessages import CallerRequest, CallerResponse, encode_head
-from toucanspindle_entry.httpclient import tune_socket
+from toucanspindle_entry.callers import answers
+from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse, encode_head
+from toucanspindle_entry.callers.requestreader import RequestReader
+from toucanspindle_entry.callers.stallcheck import StallCheck
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import CallerLimits
-from toucanspindle_entry.requestreader import RequestReader
-from toucanspindle_entry.stallcheck import StallCheck
+from toucanspindle_entry.targets.httpclient import tune_socket
 
 MAX_PIPELINED: Final = 16  # Reading pauses at this many unanswered requests.
 PARALLEL_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -21,26 +21,30 @@
 from toucanspindle_core.fingerprint import fingerprint_of_parts
 from toucanspindle_core.hostport import HostPort
 
-from toucanspindle_entry import answers
 from toucanspindle_entry.bodybuffer import body_blocks
-from toucanspindle_entry.callermessages import HOP_BY_HOP_HEADERS, CallerRequest, CallerResponse
+from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
+from toucanspindle_entry.broker.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
+from toucanspindle_entry.callers import answers
+from toucanspindle_entry.callers.callermessages import (
+    HOP_BY_HOP_HEADERS,
+    CallerRequest,
+    CallerResponse,
+)
+from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
-from toucanspindle_entry.httpclient import (
+from toucanspindle_entry.model import Route, TargetState
+from toucanspindle_entry.targets.httpclient import (
     ConnectError,
     ConnectionLostError,
     HttpResponse,
     MalformedResponseError,
     ResponseMemoryError,
 )
-from toucanspindle_entry.model import Route, TargetState
-from toucanspindle_entry.routeindex import RouteIndex
-from toucanspindle_entry.slotclient import SlotClient, SlotGrant
-from toucanspindle_entry.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
-from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
-from toucanspindle_entry.targethealth import AttemptOutcome
-from toucanspindle_entry.targetnotices import TargetNotice, read_notice, read_pause_s
-from toucanspindle_entry.targettable import TargetTable
+from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targetnotices import TargetNotice, read_notice, read_pause_s
+from toucanspindle_entry.targets.targettable import TargetTable
 
 RESPONSE_MARGIN_S: Final = 0.04  # Reserved for returning the response to the caller.
 DEFAULT_DEADLINE_S: Final = 30.0  # For requests without a deadline header.
--- a/packages/toucanspindle-entry/toucanspindle_entry/requestreader.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
@@ -12,7 +12,7 @@
 from toucanspindle_core.clock import Clock
 
 from toucanspindle_entry.bodybuffer import BLOCK_BYTES, BodyBuffer, body_cost
-from toucanspindle_entry.callermessages import CallerRequest
+from toucanspindle_entry.callers.callermessages import CallerRequest
 from toucanspindle_entry.memoryaccount import MemoryAccount, MemoryLease
 from toucanspindle_entry.model import CallerLimits
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -23,17 +23,19 @@
 from toucanspindle_core.errors import PlatformError
 from toucanspindle_core.hostport import HostPort
 
-from toucanspindle_entry.brokerchoice import broker_capacity
-from toucanspindle_entry.callerconnection import CallerConnection
-from toucanspindle_entry.callermessages import CallerRequest, CallerResponse
-from toucanspindle_entry.datagrams import DatagramEndpoint, Message
+from toucanspindle_entry.broker.slotclient import SlotClient
+from toucanspindle_entry.callers.callerconnection import CallerConnection
+from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
+from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
-from toucanspindle_entry.hostannouncer import HostAnnouncer
-from toucanspindle_entry.hostprober import HostProber, HostStatus
-from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.hosts.brokerchoice import broker_capacity
+from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
+from toucanspindle_entry.hosts.hostannouncer import HostAnnouncer
+from toucanspindle_entry.hosts.hostprober import HostProber, HostStatus
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.memoryaccount import MemoryAccount
-from toucanspindle_entry.missedchanges import MissedChanges
 from toucanspindle_entry.model import (
     CallerLimits,
     FleetPlan,
@@ -41,15 +43,18 @@
     TargetEntry,
     TargetState,
 )
-from toucanspindle_entry.objectstore import ObjectKind, ObjectStore, StoreChanges, StoreListing
-from toucanspindle_entry.requestpath import HandlerDependencies, RequestHandler
-from toucanspindle_entry.routeindex import RouteIndex
 from toucanspindle_entry.settings import EntrySettings
-from toucanspindle_entry.slotclient import SlotClient
-from toucanspindle_entry.storerelay import StoreRelay
-from toucanspindle_entry.storewatch import StoreWatch
-from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
-from toucanspindle_entry.targettable import TargetTable
+from toucanspindle_entry.store.missedchanges import MissedChanges
+from toucanspindle_entry.store.objectstore import (
+    ObjectKind,
+    ObjectStore,
+    StoreChanges,
+    StoreListing,
+)
+from toucanspindle_entry.store.storerelay import StoreRelay
+from toucanspindle_entry.store.storewatch import StoreWatch
+from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targettable import TargetTable
 
 INCARNATION_BYTES: Final = 4
 # Waits between host listings; the last repeats.  At a first start the entries of the others may
--- a/packages/toucanspindle-entry/toucanspindle_entry/brokerchoice.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hosts/brokerchoice.py
@@ -11,7 +11,7 @@
 
 from toucanspindle_core.assignment import HASH_BYTES, rendezvous_weight
 
-from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 
 FULL_LINK_MBPS: Final = 100.0  # On a slower link datagrams wait behind the callers' responses.
 CAPACITY_EXPONENT: Final = 2.0
--- a/packages/toucanspindle-entry/toucanspindle_entry/hostannouncer.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostannouncer.py
@@ -22,8 +22,8 @@
 
 from logbook import Logger
 
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import HostEntry
 
 MAX_READY_HELLOS: Final = 4  # For each host; a lost datagram is rare.
--- a/packages/toucanspindle-entry/toucanspindle_entry/hostprober.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
@@ -29,9 +29,9 @@
 from logbook import Logger
 from toucanspindle_core.clock import Clock
 
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.livehosts import LiveHosts
-from toucanspindle_entry.roundtrips import RoundTrips
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.hosts.livehosts import LiveHosts
+from toucanspindle_entry.hosts.roundtrips import RoundTrips
 
 PROBE_INTERVAL_S: Final = 0.25  # Probes one host per interval.
 MISSED_PROBE_INTERVAL_S: Final = 0.08
--- a/packages/toucanspindle-entry/toucanspindle_entry/storemessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
@@ -19,8 +19,8 @@
     TargetState,
     WeightedService,
 )
-from toucanspindle_entry.objectstore import ObjectKind, StoreChange
-from toucanspindle_entry.storewatch import StoreProgress
+from toucanspindle_entry.store.objectstore import ObjectKind, StoreChange
+from toucanspindle_entry.store.storewatch import StoreProgress
 
 MS_PER_S: Final = 1000
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/storerelay.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
@@ -18,13 +18,13 @@
 
 from logbook import Logger
 
-from toucanspindle_entry import storemessages
-from toucanspindle_entry.brokerchoice import rank_brokers
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.hostannouncer import SendMessage
-from toucanspindle_entry.livehosts import LiveHosts
-from toucanspindle_entry.objectstore import ObjectKind
-from toucanspindle_entry.storewatch import StoreProgress
+from toucanspindle_entry.hosts.brokerchoice import rank_brokers
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.hosts.hostannouncer import SendMessage
+from toucanspindle_entry.hosts.livehosts import LiveHosts
+from toucanspindle_entry.store import storemessages
+from toucanspindle_entry.store.objectstore import ObjectKind
+from toucanspindle_entry.store.storewatch import StoreProgress
 
 WATCHERS_PER_DOMAIN: Final = 2
 ANNOUNCE_INTERVAL_S: Final = 0.25
--- a/packages/toucanspindle-entry/toucanspindle_entry/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -21,7 +21,7 @@
 from toucanspindle_core.clock import Clock
 from toucanspindle_core.errors import PlatformError
 
-from toucanspindle_entry.objectstore import (
+from toucanspindle_entry.store.objectstore import (
     HistoryLostError,
     ObjectKind,
     ObjectStore,
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetconnectionpool.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/targetconnectionpool.py
@@ -10,8 +10,8 @@
 from toucanspindle_core.clock import Clock
 from toucanspindle_core.hostport import HostPort
 
-from toucanspindle_entry.httpclient import HttpConnection, HttpResponse
 from toucanspindle_entry.memoryaccount import MemoryAccount
+from toucanspindle_entry.targets.httpclient import HttpConnection, HttpResponse
 
 CONNECT_TIMEOUT_S: Final = 0.3  # Connecting takes about 1 ms, or 1 s if the SYN packet is lost.
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0  # For a target that sends no timeout of its own.
--- a/packages/toucanspindle-entry/toucanspindle_entry/targetnotices.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/targetnotices.py
@@ -19,7 +19,7 @@
 from logbook import Logger
 
 from toucanspindle_entry.headernames import HeaderNames
-from toucanspindle_entry.httpclient import HttpResponse
+from toucanspindle_entry.targets.httpclient import HttpResponse
 
 LEAVING_VALUE: Final = b"1"
 PAUSE_STATUS: Final = 503
--- a/packages/toucanspindle-entry/toucanspindle_entry/targettable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/targettable.py
@@ -11,7 +11,7 @@
 from toucanspindle_core.clock import Clock
 
 from toucanspindle_entry.model import TargetEntry, TargetState
-from toucanspindle_entry.targetnotices import TargetNotice, TargetNotices
+from toucanspindle_entry.targets.targetnotices import TargetNotice, TargetNotices
 
 
 class TargetTable:
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -17,21 +17,21 @@
 
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_entry.bodybuffer import Body
-from toucanspindle_entry.callermessages import CallerRequest, CallerResponse
-from toucanspindle_entry.datagrams import DatagramEndpoint, Message
+from toucanspindle_entry.broker.slotclient import SlotClient
+from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
+from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
-from toucanspindle_entry.hostprober import PROBE_INTERVAL_S
-from toucanspindle_entry.httpclient import ConnectError, ConnectionLostError, HttpResponse
-from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
+from toucanspindle_entry.hosts.hostprober import PROBE_INTERVAL_S
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import FleetPlan, HostEntry, Route, TargetEntry, WeightedService
-from toucanspindle_entry.requestpath import HandlerDependencies, RequestHandler
-from toucanspindle_entry.routeindex import RouteIndex
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotclient import SlotClient
-from toucanspindle_entry.storewatch import REGISTRATION_GRACE_S
-from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
-from toucanspindle_entry.targettable import TargetTable
+from toucanspindle_entry.store.storewatch import REGISTRATION_GRACE_S
+from toucanspindle_entry.targets.httpclient import ConnectError, ConnectionLostError, HttpResponse
+from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targettable import TargetTable
 
 from tests.entrycase import target
 from tests.virtualtime import LoopClock
--- a/tests/emulatedmembership.py
+++ b/tests/emulatedmembership.py
@@ -11,10 +11,10 @@
 from typing import Final
 
 import orjson
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.hostannouncer import HostAnnouncer
-from toucanspindle_entry.hostprober import HostProber, HostStatus
-from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.hosts.hostannouncer import HostAnnouncer
+from toucanspindle_entry.hosts.hostprober import HostProber, HostStatus
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import HostEntry
 
 from tests.virtualtime import LoopClock
--- a/tests/entrycase.py
+++ b/tests/entrycase.py
@@ -3,10 +3,10 @@
 import random
 
 from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.broker.slotbroker import SlotBroker
+from toucanspindle_entry.broker.slottypes import Grant, SlotRequest
 from toucanspindle_entry.model import FleetPlan, Route, TargetEntry, TargetState, WeightedService
 from toucanspindle_entry.settings import FleetBounds
-from toucanspindle_entry.slotbroker import SlotBroker
-from toucanspindle_entry.slottypes import Grant, SlotRequest
 
 BOUNDS = FleetBounds(
     drain_s=2.0,
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -9,8 +9,8 @@
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_entry.bodybuffer import BodyBuffer
-from toucanspindle_entry.callerconnection import MAX_PIPELINED, CallerConnection
-from toucanspindle_entry.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.callerconnection import MAX_PIPELINED, CallerConnection
+from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import CallerLimits
 
--- a/tests/test_entry_datagrams.py
+++ b/tests/test_entry_datagrams.py
@@ -4,7 +4,7 @@
 import socket
 
 from testtools import TestCase
-from toucanspindle_entry.datagrams import DatagramEndpoint, Message
+from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
 
 IP = "127.0.0.1"
 
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -6,12 +6,12 @@
 
 from testtools import TestCase
 from toucanspindle_core.clock import ManualClock
-from toucanspindle_entry.brokerchoice import BrokerRanking, broker_capacity, rank_brokers
-from toucanspindle_entry.livehosts import DEAD_AFTER_MISSED_PROBES, LiveHosts
+from toucanspindle_entry.callers.routeindex import RouteIndex
+from toucanspindle_entry.hosts.brokerchoice import BrokerRanking, broker_capacity, rank_brokers
+from toucanspindle_entry.hosts.livehosts import DEAD_AFTER_MISSED_PROBES, LiveHosts
 from toucanspindle_entry.model import HostEntry, TargetState
-from toucanspindle_entry.routeindex import RouteIndex
-from toucanspindle_entry.storewatch import REGISTRATION_GRACE_S
-from toucanspindle_entry.targettable import TargetTable
+from toucanspindle_entry.store.storewatch import REGISTRATION_GRACE_S
+from toucanspindle_entry.targets.targettable import TargetTable
 
 from tests.entrycase import plan, route, target
 
--- a/tests/test_entry_failuretimes.py
+++ b/tests/test_entry_failuretimes.py
@@ -4,10 +4,10 @@
 from unittest import mock
 
 from testtools import TestCase
-from toucanspindle_entry.failuretimes import MIN_SAMPLES, FailureTimes
-from toucanspindle_entry.slotbroker import SlotBroker
-from toucanspindle_entry.slottypes import AttemptReport
-from toucanspindle_entry.targethealth import AttemptOutcome
+from toucanspindle_entry.broker.failuretimes import MIN_SAMPLES, FailureTimes
+from toucanspindle_entry.broker.slotbroker import SlotBroker
+from toucanspindle_entry.broker.slottypes import AttemptReport
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
 
 from bench.serviceemulator import Emulator, ServiceShape
 from tests.entrycase import granted_target, make_broker, slot_request, target
--- a/tests/test_entry_hostannouncer.py
+++ b/tests/test_entry_hostannouncer.py
@@ -3,9 +3,9 @@
 import random
 
 from testtools import TestCase
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.hostannouncer import MAX_READY_HELLOS, HostAnnouncer
-from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.hosts.hostannouncer import MAX_READY_HELLOS, HostAnnouncer
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import HostEntry
 
 
--- a/tests/test_entry_hostprober.py
+++ b/tests/test_entry_hostprober.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from testtools import TestCase
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.hostprober import GREETING_REPEAT_S, HostProber, HostStatus
-from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.hosts.hostprober import GREETING_REPEAT_S, HostProber, HostStatus
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import HostEntry
 
 from tests.virtualtime import LoopClock, run_in_virtual_time
--- a/tests/test_entry_httpclient.py
+++ b/tests/test_entry_httpclient.py
@@ -7,7 +7,8 @@
 
 from testtools import TestCase
 from toucanspindle_core.hostport import HostPort
-from toucanspindle_entry.httpclient import (
+from toucanspindle_entry.memoryaccount import MemoryAccount
+from toucanspindle_entry.targets.httpclient import (
     MAX_RESPONSE_BYTES,
     ConnectError,
     ConnectionLostError,
@@ -16,7 +17,6 @@
     MalformedResponseError,
     ResponseMemoryError,
 )
-from toucanspindle_entry.memoryaccount import MemoryAccount
 
 OWN_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
 OTHER_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 3\r\n\r\nold"
--- a/tests/test_entry_left_targets.py
+++ b/tests/test_entry_left_targets.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from testtools import TestCase
-from toucanspindle_entry.brokerchoice import rank_brokers
+from toucanspindle_entry.hosts.brokerchoice import rank_brokers
 
 from tests.emulatedfleet import SERVICE, EmulatedFleet, EmulatedHost, FleetShape
 from tests.virtualtime import run_in_virtual_time
--- a/tests/test_entry_missedchanges.py
+++ b/tests/test_entry_missedchanges.py
@@ -1,7 +1,7 @@
 """Tests of MissedChanges: changes of the store that only other hosts have seen."""
 
 from testtools import TestCase
-from toucanspindle_entry.missedchanges import MAX_LAG_S, MissedChanges
+from toucanspindle_entry.store.missedchanges import MAX_LAG_S, MissedChanges
 
 
 class MissedChangesTests(TestCase):
--- a/tests/test_entry_rawbytes.py
+++ b/tests/test_entry_rawbytes.py
@@ -11,8 +11,8 @@
 
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
-from toucanspindle_entry.callerconnection import CallerConnection
-from toucanspindle_entry.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.callerconnection import CallerConnection
+from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
 from toucanspindle_entry.model import CallerLimits
 
 from tests.test_entry_callers import FakeOwner
--- a/tests/test_entry_requestpath.py
+++ b/tests/test_entry_requestpath.py
@@ -10,16 +10,16 @@
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.hostport import HostPort
-from toucanspindle_entry.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
+from toucanspindle_entry.broker.slottypes import AttemptReport, SlotRequest
+from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
+from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import FleetPlan, Route, WeightedService
-from toucanspindle_entry.requestpath import HandlerDependencies, RequestHandler
-from toucanspindle_entry.routeindex import RouteIndex
-from toucanspindle_entry.slotclient import SlotClient, SlotGrant
-from toucanspindle_entry.slottypes import AttemptReport, SlotRequest
-from toucanspindle_entry.targetconnectionpool import TargetConnectionPool
-from toucanspindle_entry.targettable import TargetTable
+from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targettable import TargetTable
 
 from tests.emulatedfleet import HEADER_NAMES
 from tests.entrycase import target
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -8,10 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
-from toucanspindle_entry.model import TargetState
-from toucanspindle_entry.poisontracker import ANSWER_EXEMPTION_S, PoisonTracker
-from toucanspindle_entry.retrycredit import RetryCreditSource
-from toucanspindle_entry.slotbroker import (
+from toucanspindle_entry.broker.poisontracker import ANSWER_EXEMPTION_S, PoisonTracker
+from toucanspindle_entry.broker.retrycredit import RetryCreditSource
+from toucanspindle_entry.broker.slotbroker import (
     AVOID_MIN_UNHEALTHY,
     AVOIDED_PROBE_INTERVAL_S,
     MAX_PASSED_OVER,
@@ -19,8 +18,15 @@
     NEW_TARGET_DELAY_S,
     SlotBroker,
 )
-from toucanspindle_entry.slottypes import AttemptReport, Grant, Queued, RefusalReason, Refused
-from toucanspindle_entry.targethealth import (
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    Grant,
+    Queued,
+    RefusalReason,
+    Refused,
+)
+from toucanspindle_entry.model import TargetState
+from toucanspindle_entry.targets.targethealth import (
     PRIOR_UNHEALTHY_PROBABILITY,
     AttemptOutcome,
     HealthEstimate,
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -13,15 +13,15 @@
 
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
-from toucanspindle_entry.brokerchoice import rank_brokers
-from toucanspindle_entry.datagrams import DatagramEndpoint, Message
-from toucanspindle_entry.livehosts import LiveHosts
-from toucanspindle_entry.localbroker import TAKEOVER_WAIT_S
+from toucanspindle_entry.broker.localbroker import TAKEOVER_WAIT_S
+from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
+from toucanspindle_entry.broker.slottypes import AttemptReport, Refused
+from toucanspindle_entry.hosts.brokerchoice import rank_brokers
+from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import HostEntry
-from toucanspindle_entry.slotclient import SlotClient, SlotGrant
-from toucanspindle_entry.slottypes import AttemptReport, Refused
-from toucanspindle_entry.targethealth import AttemptOutcome
-from toucanspindle_entry.targettable import TargetTable
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targettable import TargetTable
 
 from tests.entrycase import BOUNDS, slot_request, target
 
--- a/tests/test_entry_storerelay.py
+++ b/tests/test_entry_storerelay.py
@@ -13,8 +13,8 @@
 from testtools import TestCase
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import PlatformError
-from toucanspindle_entry.datagrams import Message
-from toucanspindle_entry.livehosts import LiveHosts
+from toucanspindle_entry.hosts.datagrams import Message
+from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import (
     CallerLimits,
     FleetPlan,
@@ -23,7 +23,7 @@
     TargetState,
     WeightedService,
 )
-from toucanspindle_entry.objectstore import (
+from toucanspindle_entry.store.objectstore import (
     HistoryLostError,
     ObjectKind,
     StoreChange,
@@ -31,9 +31,9 @@
     StoreItem,
     StoreListing,
 )
-from toucanspindle_entry.storemessages import decode_progress, encode_progress
-from toucanspindle_entry.storerelay import StoreRelay
-from toucanspindle_entry.storewatch import StoreProgress, StoreWatch
+from toucanspindle_entry.store.storemessages import decode_progress, encode_progress
+from toucanspindle_entry.store.storerelay import StoreRelay
+from toucanspindle_entry.store.storewatch import StoreProgress, StoreWatch
 
 from tests.entrycase import target
 from tests.virtualtime import LoopClock, run_in_virtual_time
--- a/tests/test_entry_storewatch.py
+++ b/tests/test_entry_storewatch.py
@@ -9,8 +9,8 @@
 from toucanspindle_core import errorcodes
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.errors import PlatformError
-from toucanspindle_entry import storewatch
-from toucanspindle_entry.objectstore import (
+from toucanspindle_entry.store import storewatch
+from toucanspindle_entry.store.objectstore import (
     HistoryLostError,
     ObjectKind,
     StoreChange,
@@ -18,7 +18,7 @@
     StoreItem,
     StoreListing,
 )
-from toucanspindle_entry.storewatch import StoreWatch
+from toucanspindle_entry.store.storewatch import StoreWatch
 
 UNREACHABLE = PlatformError(errorcodes.PLATFORM_UNREACHABLE, "The store is unreachable.", "wait")
 
--- a/tests/test_entry_targetnotices.py
+++ b/tests/test_entry_targetnotices.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 from toucanspindle_entry.headernames import HeaderNames
-from toucanspindle_entry.httpclient import HttpResponse
-from toucanspindle_entry.targetnotices import (
+from toucanspindle_entry.targets.httpclient import HttpResponse
+from toucanspindle_entry.targets.targetnotices import (
     TargetNotice,
     TargetNotices,
     decode_notice,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -11,7 +11,7 @@
 from toucanspindle_core.errors import PlatformError, PlatformUncertainError
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import HostEntry
-from toucanspindle_entry.objectstore import ObjectKind
+from toucanspindle_entry.store.objectstore import ObjectKind
 
 from platformstore import MAX_LISTING_BYTES, MAX_RESPONSE_BYTES, PlatformStore
 from platformwire import encode_host
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 from toucanspindle_core.errors import SettingsError
 from toucanspindle_entry.model import FleetPlan, HostEntry, TargetEntry, TargetState
-from toucanspindle_entry.objectstore import ObjectKind
+from toucanspindle_entry.store.objectstore import ObjectKind
 
 from platformsettings import load_settings
 from platformwire import decode_object, encode_host
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -5,13 +5,19 @@
 from typing import cast
 
 from testtools import TestCase
-from toucanspindle_entry.fleetretrybudget import CREDIT_LIFETIME_S, FleetRetryBudget
+from toucanspindle_entry.broker.fleetretrybudget import CREDIT_LIFETIME_S, FleetRetryBudget
+from toucanspindle_entry.broker.retrycredit import BURST_SHARE, MAX_ACCRUAL_S, RetryCreditSource
+from toucanspindle_entry.broker.slotbroker import SlotBroker
+from toucanspindle_entry.broker.slotmessages import decode_slot_request, encode_slot_request
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    Grant,
+    Queued,
+    RefusalReason,
+    Refused,
+)
 from toucanspindle_entry.model import TargetState
-from toucanspindle_entry.retrycredit import BURST_SHARE, MAX_ACCRUAL_S, RetryCreditSource
-from toucanspindle_entry.slotbroker import SlotBroker
-from toucanspindle_entry.slotmessages import decode_slot_request, encode_slot_request
-from toucanspindle_entry.slottypes import AttemptReport, Grant, Queued, RefusalReason, Refused
-from toucanspindle_entry.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
 
 from tests.emulatedfleet import SERVICE, EmulatedFleet, FleetShape
 from tests.entrycase import BOUNDS, granted_target, make_broker, slot_request, target
--- a/tests/test_target_limit_fleet.py
+++ b/tests/test_target_limit_fleet.py
@@ -5,7 +5,7 @@
 import os
 from typing import Final
 
-from toucanspindle_entry.brokerchoice import rank_brokers
+from toucanspindle_entry.hosts.brokerchoice import rank_brokers
 
 from tests.emulatedfleet import SERVICE, EmulatedFleet, FleetShape
 from tests.test_retry_budget_fleet import FleetCase, Scenario, set_cut_off, set_frozen, set_slow
