Add the types of client accounts, and account fields of slot requests

The model, the settings, the header names and the slot protocol can express client accounts, their priority and weight, the size of a body, and targets that an attempt is limited to. Nothing uses them yet, and a message without them is encoded as before.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -3,7 +3,8 @@
 Each message is an array whose first element is its kind:
 
     ["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry, can retry,
-     excluded, fingerprint, retry credit]
+     excluded, fingerprint, retry credit, account, account priority, account weight, body bytes,
+     allowed targets]
     ["grant", id, service, target, unhealthy probability, estimate age ms, address, started ms,
      entry revision]
     ["queued", id]
@@ -54,21 +55,38 @@
         list(slot_request.excluded),
         slot_request.fingerprint,
         round(slot_request.retry_credit, 4),
+        *_encode_account_fields(slot_request),
     ]
 
 
+def _encode_account_fields(slot_request: SlotRequest) -> Message:
+    """Return the fields behind the retry credit, or none if all have their defaults."""
+    fields: Message = [
+        slot_request.account,
+        slot_request.account_priority,
+        slot_request.account_weight,
+        slot_request.body_bytes,
+        list(slot_request.allowed_targets),
+    ]
+    return fields if fields != ["", 0, 1.0, 0, []] else []
+
+
 def decode_slot_request(host: str, message: Message) -> tuple[str, SlotRequest]:
     """Return the service and the slot request of an `ask` message; `host` is the sender.
 
-    Hosts of earlier versions send no retry credit.  Raises ValueError if it is negative.
+    Hosts of earlier versions send no retry credit and nothing behind it.  Raises ValueError if the
+    credit or the size of the body is negative, or the weight isn't positive.
     """
     _, slot_request_id, service, failure_domain, priority, time_left_ms, goal_left_ms, *options = (
         message
     )
-    is_retry, can_retry, excluded, fingerprint, *credits = options
-    retry_credit = float(credits[0]) if credits else 0.0
-    if retry_credit < 0:
-        raise ValueError(f"the retry credit {retry_credit} is negative")
+    is_retry, can_retry, excluded, fingerprint, *additions = options
+    retry_credit = float(additions[0]) if additions else 0.0
+    account, account_priority, account_weight, body_bytes, allowed_targets = (
+        additions[1:6] if len(additions) > 5 else ("", 0, 1.0, 0, ())
+    )
+    if retry_credit < 0 or body_bytes < 0 or account_weight <= 0:
+        raise ValueError(f"invalid numbers in a slot request: {additions}")
     slot_request = SlotRequest(
         id=str(slot_request_id),
         host=host,
@@ -81,6 +99,11 @@
         excluded=tuple(excluded),
         fingerprint=str(fingerprint),
         retry_credit=retry_credit,
+        account=str(account),
+        account_priority=int(account_priority),
+        account_weight=float(account_weight),
+        body_bytes=int(body_bytes),
+        allowed_targets=tuple(allowed_targets),
     )
     return str(service), slot_request
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
@@ -27,6 +27,10 @@
     failed an earlier one or have left.  `can_retry` is true if another attempt can follow when this
     one fails.  `fingerprint` is equal for equal requests and identifies poison messages.
     `retry_credit` is added to the broker's retry budget, in retries.
+
+    `account` names the client account, or is empty.  Its priority goes before that of the route,
+    and its weight is its share of scarce slots relative to the other accounts.  `body_bytes` is the
+    size of the request's body.  If `allowed_targets` isn't empty, the attempt may use only these.
     """
 
     id: str
@@ -40,6 +44,11 @@
     excluded: tuple[str, ...]
     fingerprint: str
     retry_credit: float = 0.0
+    account: str = ""
+    account_priority: int = 0
+    account_weight: float = 1.0
+    body_bytes: int = 0
+    allowed_targets: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -33,7 +33,7 @@
 from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
-from toucanspindle_entry.model import Route, TargetState
+from toucanspindle_entry.model import ClientAccount, Route, TargetState
 from toucanspindle_entry.targets.httpclient import (
     ConnectError,
     ConnectionLostError,
@@ -77,7 +77,7 @@
     `excluded_targets` lists targets that already failed the request or have left, which the broker
     may not know.  `unused_grants` counts grants without a sent request.  `last_response` is the
     last error response that may be relayed.  `lacks_memory` tells that the process had no memory
-    for a response.
+    for a response.  `account` is None if the request needs no client account.
     """
 
     request: CallerRequest
@@ -86,6 +86,7 @@
     deadline_at: float
     request_id: str
     fingerprint: str
+    account: ClientAccount | None = None
     excluded_targets: list[str] = field(default_factory=list)
     slot_request_id: str = ""
     attempts_sent: int = 0
@@ -232,6 +233,7 @@
         starts_request = not progress.slot_request_id
         progress.slot_request_id = self._slots.next_slot_request_id()
         goal_at = progress.request.received_at + progress.route.latency_goal_s
+        account = progress.account
         slot_request = SlotRequest(
             id=progress.slot_request_id,
             host="",
@@ -244,6 +246,10 @@
             and progress.attempts_sent + 1 < progress.route.max_attempts,
             excluded=(*progress.excluded_targets, *self._targets.unusable(progress.service)),
             fingerprint=progress.fingerprint,
+            account=account.name if account is not None else "",
+            account_priority=account.priority if account is not None else 0,
+            account_weight=(account.rate_per_s if account is not None else 0.0) or 1.0,
+            body_bytes=len(progress.request.body),
         )
         try:
             async with asyncio.timeout(max(0.0, progress.deadline_at - now)) as timeout:
--- a/packages/toucanspindle-entry/toucanspindle_entry/headernames.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/headernames.py
@@ -11,6 +11,8 @@
     that may run the request; `not_run` marks the response to a request that the target didn't run.
     A target that leaves sends `leaving` with the value 1 in all its responses.
     A target in need names in `rate_limit` how many requests a second it takes from all hosts.
+    Callers send the key of their client account in `account_key`; targets get the name of the
+    account in `account`.
     """
 
     request_id: bytes
@@ -20,3 +22,5 @@
     not_run: bytes
     leaving: bytes
     rate_limit: bytes
+    account_key: bytes
+    account: bytes
--- a/packages/toucanspindle-entry/toucanspindle_entry/model.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/model.py
@@ -1,4 +1,4 @@
-"""Data classes for routes, targets and entry hosts.
+"""Data classes for routes, client accounts, targets and entry hosts.
 
 Adapters decode the platform's objects into these types.  The field names here are independent of
 the wire format.
@@ -24,7 +24,8 @@
 
     Requests of an `idempotent` route may run more than once.  A request fails after `timeout_s`.
     `latency_goal_s` is the time within which a response has its full value to the caller.
-    `max_attempts` includes the first attempt.  `priority` 0 is the most urgent.
+    `max_attempts` includes the first attempt.  `priority` 0 is the most urgent.  Requests of an
+    `is_public` route need no account.
     """
 
     name: str
@@ -36,6 +37,23 @@
     max_attempts: int
     priority: int
     weighted_services: tuple[WeightedService, ...]
+    is_public: bool = False
+
+
+@dataclass(frozen=True)
+class ClientAccount:
+    """A client account; its callers identify themselves with one of its keys.
+
+    `priority` 0 is the most urgent, and goes before the priority of the route.  Over all hosts, the
+    account may send `rate_per_s` requests a second and `burst` more at once; a rate of 0 is no
+    limit.
+    """
+
+    name: str
+    keys: tuple[str, ...] = field(repr=False)
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -50,12 +68,16 @@
 
 @dataclass(frozen=True)
 class FleetPlan:
-    """A complete, accepted configuration of the fleet; a higher version replaces a lower one."""
+    """A complete, accepted configuration of the fleet; a higher version replaces a lower one.
+
+    `accounts` is None if the plan has no accounts, so that no request needs a key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: frozenset[str]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    accounts: tuple[ClientAccount, ...] | None = None
 
 
 class TargetState(Enum):
--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -20,6 +20,10 @@
     that must stay in use.  A draining target must get no new requests after `drain_s`.  The
     platform kills a process `shutdown_s` after SIGTERM.  Callers may use a directory response for
     `directory_ttl_max_s` at most.
+
+    A key that a plan takes away must not be used later than `revoke_s` after the plan was
+    acknowledged; None is no such bound.  In a window of `quota_window_s`, a client account may
+    exceed its quota by the share `quota_overage` and by `quota_slack` requests.
     """
 
     drain_s: float
@@ -29,6 +33,10 @@
     retry_burst: float
     directory_ttl_max_s: float
     floor_share: float
+    revoke_s: float | None = None
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 @dataclass(frozen=True)
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
@@ -13,6 +13,7 @@
 
 from toucanspindle_entry.model import (
     CallerLimits,
+    ClientAccount,
     FleetPlan,
     Route,
     TargetEntry,
@@ -89,6 +90,7 @@
             "routes": [dataclasses.astuple(route) for route in value.routes],
             "services": sorted(value.services),
             "limits": dataclasses.astuple(value.limits),
+            "accounts": _encode_accounts(value.accounts),
         }
     return None
 
@@ -114,12 +116,33 @@
         tuple(_decode_route(*fields) for fields in value["routes"]),
         frozenset(value["services"]),
         CallerLimits(*value["limits"]),
+        _decode_accounts(value.get("accounts")),
+    )
+
+
+def _encode_accounts(accounts: tuple[ClientAccount, ...] | None) -> list[Any] | None:
+    if accounts is None:
+        return None
+    return [
+        [account.name, account.keys, account.priority, account.rate_per_s, account.burst]
+        for account in accounts
+    ]
+
+
+def _decode_accounts(encoded: list[Any] | None) -> tuple[ClientAccount, ...] | None:
+    if encoded is None:
+        return None
+    return tuple(
+        ClientAccount(
+            str(name), tuple(map(str, keys)), int(priority), float(rate_per_s), float(burst)
+        )
+        for name, keys, priority, rate_per_s, burst in encoded
     )
 
 
 def _decode_route(name: str, host: str, path_prefix: str, *options: Any) -> Route:
     """Return a route from its fields, in the order of the data class."""
-    *handling, services = options
+    *handling, services, is_public = options
     idempotent, timeout_s, latency_goal_s, max_attempts, priority = handling
     return Route(
         name,
@@ -131,4 +154,5 @@
         int(max_attempts),
         int(priority),
         tuple(WeightedService(str(service), float(weight)) for service, weight in services),
+        bool(is_public),
     )
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -57,6 +57,8 @@
     b"x-not-run",
     LEAVING_HEADER,
     LIMIT_HEADER,
+    b"x-account-key",
+    b"x-account",
 )
 
 
