Identify client accounts by the key that callers send

A plan may have accounts with keys. A request on a route that isn't public is then rejected with 401 unless it has the key of an account, the target gets the account's name instead of the key, and account headers of callers are dropped. Plans without accounts are served as before.

--- a/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
+++ b/packages/toucanspindle-core/toucanspindle_core/errorcodes.py
@@ -108,6 +108,12 @@
     "TS325", 502, "The request failed, and the service's retries are used up."
 )
 TARGET_FAILED: Final = _register("TS326", 502, "The target's answer was broken or unusable.")
+ACCOUNT_KEY_UNKNOWN: Final = _register(
+    "TS327", 401, "The request's account key is missing or unknown."
+)
+ACCOUNT_KEYS_UNCONFIRMED: Final = _register(
+    "TS328", 503, "The host can't confirm in time that account keys are still valid."
+)
 
 # 4xx: the platform.
 PLATFORM_UNREACHABLE: Final = _register("TS401", 503, "The platform can't be reached.")
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callermessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callermessages.py
@@ -22,9 +22,11 @@
 REASON_PHRASES: Final[dict[int, bytes]] = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -77,7 +77,8 @@
     `excluded_targets` lists targets that already failed the request or have left, which the broker
     may not know.  `unused_grants` counts grants without a sent request.  `last_response` is the
     last error response that may be relayed.  `lacks_memory` tells that the process had no memory
-    for a response.  `account` is None if the request needs no client account.
+    for a response.  `account` is None if the request needs no client account, and
+    `plan_has_accounts` tells whether the plan that routed the request has accounts at all.
     """
 
     request: CallerRequest
@@ -87,6 +88,7 @@
     request_id: str
     fingerprint: str
     account: ClientAccount | None = None
+    plan_has_accounts: bool = False
     excluded_targets: list[str] = field(default_factory=list)
     slot_request_id: str = ""
     attempts_sent: int = 0
@@ -191,6 +193,9 @@
                 "check the host name and the path",
                 404,
             )
+        account = self._identify(request, route, self.routes)
+        if isinstance(account, CallerResponse):
+            return account
         deadline_s = (
             _parse_deadline_s(request.header(self._header_names.deadline_ms)) - RESPONSE_MARGIN_S
         )
@@ -204,6 +209,25 @@
             deadline_at=request.received_at + min(deadline_s, route.timeout_s),
             request_id=request_id,
             fingerprint=fingerprint.hex()[:FINGERPRINT_HEX_DIGITS],
+            account=account,
+            plan_has_accounts=self.routes.accounts is not None,
+        )
+
+    def _identify(
+        self, request: CallerRequest, route: Route, routes: RouteIndex
+    ) -> ClientAccount | CallerResponse | None:
+        """Return the account of a request, None if it needs none, or an error response."""
+        if routes.accounts is None or route.is_public:
+            return None
+        keys = [value for name, value in request.headers if name == self._header_names.account_key]
+        account = routes.accounts.find(keys[0].decode("latin-1")) if len(keys) == 1 else None
+        if account is not None:
+            return account
+        return answers.error_response(
+            errorcodes.ACCOUNT_KEY_UNKNOWN,
+            f"The request has no key of a client account of version {routes.plan.version}.",
+            "send the account's key, and nothing else, in the header for keys",
+            401,
         )
 
     # Attempts.
@@ -427,11 +451,15 @@
         header_names = self._header_names
         remaining_ms = max(1, int((progress.deadline_at - self._clock.now()) * 1000))
         replaced = {header_names.deadline_ms, header_names.expected_target}
+        if progress.plan_has_accounts:
+            replaced |= {header_names.account_key, header_names.account}
         omitted = _connection_headers(request) | HOP_BY_HOP_HEADERS | replaced
         lines = [b"%s %s HTTP/1.1" % (request.method.encode(), request.target.encode("latin-1"))]
         lines += [name + b": " + value for name, value in request.headers if name not in omitted]
         lines.append(header_names.deadline_ms + b": %d" % remaining_ms)
         lines.append(header_names.expected_target + b": " + grant.target.encode())
+        if progress.account is not None:
+            lines.append(header_names.account + b": " + progress.account.name.encode())
         if request.body or request.method in BODY_METHODS:
             lines.append(b"content-length: %d" % len(request.body))
         return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/routeindex.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/routeindex.py
@@ -1,4 +1,4 @@
-"""Selects the route of a request and one of the services of that route.
+"""Selects the route of a request and one of the services of that route, and knows the accounts.
 
 A route matches by host name and longest path prefix.  Its services are selected by smooth weighted
 round robin, which follows the weights even over a few requests.  The initial state is random so
@@ -7,15 +7,20 @@
 
 import random
 
+from toucanspindle_entry.accounts.accountindex import AccountIndex
 from toucanspindle_entry.model import FleetPlan, Route
 
 
 class RouteIndex:
-    """The routes of one plan, with the round-robin state of each route."""
+    """The routes of one plan, with the round-robin state of each route.
+
+    `accounts` is None if the plan has no client accounts.
+    """
 
     def __init__(self, plan: FleetPlan, rng: random.Random) -> None:
-        """Index the routes of a plan; `rng` sets the initial round-robin state."""
+        """Index the routes and accounts of a plan; `rng` sets the initial round-robin state."""
         self.plan = plan
+        self.accounts = AccountIndex(plan.accounts) if plan.accounts is not None else None
         self._rng = rng
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         self._current_weights: dict[str, list[float]] = {}
