--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -24,6 +24,8 @@
     A key that a plan takes away must not be used later than `revoke_s` after the plan was
     acknowledged; None is no such bound.  In a window of `quota_window_s`, a client account may
     exceed its quota by the share `quota_overage` and by `quota_slack` requests.
+
+    `hedge_share` is the number of hedged attempts that a service may use per request; 0 is none.
     """
 
     drain_s: float
@@ -37,6 +39,7 @@
     quota_window_s: float = 5.0
     quota_overage: float = 0.1
     quota_slack: float = 20.0
+    hedge_share: float = 0.0
 
 
 @dataclass(frozen=True)
