Refuse account keys that the host can't confirm within the revocation bound

A host that was suspended or cut off went on serving keys that a newer plan had taken away. With StrictRevoke a host keeps a moment at which its plan was certainly the newest one in the store: the sending of a call to the store, or of a probe less the age that its answer tells. A request with a key is refused with 503 if that moment is older than RevokeMs less 0.25 s.

Ages in relayed messages aren't used, since such a message may be delayed for any time.

Without StrictRevoke nothing is sent or decided in another way.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -21,6 +21,7 @@
 from toucanspindle_core.fingerprint import fingerprint_of_parts
 from toucanspindle_core.hostport import HostPort
 
+from toucanspindle_entry.accounts.planfreshness import PlanFreshness
 from toucanspindle_entry.bodybuffer import body_blocks
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
 from toucanspindle_entry.broker.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
@@ -50,6 +51,7 @@
 DEFAULT_DEADLINE_S: Final = 30.0  # For requests without a deadline header.
 MIN_ATTEMPT_S: Final = 0.05  # Least remaining time in which another attempt is worth starting.
 NO_PLAN_RETRY_AFTER_S: Final = 0.5
+UNCONFIRMED_RETRY_AFTER_S: Final = 0.5  # The plan is confirmed twice a second in normal operation.
 SHED_RETRY_AFTER_S: Final = 0.3
 MAX_UNUSED_GRANTS: Final = 6  # Grants per request whose target was unreachable or leaving.
 SERVED_LOG_INTERVAL: Final = 20  # Logs one in 20 served requests, and every failed one.
@@ -121,6 +123,7 @@
     connection_pool: TargetConnectionPool
     metrics: EntryMetrics
     clock: Clock
+    freshness: PlanFreshness = field(default_factory=lambda: PlanFreshness(None))
 
 
 class RequestHandler:
@@ -134,6 +137,7 @@
         self._connection_pool = dependencies.connection_pool
         self._metrics = dependencies.metrics
         self._clock = dependencies.clock
+        self._freshness = dependencies.freshness
         self.routes: RouteIndex | None = None
         self._served_count = 0
         self._slot_timeouts: set[asyncio.Timeout] = set()
@@ -222,7 +226,18 @@
         keys = [value for name, value in request.headers if name == self._header_names.account_key]
         account = routes.accounts.find(keys[0].decode("latin-1")) if len(keys) == 1 else None
         if account is not None:
-            return account
+            # The time of this check counts, not that of the arrival: the host may have been
+            # suspended between the two.
+            if self._freshness.may_run_keyed(self._clock.now()):
+                return account
+            self._metrics.count_unconfirmed_key()
+            return answers.error_response(
+                errorcodes.ACCOUNT_KEYS_UNCONFIRMED,
+                "This host can't confirm that the key is still valid; the request has not run.",
+                "send it again, or ask the directory for another host",
+                503,
+                UNCONFIRMED_RETRY_AFTER_S,
+            )
         return answers.error_response(
             errorcodes.ACCOUNT_KEY_UNKNOWN,
             f"The request has no key of a client account of version {routes.plan.version}.",
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -3,6 +3,7 @@
 Requests only increment integers; the text is rendered when metrics are read.
 """
 
+import math
 from bisect import bisect_left
 from collections import Counter
 from typing import Final
@@ -24,6 +25,7 @@
         self._unrouted: Counter[int] = Counter()
         self._rejected: Counter[int] = Counter()
         self._stalled_callers = 0
+        self._unconfirmed_keys = 0
         self._handler_failures = 0
         self._buckets: dict[str, list[int]] = {}
         self._latency_sums_ms: Counter[str] = Counter()
@@ -63,16 +65,30 @@
         """Count a request whose handler ended with an exception."""
         self._handler_failures += 1
 
+    def count_unconfirmed_key(self) -> None:
+        """Count a request that was refused because its key couldn't be confirmed in time."""
+        self._unconfirmed_keys += 1
+
     def count_stalled_caller(self) -> None:
         """Count a caller whose connection was ended because it took nothing of a response."""
         self._stalled_callers += 1
 
-    def render(self, held_bytes: int) -> bytes:
-        """Return all metrics in the Prometheus text format; `held_bytes` is what peers hold."""
+    def render(self, held_bytes: int, plan_age_s: float | None = None) -> bytes:
+        """Return all metrics in the Prometheus text format; `held_bytes` is what peers hold.
+
+        `plan_age_s` is how long ago the plan was certainly the newest one, or None in fleets
+        without a time limit for revoked keys.
+        """
         prefix = "toucanspindle_entry"
         lines = [f"# TYPE {prefix}_in_flight gauge", f"{prefix}_in_flight {self.in_flight}"]
         lines.append(f"# TYPE {prefix}_held_bytes gauge")
         lines.append(f"{prefix}_held_bytes {held_bytes}")
+        if plan_age_s is not None:
+            age = f"{plan_age_s:.3f}" if plan_age_s < math.inf else "+Inf"
+            lines.append(f"# TYPE {prefix}_plan_age_seconds gauge")
+            lines.append(f"{prefix}_plan_age_seconds {age}")
+            lines.append(f"# TYPE {prefix}_keys_unconfirmed_total counter")
+            lines.append(f"{prefix}_keys_unconfirmed_total {self._unconfirmed_keys}")
         lines.append(f"# TYPE {prefix}_requests_total counter")
         for (service, status), count in sorted(self._requests.items()):
             labels = f'service="{service}",status="{status}"'
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -12,17 +12,20 @@
 
 import asyncio
 import gc
+import math
 import random
 import secrets
 import time
-from collections.abc import Awaitable, Callable
-from typing import Final, Protocol
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final, Protocol
 
+import logbook
 from logbook import Logger
 from toucanspindle_core.clock import BoottimeClock, Clock
 from toucanspindle_core.errors import PlatformError
 from toucanspindle_core.hostport import HostPort
 
+from toucanspindle_entry.accounts.planfreshness import PlanFreshness, encode_age_ms
 from toucanspindle_entry.broker.slotclient import SlotClient
 from toucanspindle_entry.callers.callerconnection import CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
@@ -74,6 +77,14 @@
 # The host counts as suspended if CLOCK_BOOTTIME gains this on the monotonic clock in one interval.
 MIN_SUSPENSION_S: Final = 0.5
 LISTEN_BACKLOG: Final = 512
+# Only with a time limit for revoked keys: how often the age of the plan's confirmation is checked,
+# the age at which a watcher of the failure domain is asked for a newer one, and the age at which,
+# and the interval in which, the plan is listed.
+CONFIRM_INTERVAL_S: Final = 0.25
+ASK_WATCHER_AGE_S: Final = 1.0
+LIST_PLAN_AGE_S: Final = 2.0
+LIST_PLAN_INTERVAL_S: Final = 1.0
+PROBE_SEQ_BITS: Final = 32
 
 log = Logger("node")
 
@@ -120,14 +131,29 @@
     def __init__(self, node: "EntryNode") -> None:
         self._node = node
 
+        self._plan_name: str | None = None
+        # Version of the newest plan that the store has shown, or None without one.
+        self.shown_version: int | None = None
+
     def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
+        # A plan that can't be decoded counts as none here: a valid one may have come before it.
+        self.shown_version = None
         for item in listing.items:
-            self._node.apply_plan(item.value)
+            if isinstance(item.value, FleetPlan):
+                self._apply(item.name, item.value)
 
     def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:  # noqa: ARG002
+        # A plan that can't be decoded is passed over, since this host has seen all before it.
         for change in changes.changes:
-            if not change.removed:
-                self._node.apply_plan(change.value)
+            if isinstance(change.value, FleetPlan) and not change.removed:
+                self._apply(change.name, change.value)
+            elif change.removed and change.name == self._plan_name:
+                self.shown_version = None
+
+    def _apply(self, name: str, plan: FleetPlan) -> None:
+        self._plan_name = name
+        self.shown_version = plan.version
+        self._node.apply_plan(plan)
 
 
 class _TargetListener:
@@ -192,6 +218,7 @@
         self._targets = TargetTable(self._clock)
         self._connection_pool = TargetConnectionPool(self._clock, memory)
         self._metrics = EntryMetrics()
+        self._freshness = PlanFreshness(settings.bounds.revoke_s)
         self._slots = SlotClient(
             self._hosts, self._targets, settings.bounds, self._clock, self._rng
         )
@@ -203,16 +230,40 @@
                 self._connection_pool,
                 self._metrics,
                 self._clock,
+                self._freshness,
             )
         )
         self._datagrams = DatagramEndpoint(settings.ip, settings.peer_port, self._handle_datagram)
         self._slots.attach(self._datagrams)
         self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
-        self._prober = HostProber(self._hosts, self._datagrams.send, self, self._clock, self._rng)
+        self._prober = HostProber(
+            self._hosts,
+            self._datagrams.send,
+            self,
+            self._clock,
+            self._rng,
+            # A late answer to a probe of an earlier process on this host must match no new probe.
+            first_seq=secrets.randbits(PROBE_SEQ_BITS) if self._freshness.is_bounded else 1,
+            tells_plan_age=self._freshness.is_bounded,
+        )
         self._relay = StoreRelay(self._hosts, self._datagrams.send)
-        self._plan_watch = self._create_watch(ObjectKind.PLAN, _PlanListener(self))
-        self._target_watch = self._create_watch(
-            ObjectKind.TARGETS, _TargetListener(self, self._targets)
+        self._plan_listener = _PlanListener(self)
+        self._plan_watch = StoreWatch(
+            store,
+            ObjectKind.PLAN,
+            self._plan_listener,
+            self._clock,
+            self._rng,
+            exchange=self._relay,
+            on_answer=self._confirm_plan,
+        )
+        self._target_watch = StoreWatch(
+            store,
+            ObjectKind.TARGETS,
+            _TargetListener(self, self._targets),
+            self._clock,
+            self._rng,
+            exchange=self._relay,
         )
         self._relay.set_watches(
             {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
@@ -264,10 +315,18 @@
     @property
     def host_status(self) -> HostStatus:
         """What this host tells the hosts that probe it."""
-        return HostStatus(self._plan_version(), self.is_ready, self._targets.newest_change)
+        plan_age_ms = None
+        if self._freshness.is_bounded:
+            plan_age_ms = encode_age_ms(self._freshness.age_s(self._clock.now()))
+        return HostStatus(
+            self._plan_version(), self.is_ready, self._targets.newest_change, plan_age_ms
+        )
 
-    def handle_host_status(self, status: HostStatus) -> None:
-        """List again what another host has a newer version of."""
+    def handle_host_status(self, status: HostStatus, asked_at: float | None) -> None:
+        """List again what another host has a newer version of; date its plan's confirmation."""
+        if self._freshness.is_bounded and asked_at is not None:
+            age_s = status.plan_age_ms / 1000 if status.plan_age_ms is not None else math.inf
+            self._freshness.record_peer(asked_at, age_s, status.plan_version, self._plan_version())
         if status.plan_version > self._plan_version():
             self._plan_watch.request_listing()
         if status.newest_change is not None:
@@ -326,13 +385,16 @@
         self._plan_watch.start()
         self._target_watch.start()
         loop = asyncio.get_running_loop()
-        for run_background in (
+        background: list[Callable[[], Coroutine[Any, Any, None]]] = [
             self._register_host,
             self._discover_hosts,
             self._prober.run,
             self._relay.run,
             self._run_housekeeping,
-        ):
+        ]
+        if self._freshness.is_bounded:
+            background.append(self._keep_plan_confirmed)
+        for run_background in background:
             task = loop.create_task(run_background())
             task.add_done_callback(_log_task_failure)
             self._tasks.append(task)
@@ -391,10 +453,8 @@
 
     # Changes from the store.
 
-    def apply_plan(self, plan: object) -> None:
-        """Put a plan in force if it is newer; ignore any other object."""
-        if not isinstance(plan, FleetPlan):
-            return
+    def apply_plan(self, plan: FleetPlan) -> None:
+        """Put a plan in force if it is newer."""
         routes = self._request_handler.routes
         if routes is not None and plan.version <= routes.plan.version:
             return
@@ -446,6 +506,38 @@
             )
             self._target_watch.request_listing()
 
+    def _confirm_plan(self, sent_at: float) -> None:
+        """Process an answer of the store to a call for the plan that was sent at `sent_at`."""
+        self._freshness.record_store_answer(
+            sent_at, self._plan_listener.shown_version, self._plan_version()
+        )
+
+    async def _keep_plan_confirmed(self) -> None:
+        """Ask other hosts, and then the store, for a newer confirmation; log changes of state."""
+        listing_requested_at = float("-inf")
+        while True:
+            await asyncio.sleep(CONFIRM_INTERVAL_S)
+            now = self._clock.now()
+            age_s = self._freshness.age_s(now)
+            if age_s > ASK_WATCHER_AGE_S and (watchers := self._relay.domain_watchers()):
+                self._prober.ask(self._rng.choice(watchers))
+            is_due = now - listing_requested_at > LIST_PLAN_INTERVAL_S
+            if age_s > LIST_PLAN_AGE_S and is_due and not self._plan_watch.is_unreachable:
+                listing_requested_at = now
+                self._plan_watch.request_listing()
+            self._log_confirmation(now)
+
+    def _log_confirmation(self, now: float) -> None:
+        may_run = self._freshness.take_state_change(now)
+        if may_run is not None:
+            log.log(
+                logbook.INFO if may_run else logbook.WARNING,
+                "event=account_keys_{} version={} age_s={:.2f}",
+                "confirmed" if may_run else "unconfirmed",
+                self._plan_version(),
+                self._freshness.age_s(now),
+            )
+
     def _plan_version(self) -> int:
         routes = self._request_handler.routes
         return routes.plan.version if routes is not None else 0
@@ -527,11 +619,6 @@
                 self._target_watch.request_listing()
             suspended_s = current_suspended_s
 
-    def _create_watch(
-        self, kind: ObjectKind, listener: _PlanListener | _TargetListener
-    ) -> StoreWatch:
-        return StoreWatch(self._store, kind, listener, self._clock, self._rng, exchange=self._relay)
-
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
         loop = asyncio.get_running_loop()
         self._servers[name] = await loop.create_server(
@@ -543,7 +630,11 @@
 
     async def _serve_metrics(self, request: CallerRequest) -> CallerResponse:  # noqa: ARG002
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        return CallerResponse(200, headers, self._metrics.render(self._memory.held_bytes))
+        plan_age_s = None
+        if self._freshness.is_bounded:
+            plan_age_s = self._freshness.age_s(self._clock.now())
+        body = self._metrics.render(self._memory.held_bytes, plan_age_s)
+        return CallerResponse(200, headers, body)
 
 
 def _log_task_failure(task: asyncio.Task[None]) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
@@ -1,9 +1,14 @@
 """Probes the other hosts one at a time, and exchanges with them which hosts are dead.
 
     ["probe", sequence number]
-    ["alive", sequence number, plan version, capacity, newest change of targets, hosts not alive]
+    ["alive", sequence number, plan version, capacity, newest change of targets, hosts not alive,
+     age of the plan's confirmation in ms]
     ["dead", ip, ...]
 
+The age is sent only in fleets with a time limit for revoked keys, and is null without a
+confirmation.  It is told in an answer, so that its receiver can date it from the sending of its own
+probe, see `planfreshness`.
+
 A host that misses a probe is probed again at once, with a longer timeout.  A host that finds
 another one dead by a probe of its own reports this to the live hosts.  They probe it as well, since
 on a network that loses packets a report alone is weak evidence, and pass it on to a few hosts.  A
@@ -66,10 +71,15 @@
 
 @dataclass
 class _PendingProbe:
-    """A probe without an answer so far; `is_report_check` if another host reported the host."""
+    """A probe without an answer so far; `is_report_check` if another host reported the host.
+
+    `sent_at` is in seconds of the event loop, and `asked_at` of the prober's clock, which also
+    counts the time for which the host was suspended.
+    """
 
     ip: str
     sent_at: float
+    asked_at: float
     timer: asyncio.TimerHandle
     is_report_check: bool
 
@@ -79,12 +89,14 @@
     """What a host tells of itself in its answer to a probe.
 
     `newest_change` is the store revision of the newest change of targets that it has seen; None
-    if the host, of an earlier version, tells none.
+    if the host, of an earlier version, tells none.  `plan_age_ms` is how long ago the plan version
+    was certainly the newest one; None if that isn't known, or if the fleet doesn't tell it.
     """
 
     plan_version: int
     is_ready: bool
     newest_change: int | None
+    plan_age_ms: int | None = None
 
 
 class ProbeOwner(Protocol):
@@ -95,8 +107,11 @@
         """What this host tells of itself."""
         ...
 
-    def handle_host_status(self, status: HostStatus) -> None:
-        """Process what another host tells of itself."""
+    def handle_host_status(self, status: HostStatus, asked_at: float | None) -> None:
+        """Process what another host tells of itself.
+
+        `asked_at` is when the probe was sent that it answers, or None if that isn't known.
+        """
         ...
 
     def greet_all(self) -> None:
@@ -114,8 +129,15 @@
         owner: ProbeOwner,
         clock: Clock,
         rng: random.Random,
+        *,
+        first_seq: int = 1,
+        tells_plan_age: bool = False,
     ) -> None:
-        """Create a prober; `owner` gets the status in each answer of another host."""
+        """Create a prober; `owner` gets the status in each answer of another host.
+
+        `first_seq` is the number of the first probe.  With `tells_plan_age` its answers tell the
+        age of the plan's confirmation.
+        """
         self._hosts = hosts
         self._send = send
         self._owner = owner
@@ -134,7 +156,8 @@
         self._confirmed_dead: list[str] = []  # Other hosts reported these first.
         self._report_tokens = MAX_REPORTS
         self._reported_at = float("-inf")
-        self._last_seq = 0
+        self._last_seq = first_seq - 1
+        self._tells_plan_age = tells_plan_age
         self._greeted_at = float("-inf")
         self._greeting_interval_s = MIN_GREETING_INTERVAL_S
 
@@ -158,17 +181,17 @@
         kind = message[0]
         if kind == "probe":
             status = self._owner.host_status
-            self._send(
-                ip,
-                [
-                    "alive",
-                    message[1],
-                    status.plan_version,
-                    self._hosts.own_capacity if status.is_ready else 0,
-                    status.newest_change,
-                    self._hosts.sample_not_alive(MAX_HOSTS_NAMED),
-                ],
-            )
+            answer = [
+                "alive",
+                message[1],
+                status.plan_version,
+                self._hosts.own_capacity if status.is_ready else 0,
+                status.newest_change,
+                self._hosts.sample_not_alive(MAX_HOSTS_NAMED),
+            ]
+            if self._tells_plan_age:
+                answer.append(status.plan_age_ms)
+            self._send(ip, answer)
             self.check_sender(ip)
         elif kind == "alive":
             self._handle_answer(ip, message)
@@ -181,6 +204,11 @@
             return False
         return True
 
+    def ask(self, ip: str) -> None:
+        """Probe a host for what it tells of itself, unless a probe of it has no answer yet."""
+        if ip not in self._probed:
+            self._probe(ip)
+
     def check_sender(self, ip: str) -> None:
         """Probe a host that has sent a message, if it is dead for this host."""
         peer = self._hosts.peers.get(ip)
@@ -211,7 +239,10 @@
             self._check_suspect(suspect)
         if options:
             self._hosts.set_capacity(ip, float(options[0]))
-        self._owner.handle_host_status(HostStatus(int(plan_version), is_ready, newest_change))
+        plan_age_ms = int(options[3]) if len(options) > 3 and options[3] is not None else None
+        status = HostStatus(int(plan_version), is_ready, newest_change, plan_age_ms)
+        asked_at = probe.asked_at if probe is not None and probe.ip == ip else None
+        self._owner.handle_host_status(status, asked_at)
 
     def _check_suspect(self, ip: str) -> None:
         """Probe a host that isn't alive for another host, if it is alive for this one."""
@@ -253,6 +284,7 @@
     def _probe(self, ip: str, is_report_check: bool = False) -> None:
         self._last_seq += 1
         seq = self._last_seq
+        asked_at = self._clock.now()
         self._send(ip, ["probe", seq])
         peer = self._hosts.peers.get(ip)
         missed = peer.missed_probes if peer is not None else 0
@@ -262,7 +294,7 @@
         )
         loop = asyncio.get_running_loop()
         timer = loop.call_later(timeout_s, self._handle_timeout, seq)
-        self._pending[seq] = _PendingProbe(ip, loop.time(), timer, is_report_check)
+        self._pending[seq] = _PendingProbe(ip, loop.time(), asked_at, timer, is_report_check)
         self._probed.add(ip)
         self._suspects_probed += is_report_check
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
@@ -74,6 +74,12 @@
         own = self._hosts.own
         return own.ip in self._watchers_by_domain().get(own.failure_domain, [])
 
+    def domain_watchers(self) -> list[str]:
+        """Return the IP addresses of the other hosts that watch the store for this domain."""
+        own = self._hosts.own
+        watchers = self._watchers_by_domain().get(own.failure_domain, [])
+        return [ip for ip in watchers if ip != own.ip]
+
     async def run(self) -> None:
         """Tell the hosts of the failure domain and the other watchers what is known, forever."""
         while True:
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -14,6 +14,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -110,10 +111,13 @@
         rng: random.Random,
         *,
         exchange: ChangeExchange | None = None,
+        on_answer: Callable[[float], None] | None = None,
     ) -> None:
         """Create a watch; nothing is called before `start`.
 
-        Without an exchange the host always watches the store itself.
+        Without an exchange the host always watches the store itself.  `on_answer` is called after
+        the listener got what an answer of the store shows, with the time at which the call was
+        sent: what the answer shows was the newest at some time after that.
         """
         self._store = store
         self._kind = kind
@@ -121,6 +125,7 @@
         self._clock = clock
         self._rng = rng
         self._exchange = exchange
+        self._on_answer = on_answer
         self._confirmed_at = float("-inf")
         self._unchanged_since = 0  # Nothing has changed from this revision to the known one.
         self._needed_revision = 0  # Other hosts tell no changes from earlier revisions on.
@@ -214,12 +219,14 @@
         """Run one listing, or one watch call, and pass the result to the listener."""
         if self._revision is None:
             self._listing_requested.clear()
+            sent_at = self._clock.now()
             listing = await self._store.list_all(self._kind)
             self._listed_at = self._clock.now()
             self._record_success()
             self._revision = listing.revision
             self._unchanged_since = listing.revision
             self._listener.on_listing(listing, self._grace_until())
+            self._note_answer(sent_at)
             return
         if self._listing_requested.is_set():
             self._revision = None
@@ -230,18 +237,24 @@
         if self._clock.now() - self._confirmed_at > MAX_RESUME_GAP_S:
             self._revision = None
             return
-        changes = await self._wait_for_changes(self._revision)
+        sent_at, watched_revision = self._clock.now(), self._revision
+        changes = await self._wait_for_changes(watched_revision)
         if changes is None:
             self._revision = None
             return
         self._record_success()
         if changes.revision <= self._revision:
-            return  # Another host was faster.
+            # Another host was faster, or nothing has changed.
+            if changes.revision >= watched_revision:
+                self._note_answer(sent_at)
+            return
         self._revision = changes.revision
         if changes.changes:
             base_revision, self._unchanged_since = self._unchanged_since, changes.revision
             self._listener.on_changes(changes, self._grace_until())
             self._pass_on(base_revision, changes)
+        self._note_answer(sent_at)
+        if changes.changes:
             await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
 
     def _may_follow(self) -> bool:
@@ -284,6 +297,10 @@
             watch_task.cancel()
             await asyncio.gather(watch_task, return_exceptions=True)
 
+    def _note_answer(self, sent_at: float) -> None:
+        if self._on_answer is not None:
+            self._on_answer(sent_at)
+
     def _grace_until(self) -> float | None:
         """Return until when missing objects may be registered again, or None if they are gone."""
         until = self._may_have_expired_until
--- a/tests/emulatedmembership.py
+++ b/tests/emulatedmembership.py
@@ -56,7 +56,7 @@
     def host_status(self) -> HostStatus:
         return HostStatus(0, self.is_ready, 0)
 
-    def handle_host_status(self, status: HostStatus) -> None:
+    def handle_host_status(self, status: HostStatus, asked_at: float | None) -> None:
         return
 
     def greet_all(self) -> None:
--- a/tests/test_entry_hostprober.py
+++ b/tests/test_entry_hostprober.py
@@ -31,7 +31,7 @@
     def host_status(self) -> HostStatus:
         return HostStatus(1, True, 5)
 
-    def handle_host_status(self, status: HostStatus) -> None:
+    def handle_host_status(self, status: HostStatus, asked_at: float | None) -> None:
         return
 
     def greet_all(self) -> None:
