Add quotas of client accounts over all hosts

A trial on a deployment let 126 requests of an account run within 2 s whose limit was 126 in 5 s, since no host sees enough of an account to limit it. Each account now has a keeper, the first live host in rank, which grants credit from a token bucket; a host asks it before the first slot request.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -291,6 +291,10 @@
                 return ip
         return self._own_ip
 
+    def is_skipped(self, ip: str) -> bool:
+        """Return whether a host is skipped as a broker since it was silent."""
+        return self._clock.now() < self._skipped_until.get(ip, 0.0)
+
     def _skip_broker(self, broker: str, service: str) -> None:
         log.warning("event=broker_silent service={} broker={}", service, broker)
         self._skipped_until[broker] = self._clock.now() + SILENT_BROKER_SKIP_S
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -21,6 +21,7 @@
 from toucanspindle_core.fingerprint import fingerprint_of_parts
 from toucanspindle_core.hostport import HostPort
 
+from toucanspindle_entry.accounts.quotaclient import QuotaClient
 from toucanspindle_entry.bodybuffer import body_blocks
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
 from toucanspindle_entry.broker.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
@@ -51,6 +52,7 @@
 MIN_ATTEMPT_S: Final = 0.05  # Least remaining time in which another attempt is worth starting.
 NO_PLAN_RETRY_AFTER_S: Final = 0.5
 SHED_RETRY_AFTER_S: Final = 0.3
+MIN_RETRY_AFTER_S: Final = 0.01  # The least that the header expresses.
 MAX_UNUSED_GRANTS: Final = 6  # Grants per request whose target was unreachable or leaving.
 SERVED_LOG_INTERVAL: Final = 20  # Logs one in 20 served requests, and every failed one.
 FINGERPRINT_HEX_DIGITS: Final = 16
@@ -113,7 +115,7 @@
 
 @dataclass(frozen=True)
 class HandlerDependencies:
-    """Components that a `RequestHandler` uses."""
+    """Components that a `RequestHandler` uses; without `quotas` no account is limited."""
 
     header_names: HeaderNames
     slots: SlotClient
@@ -121,6 +123,7 @@
     connection_pool: TargetConnectionPool
     metrics: EntryMetrics
     clock: Clock
+    quotas: QuotaClient | None = None
 
 
 class RequestHandler:
@@ -134,6 +137,7 @@
         self._connection_pool = dependencies.connection_pool
         self._metrics = dependencies.metrics
         self._clock = dependencies.clock
+        self._quotas = dependencies.quotas
         self.routes: RouteIndex | None = None
         self._served_count = 0
         self._slot_timeouts: set[asyncio.Timeout] = set()
@@ -147,7 +151,7 @@
             return routed
         self._metrics.in_flight += 1
         try:
-            response = await self._run_attempts(routed)
+            response = await self._run_within_quota(routed)
         except asyncio.CancelledError:
             self._metrics.count_disconnected_caller(routed.service)
             raise
@@ -230,6 +234,30 @@
             401,
         )
 
+    # Quotas.
+
+    async def _run_within_quota(self, progress: _RequestProgress) -> CallerResponse:
+        """Run attempts if the request's account has credit; return credit that wasn't used."""
+        account = progress.account
+        if self._quotas is None or account is None or account.rate_per_s <= 0:
+            return await self._run_attempts(progress)
+        time_left_s = progress.deadline_at - self._clock.now()
+        retry_after_s = await self._quotas.acquire(account, time_left_s)
+        if retry_after_s is not None:
+            return answers.error_response(
+                errorcodes.ACCOUNT_LIMITED,
+                "The account is over its rate limit; the request has not run.",
+                "send it again after the time in Retry-After",
+                429,
+                max(MIN_RETRY_AFTER_S, retry_after_s),
+            )
+        acquired_at = self._clock.now()
+        try:
+            return await self._run_attempts(progress)
+        finally:
+            if not progress.may_have_run:
+                self._quotas.give_back(account, acquired_at)
+
     # Attempts.
 
     async def _run_attempts(self, progress: _RequestProgress) -> CallerResponse:
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -5,6 +5,7 @@
 
 from bisect import bisect_left
 from collections import Counter
+from collections.abc import Mapping
 from typing import Final
 
 LATENCY_BUCKETS_S: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
@@ -27,6 +28,7 @@
         self._handler_failures = 0
         self._buckets: dict[str, list[int]] = {}
         self._latency_sums_ms: Counter[str] = Counter()
+        self.quota_counts: Counter[str] = Counter()  # Shared with the quota client.
 
     def record_response(self, service: str, status: int, latency_s: float) -> None:
         """Count a response and its latency in seconds."""
@@ -67,12 +69,20 @@
         """Count a caller whose connection was ended because it took nothing of a response."""
         self._stalled_callers += 1
 
-    def render(self, held_bytes: int) -> bytes:
-        """Return all metrics in the Prometheus text format; `held_bytes` is what peers hold."""
+    def render(self, held_bytes: int, gauges: Mapping[str, int] | None = None) -> bytes:
+        """Return all metrics in the Prometheus text format.
+
+        `held_bytes` is what peers hold; `gauges` are further values by name.
+        """
         prefix = "toucanspindle_entry"
         lines = [f"# TYPE {prefix}_in_flight gauge", f"{prefix}_in_flight {self.in_flight}"]
         lines.append(f"# TYPE {prefix}_held_bytes gauge")
         lines.append(f"{prefix}_held_bytes {held_bytes}")
+        for gauge, number in sorted((gauges or {}).items()):
+            lines += [f"# TYPE {prefix}_{gauge} gauge", f"{prefix}_{gauge} {number}"]
+        lines.append(f"# TYPE {prefix}_quota_events_total counter")
+        for event, count in sorted(self.quota_counts.items()):
+            lines.append(f'{prefix}_quota_events_total{{event="{event}"}} {count}')
         lines.append(f"# TYPE {prefix}_requests_total counter")
         for (service, status), count in sorted(self._requests.items()):
             labels = f'service="{service}",status="{status}"'
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -23,6 +23,7 @@
 from toucanspindle_core.errors import PlatformError
 from toucanspindle_core.hostport import HostPort
 
+from toucanspindle_entry.accounts.quotaclient import QuotaClient
 from toucanspindle_entry.broker.slotclient import SlotClient
 from toucanspindle_entry.callers.callerconnection import CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
@@ -195,6 +196,14 @@
         self._slots = SlotClient(
             self._hosts, self._targets, settings.bounds, self._clock, self._rng
         )
+        self._quotas = QuotaClient(
+            self._hosts,
+            settings.bounds,
+            self._clock,
+            self._rng,
+            self._slots.is_skipped,
+        )
+        self._metrics.quota_counts = self._quotas.counts
         self._request_handler = RequestHandler(
             HandlerDependencies(
                 header_names,
@@ -203,10 +212,12 @@
                 self._connection_pool,
                 self._metrics,
                 self._clock,
+                self._quotas,
             )
         )
         self._datagrams = DatagramEndpoint(settings.ip, settings.peer_port, self._handle_datagram)
         self._slots.attach(self._datagrams)
+        self._quotas.attach(self._datagrams)
         self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
         self._prober = HostProber(self._hosts, self._datagrams.send, self, self._clock, self._rng)
         self._relay = StoreRelay(self._hosts, self._datagrams.send)
@@ -331,6 +342,7 @@
             self._discover_hosts,
             self._prober.run,
             self._relay.run,
+            self._quotas.run,
             self._run_housekeeping,
         ):
             task = loop.create_task(run_background())
@@ -398,7 +410,9 @@
         routes = self._request_handler.routes
         if routes is not None and plan.version <= routes.plan.version:
             return
-        self._request_handler.routes = RouteIndex(plan, self._rng)
+        routes = RouteIndex(plan, self._rng)
+        self._request_handler.routes = routes
+        self._quotas.set_plan(plan, routes.accounts)
         log.info("event=plan_in_force version={} routes={}", plan.version, len(plan.routes))
         self._announce_when_ready()
 
@@ -419,9 +433,11 @@
             self._announcer.greet_all()
 
     def _handle_datagram(self, ip: str, message: Message) -> None:
-        """Process a datagram about slots or about other hosts; ignore unknown kinds."""
+        """Process a datagram about slots, quotas or other hosts; ignore unknown kinds."""
         if self._slots.handle_message(ip, message) or self._relay.handle_message(ip, message):
             return
+        if self._quotas.handle_message(ip, message):
+            return
         kind = message[0]
         now = self._clock.now()
         if self._prober.handle_message(ip, message):
@@ -543,7 +559,9 @@
 
     async def _serve_metrics(self, request: CallerRequest) -> CallerResponse:  # noqa: ARG002
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        return CallerResponse(200, headers, self._metrics.render(self._memory.held_bytes))
+        return CallerResponse(
+            200, headers, self._metrics.render(self._memory.held_bytes, self._quotas.gauges)
+        )
 
 
 def _log_task_failure(task: asyncio.Task[None]) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/hosts/livehosts.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hosts/livehosts.py
@@ -107,6 +107,10 @@
         """Return whether this host is isolated: it knows other hosts, but none answers."""
         return bool(self._peers) and now - self._last_answer_at > ISOLATION_TIMEOUT_S
 
+    def silence_s(self, now: float) -> float:
+        """Return for how many seconds no other host has answered a probe."""
+        return now - self._last_answer_at
+
     def add_host(self, entry: HostEntry, now: float) -> bool:
         """Add a host as alive; return whether the host or its incarnation is new.
 
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -16,6 +16,7 @@
 from typing import Final, cast
 
 from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.accounts.quotaclient import TICK_S, QuotaClient
 from toucanspindle_entry.bodybuffer import Body
 from toucanspindle_entry.broker.slotclient import SlotClient
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
@@ -26,7 +27,14 @@
 from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.hosts.hostprober import PROBE_INTERVAL_S
 from toucanspindle_entry.hosts.livehosts import LiveHosts
-from toucanspindle_entry.model import FleetPlan, HostEntry, Route, TargetEntry, WeightedService
+from toucanspindle_entry.model import (
+    ClientAccount,
+    FleetPlan,
+    HostEntry,
+    Route,
+    TargetEntry,
+    WeightedService,
+)
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.store.storewatch import REGISTRATION_GRACE_S
 from toucanspindle_entry.targets.httpclient import ConnectError, ConnectionLostError, HttpResponse
@@ -69,7 +77,8 @@
     The route is split evenly over the services, and each target belongs to one of them.
     `rate` is in requests per second.  `shed_share` is refused by targets as not run, `fail_share`
     ends with status 500, and `unreachable_share` of the connects fail.  A host needs `datagram_s`
-    of processor time for each datagram, and handles them one after the other.
+    of processor time for each datagram, and handles them one after the other.  `loss` is the
+    share of the datagrams that are lost.
     """
 
     hosts: int = 24
@@ -85,6 +94,8 @@
     max_attempts: int = 3
     datagram_s: float = 0.0
     bounds: FleetBounds = FleetBounds(2.0, 6.0, 0.2, 10.0, 40.0, 3.0, 0.7)
+    accounts: tuple[ClientAccount, ...] | None = None
+    loss: float = 0.0
 
 
 @dataclass
@@ -100,7 +111,9 @@
     `limit_told_at` when it first told it to a host (by incarnation), and `limited_arrivals` holds
     the times of the requests that count against the limit, by target.  `paused_until` is until when
     a target wants nothing from a host (by incarnation), and `unwanted` counts the requests that
-    it gets from there meanwhile, in each pause.
+    it gets from there meanwhile, in each pause.  `account_responses` holds when a request was sent
+    and the status of its response (0 if its caller left), by key, and `account_runs` when the
+    requests that reached a target were sent, by account and request id.
     """
 
     arrivals: list[tuple[float, str]] = field(default_factory=list)
@@ -119,6 +132,9 @@
     paused_until: dict[tuple[str, str], float] = field(default_factory=dict)
     unwanted: Counter[tuple[str, str, float]] = field(default_factory=Counter)
 
+    account_responses: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    account_runs: dict[str, dict[str, float]] = field(default_factory=dict)
+
     def worst_limit_excess(self, limits: dict[str, float]) -> float:
         """Return by how much the worst window exceeds a target's limit; negative if none does."""
         worst = float("-inf")
@@ -242,6 +258,10 @@
         self.targets.advance_to(fleet.store_revision)
         self.slots = SlotClient(self.live_hosts, self.targets, fleet.shape.bounds, LoopClock(), rng)
         self.slots.attach(cast(DatagramEndpoint, _EmulatedEndpoint(fleet, self)))
+        self.quotas = QuotaClient(
+            self.live_hosts, fleet.shape.bounds, LoopClock(), rng, self.slots.is_skipped
+        )
+        self.quotas.attach(cast(DatagramEndpoint, _EmulatedEndpoint(fleet, self)))
         self.handler = RequestHandler(
             HandlerDependencies(
                 HEADER_NAMES,
@@ -250,9 +270,24 @@
                 cast(TargetConnectionPool, _EmulatedPool(fleet, self)),
                 EntryMetrics(),
                 clock,
+                self.quotas,
             )
         )
-        self.handler.routes = RouteIndex(fleet.plan, rng)
+        self._rng = rng
+        self.set_plan(fleet.plan)
+        self._quota_task = asyncio.get_running_loop().create_task(self._run_quotas())
+
+    def set_plan(self, plan: FleetPlan) -> None:
+        """Put a plan in force on this host."""
+        self.handler.routes = RouteIndex(plan, self._rng)
+        self.quotas.set_plan(plan, self.handler.routes.accounts)
+
+    async def _run_quotas(self) -> None:
+        """Do the housekeeping of quotas while the host runs; none while it is frozen."""
+        while self.is_running:
+            await asyncio.sleep(TICK_S)
+            await self.wait_until_awake()
+            self.quotas.tick()
 
     @property
     def is_disturbed(self) -> bool:
@@ -301,7 +336,8 @@
             1,
             tuple(WeightedService(service, 1.0) for service in services),
         )
-        self.plan = FleetPlan(1, (route,), frozenset(services))
+        self.plan = FleetPlan(1, (route,), frozenset(services), accounts=shape.accounts)
+        self.account_rates: dict[str, float] = {}  # By key; instead of `rate`, if not empty.
         self._incarnations = 0
         self.store_revision = shape.targets
         self._entries = [
@@ -320,6 +356,7 @@
         self.pause_s = 0.0
         self.rate_factor = 1.0
         self.datagrams: Counter[str] = Counter()  # Sent by each host.
+        self.datagram_kinds: Counter[str] = Counter()
         self.takeovers: set[tuple[str, float]] = set()  # Host and time.
 
     def next_incarnation(self) -> int:
@@ -341,10 +378,15 @@
         delay_s = SLOW_HOST_DELAY_S if receiver.is_slow else MESSAGE_DELAY_S
 
         def receive() -> None:
-            if receiver.is_running and self.hosts[ip] is receiver:
+            if not receiver.is_running or self.hosts[ip] is not receiver:
+                return
+            if not receiver.quotas.handle_message(sender.ip, message):
                 receiver.slots.handle_message(sender.ip, message)
 
         self.datagrams[sender.ip] += 1
+        self.datagram_kinds[message[0]] += 1
+        if self.rng.random() < self.shape.loss:
+            return
         if message[0] == "sync":
             self.takeovers.add((sender.ip, self._now()))
         starts_at = max(receiver.busy_until, self._now() + delay_s)
@@ -359,6 +401,9 @@
         request_id = head[HEADER_NAMES.request_id]
         now = asyncio.get_running_loop().time()
         self.record.arrivals.append((now, request_id.decode()))
+        account = head.get(HEADER_NAMES.account, b"").decode()
+        runs = self.record.account_runs.setdefault(account, {})
+        runs[request_id.decode()] = self.record.sent_at[request_id.decode()]
         deadline_at = now + int(head[HEADER_NAMES.deadline_ms]) / 1000
         self.record.deadlines.setdefault(request_id.decode(), []).append(deadline_at)
         target_name = head[HEADER_NAMES.expected_target].decode()
@@ -417,10 +462,13 @@
         probing = loop.create_task(self._answer_probes())
         end_at = loop.time() + duration_s
         while loop.time() < end_at:
-            await asyncio.sleep(self.rng.expovariate(self.shape.rate * self.rate_factor))
+            rate = sum(self.account_rates.values()) or self.shape.rate
+            await asyncio.sleep(self.rng.expovariate(rate * self.rate_factor))
             running = [host for host in self.hosts.values() if host.is_running]
+            rates = self.account_rates
+            key = self.rng.choices(list(rates), list(rates.values()))[0] if rates else ""
             if running:
-                self.send_request(self.rng.choice(running))
+                self.send_request(self.rng.choice(running), key=key)
         await asyncio.wait(self._tasks, timeout=2 * DEADLINE_S)
         probing.cancel()
 
@@ -437,7 +485,7 @@
         """Send a host the request that crashes each target that runs it."""
         self.send_request(host, POISON_PATH)
 
-    def send_request(self, host: EmulatedHost, path: str = "") -> None:
+    def send_request(self, host: EmulatedHost, path: str = "", key: str = "") -> None:
         """Send one request to a host; without a path it is unlike all others."""
         self._request_count += 1
         self.record.requests.append(self._now())
@@ -447,6 +495,8 @@
             (HEADER_NAMES.request_id, b"q%d" % self._request_count),
             (HEADER_NAMES.deadline_ms, b"%d" % (DEADLINE_S * 1000)),
         ]
+        if key:
+            headers.append((HEADER_NAMES.account_key, key.encode()))
         method = "GET" if self.shape.idempotent else "POST"
         path = path or f"/{self._request_count}"
 
@@ -458,6 +508,9 @@
         task = asyncio.get_running_loop().create_task(handle())
         self._tasks[task] = host
         task.add_done_callback(self._end_request)
+        if key:
+            sent_at = self._now()
+            task.add_done_callback(lambda task: self._record_account(key, sent_at, task))
         # The caller leaves at its deadline.
         asyncio.get_running_loop().call_later(DEADLINE_S, task.cancel)
 
@@ -466,6 +519,17 @@
         if not task.cancelled():
             self.statuses.append(task.result().status)
 
+    def _record_account(self, key: str, sent_at: float, task: asyncio.Task[CallerResponse]) -> None:
+        status = 0 if task.cancelled() else task.result().status
+        self.record.account_responses.setdefault(key, []).append((sent_at, status))
+
+    def set_plan(self, plan: FleetPlan, unaware: frozenset[str] = frozenset()) -> None:
+        """Put a plan in force on all hosts but those `unaware`."""
+        self.plan = plan
+        for ip, host in self.hosts.items():
+            if ip not in unaware:
+                host.set_plan(plan)
+
     # Changes of the registered targets.
 
     def remove_targets(self, names: set[str], unaware: set[str]) -> None:
