--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -22,6 +22,7 @@
 from toucanspindle_core.hostport import HostPort
 
 from toucanspindle_entry.accounts.planfreshness import PlanFreshness
+from toucanspindle_entry.accounts.quotaclient import QuotaClient
 from toucanspindle_entry.bodybuffer import body_blocks
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
 from toucanspindle_entry.broker.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
@@ -53,6 +54,7 @@
 NO_PLAN_RETRY_AFTER_S: Final = 0.5
 UNCONFIRMED_RETRY_AFTER_S: Final = 0.5  # The plan is confirmed twice a second in normal operation.
 SHED_RETRY_AFTER_S: Final = 0.3
+MIN_RETRY_AFTER_S: Final = 0.01  # The least that the header expresses.
 MAX_UNUSED_GRANTS: Final = 6  # Grants per request whose target was unreachable or leaving.
 SERVED_LOG_INTERVAL: Final = 20  # Logs one in 20 served requests, and every failed one.
 FINGERPRINT_HEX_DIGITS: Final = 16
@@ -115,7 +117,7 @@
 
 @dataclass(frozen=True)
 class HandlerDependencies:
-    """Components that a `RequestHandler` uses."""
+    """Components that a `RequestHandler` uses; without `quotas` no account is limited."""
 
     header_names: HeaderNames
     slots: SlotClient
@@ -124,6 +126,7 @@
     metrics: EntryMetrics
     clock: Clock
     freshness: PlanFreshness = field(default_factory=lambda: PlanFreshness(None))
+    quotas: QuotaClient | None = None
 
 
 class RequestHandler:
@@ -138,6 +141,7 @@
         self._metrics = dependencies.metrics
         self._clock = dependencies.clock
         self._freshness = dependencies.freshness
+        self._quotas = dependencies.quotas
         self.routes: RouteIndex | None = None
         self._served_count = 0
         self._slot_timeouts: set[asyncio.Timeout] = set()
@@ -151,7 +155,7 @@
             return routed
         self._metrics.in_flight += 1
         try:
-            response = await self._run_attempts(routed)
+            response = await self._run_within_quota(routed)
         except asyncio.CancelledError:
             self._metrics.count_disconnected_caller(routed.service)
             raise
@@ -245,6 +249,30 @@
             401,
         )
 
+    # Quotas.
+
+    async def _run_within_quota(self, progress: _RequestProgress) -> CallerResponse:
+        """Run attempts if the request's account has credit; return credit that wasn't used."""
+        account = progress.account
+        if self._quotas is None or account is None or account.rate_per_s <= 0:
+            return await self._run_attempts(progress)
+        time_left_s = progress.deadline_at - self._clock.now()
+        retry_after_s = await self._quotas.acquire(account, time_left_s)
+        if retry_after_s is not None:
+            return answers.error_response(
+                errorcodes.ACCOUNT_LIMITED,
+                "The account is over its rate limit; the request has not run.",
+                "send it again after the time in Retry-After",
+                429,
+                max(MIN_RETRY_AFTER_S, retry_after_s),
+            )
+        acquired_at = self._clock.now()
+        try:
+            return await self._run_attempts(progress)
+        finally:
+            if not progress.may_have_run:
+                self._quotas.give_back(account, acquired_at)
+
     # Attempts.
 
     async def _run_attempts(self, progress: _RequestProgress) -> CallerResponse:
