Take no status outside of 100 to 599 for an answer

Cause: the parser accepts any three digits. Statuses below 100 counted as interim responses, so the caller waited for its deadline and got 504; statuses above 599 were passed on as the target's answer. Such a response is now malformed in both forms: it counts against the target, an idempotent request may go to another one, any other caller gets 502.

--- a/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
@@ -37,6 +37,8 @@
 WRITE_BUFFER_BYTES: Final = 32_768  # What may wait to be sent; writing pauses above.
 HEADER_OVERHEAD_BYTES: Final = 180  # Of the objects around a header.
 NO_BODY_STATUSES: Final = frozenset({204, 304})
+FIRST_STATUS: Final = 100  # RFC 9110, 15: any other status is invalid.
+LAST_STATUS: Final = 599
 FIRST_FINAL_STATUS: Final = 200
 
 
@@ -313,6 +315,9 @@
         response.status = self._parser.get_status_code()
         has_length = response.header(b"content-length") is not None
         chunked = response.header(b"transfer-encoding") is not None
+        if not FIRST_STATUS <= response.status <= LAST_STATUS:
+            self._fail_exchange(MalformedResponseError(f"status {response.status:03}"))
+            return
         if response.status < FIRST_FINAL_STATUS:
             return
         self._is_head_complete = True
--- a/packages/toucanspindle-node/toucanspindle_node/targetanswer.py
+++ b/packages/toucanspindle-node/toucanspindle_node/targetanswer.py
@@ -17,6 +17,8 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 READ_BYTES: Final = 65_536
+FIRST_STATUS: Final = 100  # RFC 9110, 15: any other status is invalid.
+LAST_STATUS: Final = 599
 FIRST_FINAL_STATUS: Final = 200  # lower statuses are interim responses, which are skipped
 MAX_RESPONSE_BYTES: Final = 33_554_432
 MAX_HEAD_BYTES: Final = 65_536
@@ -57,13 +59,15 @@
 class _ParserCallbacks:
     """The callbacks of the parser, which fill in a response.
 
-    Invariant: `has_trailing_data` is set when bytes follow the complete response.
+    Invariant: `has_trailing_data` is set when bytes follow the complete response, and
+    `invalid_status` when a response has a status that HTTP doesn't have.
     """
 
     def __init__(self, response: TargetResponse) -> None:
         self.response = response
         self.parser = HttpResponseParser(self)
         self.has_trailing_data = False
+        self.invalid_status: int | None = None
         self.body_bytes = 0
         self._is_head_complete = False
         self._body_chunks: list[bytes] = []
@@ -77,6 +81,9 @@
         self.response.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self.invalid_status = status
         self._is_head_complete = self.parser.get_status_code() >= FIRST_FINAL_STATUS
         self.response.status = self.parser.get_status_code()
         self.response.keep_alive = self.parser.should_keep_alive()
@@ -122,6 +129,10 @@
                     f"the response is malformed: {error}", response_started
                 ) from error
             callbacks.has_trailing_data = True
+        if callbacks.invalid_status is not None:
+            raise BrokenResponseError(
+                f"the response has status {callbacks.invalid_status:03}", response_started
+            )
         framing_bytes = received_bytes - callbacks.body_bytes
         if framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * callbacks.body_bytes:
             raise BrokenResponseError(
--- a/tests/test_entry_httpclient.py
+++ b/tests/test_entry_httpclient.py
@@ -161,6 +161,14 @@
         ):
             self.assertRaises(error, self.exchange, target), name
 
+    # Guards against a wait until the deadline (statuses below 100, taken for interim ones) and
+    # against bytes that a caller would take for an answer (statuses above 599).
+    def test_statuses_outside_of_100_to_599_are_malformed(self) -> None:
+        for status in (b"000", b"001", b"099", b"600", b"999", b"00", b"20", b"2000", b"+20"):
+            answer = OWN_RESPONSE.replace(b"200", status, 1)
+            target = respond_with(answer, keeps_open=True)
+            self.assertRaises(MalformedResponseError, self.exchange, target), status
+
     def test_refused_connection_raises_connect_error(self) -> None:
         with socket.socket() as sock:
             sock.bind(("127.0.0.1", 0))
--- a/tests/test_entry_requestpath.py
+++ b/tests/test_entry_requestpath.py
@@ -240,6 +240,21 @@
                 responses, _ = self.send(answer, "q1", method=method)
                 self.assertEqual(502, responses[0].status, (method, cut))
 
+    # Guards against a caller that gets status 000 or 999 as a target's answer, or waits for it.
+    def test_answer_with_a_status_outside_of_100_to_599_is_given_up(self) -> None:
+        for status in (b"000", b"999"):
+
+            async def answer(
+                number: int,
+                request_id: bytes,
+                writer: asyncio.StreamWriter,
+                status: bytes = status,
+            ) -> None:
+                writer.write(response(request_id).replace(b"200", status, 1))
+
+            responses, _ = self.send(answer, "q1", method="POST")
+            self.assertEqual(502, responses[0].status, status)
+
     def test_answer_without_end_is_given_up_before_the_deadline(self) -> None:
         async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
             writer.write(b"HTTP/1.1 200 OK\r\n")
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -256,6 +256,13 @@
             self.assertEqual(AttemptKind.BROKEN, result.kind, name)
             self.assertEqual(b"", result.body, name)
 
+    # Guards against a wait until the deadline, and against bytes that a caller takes for an answer.
+    def test_statuses_outside_of_100_to_599_are_broken(self) -> None:
+        for status in (b"000", b"001", b"099", b"600", b"999", b"00", b"20", b"2000", b"+20"):
+            answer = COMPLETE_RESPONSE.replace(b"200", status, 1)
+            result = self.attempt(self.scripted(respond(answer)))
+            self.assertEqual(AttemptKind.BROKEN, result.kind, status)
+
     def test_interim_response_is_skipped(self) -> None:
         interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
         result = self.attempt(self.scripted(respond(interim + COMPLETE_RESPONSE)))
