Compare store revisions only within an era of the store

The store may come back restored from a copy: what was written since is lost, and revisions are given out again. Until now a watch from a revision that existed again skipped the changes up to it, and a target that the copy lacked was taken for gone at once.

The era of an answer (header Store-Era) goes with listings, changes, relayed states, entries of targets, grants and answers to probes. A watch lists its kind when an answer shows a newer era, and missing targets have 2 s to be written again. Messages of an older era are ignored; a message of a newer one leads to a listing. A host registers again in each era. Era 0 is left out of messages, so they are unchanged before a store without the header.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -70,7 +70,7 @@
     `unhealthy_probability` is the broker's estimate for the target, and `estimate_age_ms` the age
     of the last outcome in it.  `started_ms` identifies the target's incarnation.  `broker` is the
     IP address of the host that granted the slot, and `entry_revision` the store revision of the
-    target's entry there, or 0 if it isn't known.
+    target's entry there, or 0 if it isn't known; `entry_era` is the era of that revision.
     """
 
     slot_request_id: str
@@ -81,6 +81,7 @@
     estimate_age_ms: int
     broker: str
     entry_revision: int = 0
+    entry_era: int = 0
 
 
 @dataclass
@@ -374,7 +375,7 @@
                 self._send_report(str(message[2]), broker, report)
             return
         if message[0] == "grant":
-            # Brokers of earlier versions send no revision.
+            # Brokers of earlier versions send no revision.  An era of 0 is left out.
             (
                 _,
                 _,
@@ -384,7 +385,7 @@
                 estimate_age_ms,
                 address,
                 started_ms,
-                *revisions,
+                *origin,
             ) = message
             grant = SlotGrant(
                 slot_request_id,
@@ -394,7 +395,8 @@
                 unhealthy_probability,
                 estimate_age_ms,
                 broker,
-                int(revisions[0]) if revisions else 0,
+                int(origin[0]) if origin else 0,
+                int(origin[1]) if len(origin) > 1 else 0,
             )
             pending.future.set_result(grant)
         elif message[0] == "refused":
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -6,7 +6,7 @@
      excluded, fingerprint, retry credit, account, account priority, account weight, body bytes,
      allowed targets]
     ["grant", id, service, target, unhealthy probability, estimate age ms, address, started ms,
-     entry revision]
+     entry revision, era of the entry]
     ["queued", id]
     ["refused", id, reason, retry after ms]
     ["end", service, id, target, outcome, work ms, fingerprint, notice]
@@ -21,7 +21,8 @@
 `ask` with `grant`, `queued` or `refused`, acknowledges `end` with `noted`, and sends `sync` when it
 takes over.  `crashed` is described in `poisonsharing`.  A broker sends `granted` to the hosts that
 may be brokers too for its grants of targets that limit their requests.  `id` is that of the slot
-request.  A notice is encoded as in `targetnotices`; it is null if the target sent no response.
+request.  A notice is encoded as in `targetnotices`; it is null if the target sent no response.  The
+era of the store that the entry's revision belongs to is left out if it is 0.
 """
 
 from toucanspindle_entry.broker.slottypes import (
@@ -120,8 +121,10 @@
         unhealthy_probability = round(decision.unhealthy_probability, 3)
         age_ms = int(decision.estimate_age_s * MS_PER_S)
         identity = [decision.slot_request_id, service, decision.target]
-        revision = target.revision if target else 0
-        return ["grant", *identity, unhealthy_probability, age_ms, address, started_ms, revision]
+        origin = [target.revision, target.era] if target else [0, 0]
+        if not origin[1]:
+            del origin[1]
+        return ["grant", *identity, unhealthy_probability, age_ms, address, started_ms, *origin]
     if isinstance(decision, Refused):
         retry_after_ms = int(decision.retry_after_s * MS_PER_S)
         return ["refused", decision.slot_request_id, decision.reason.value, retry_after_ms]
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -307,7 +307,9 @@
     async def _send_to_target(self, progress: _RequestProgress, grant: SlotGrant) -> _AttemptResult:
         """Forward the request before its deadline, unless the target is draining or has left."""
         entry = self._targets.get(grant.target)
-        has_left = self._targets.has_left(grant.target, grant.started_ms, grant.entry_revision)
+        has_left = self._targets.has_left(
+            grant.target, grant.started_ms, grant.entry_revision, grant.entry_era
+        )
         # A broker that repeats a grant sends no address if it has forgotten the target meanwhile.
         has_left = has_left or (entry is None and not grant.address)
         if has_left or (entry is not None and entry.state is not TargetState.READY):
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -52,7 +52,7 @@
     StoreListing,
 )
 from toucanspindle_entry.store.storerelay import StoreRelay
-from toucanspindle_entry.store.storewatch import StoreWatch
+from toucanspindle_entry.store.storewatch import REGISTRATION_GRACE_S, StoreWatch
 from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targets.targettable import TargetTable
 
@@ -142,6 +142,7 @@
         for entry in entries:
             if (known := self._table.get(entry.name)) is not None:
                 _log_target_change(known, entry)
+        self._table.begin_era(listing.era, grace_until or 0.0)
         self._table.replace_all(entries, grace_until)
         self._table.advance_to(listing.revision)
         self._node.targets_changed()
@@ -217,6 +218,11 @@
         self._relay.set_watches(
             {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
         )
+        for watch in (self._plan_watch, self._target_watch):
+            watch.add_era_observer(self._handle_era)
+        self._targets.set_era_listener(self._target_watch.hear_era)
+        self._store_era = 0
+        self._era_rose = asyncio.Event()
         self._missed_targets = MissedChanges()
         self._host_listing_requested = asyncio.Event()
         self._targets_known = False
@@ -264,14 +270,16 @@
     @property
     def host_status(self) -> HostStatus:
         """What this host tells the hosts that probe it."""
-        return HostStatus(self._plan_version(), self.is_ready, self._targets.newest_change)
+        return HostStatus(
+            self._plan_version(), self.is_ready, self._targets.newest_change, self._targets.era
+        )
 
     def handle_host_status(self, status: HostStatus) -> None:
         """List again what another host has a newer version of."""
         if status.plan_version > self._plan_version():
             self._plan_watch.request_listing()
         if status.newest_change is not None:
-            self._check_missed_targets(status.newest_change, self._clock.now())
+            self._check_missed_targets(status.newest_change, status.store_era, self._clock.now())
 
     def greet_all(self) -> None:
         """Greet all known hosts, and those that started while this one was cut off.
@@ -408,6 +416,24 @@
         self._slots.targets_changed()
         self._announce_when_ready()
 
+    def _hear_era(self, era: int) -> None:
+        """List all kinds if their listings are of an earlier era of the store."""
+        self._plan_watch.hear_era(era)
+        self._target_watch.hear_era(era)
+
+    def _handle_era(self, era: int, now: float) -> None:  # noqa: ARG002
+        """List the other kinds and register again, when a listing shows another era."""
+        self._missed_targets = MissedChanges()
+        if era <= self._store_era:
+            return
+        self._store_era = era
+        self._hear_era(era)
+        self._era_rose.set()
+        if self._announced_ready:
+            # The other hosts have registered again by then.
+            wait_s = REGISTRATION_GRACE_S * self._rng.uniform(1.0, 1.5)
+            asyncio.get_running_loop().call_later(wait_s, self._host_listing_requested.set)
+
     # Other hosts.
 
     def _announce_when_ready(self) -> None:
@@ -436,9 +462,12 @@
         elif kind == "leave" and self._hosts.set_leaving(ip, message[1]):
             log.info("event=host_leaving host={}", ip)
 
-    def _check_missed_targets(self, newest_change: int, now: float) -> None:
+    def _check_missed_targets(self, newest_change: int, era: int, now: float) -> None:
         """List the targets again if another host has long seen a change that this one hasn't."""
         revision = self._target_watch.revision
+        if era != self._target_watch.era:
+            self._hear_era(era)
+            return
         # A listing is due already if no revision is known.
         if revision and self._missed_targets.is_overdue(newest_change, revision, now):
             log.warning(
@@ -495,15 +524,20 @@
         return True
 
     async def _register_host(self) -> None:
-        """Write this host's entry to the store; retry until it succeeds."""
+        """Write this host's entry to the store until it succeeds, and again in each later era."""
         while True:
             try:
-                await self._store.put_host(self._own_entry.name, self._own_entry)
+                era = await self._store.put_host(self._own_entry.name, self._own_entry)
             except PlatformError as error:
                 log.warning("event=register_failed error={}", error)
                 await asyncio.sleep(REGISTER_RETRY_S * self._rng.uniform(0.8, 1.6))
                 continue
-            return
+            self._hear_era(era)
+            while era >= self._store_era:
+                await self._era_rose.wait()
+                self._era_rose.clear()
+            # All hosts learn of an era at about the same time.
+            await asyncio.sleep(REGISTER_RETRY_S * self._rng.random())
 
     # Housekeeping and servers.
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
@@ -1,9 +1,12 @@
 """Probes the other hosts one at a time, and exchanges with them which hosts are dead.
 
     ["probe", sequence number]
-    ["alive", sequence number, plan version, capacity, newest change of targets, hosts not alive]
+    ["alive", sequence number, plan version, capacity, newest change of targets, hosts not alive,
+     null, era of the store]
     ["dead", ip, ...]
 
+The null is reserved for the age of the plan's confirmation, and both are left out in era 0.
+
 A host that misses a probe is probed again at once, with a longer timeout.  A host that finds
 another one dead by a probe of its own reports this to the live hosts.  They probe it as well, since
 on a network that loses packets a report alone is weak evidence, and pass it on to a few hosts.  A
@@ -79,12 +82,13 @@
     """What a host tells of itself in its answer to a probe.
 
     `newest_change` is the store revision of the newest change of targets that it has seen; None
-    if the host, of an earlier version, tells none.
+    if the host, of an earlier version, tells none.  `store_era` is the era of that revision.
     """
 
     plan_version: int
     is_ready: bool
     newest_change: int | None
+    store_era: int = 0
 
 
 class ProbeOwner(Protocol):
@@ -167,6 +171,7 @@
                     self._hosts.own_capacity if status.is_ready else 0,
                     status.newest_change,
                     self._hosts.sample_not_alive(MAX_HOSTS_NAMED),
+                    *([None, status.store_era] if status.store_era else []),
                 ],
             )
             self.check_sender(ip)
@@ -205,13 +210,15 @@
         # Hosts of earlier versions tell whether they are ready in place of their capacity.
         is_ready = bool(options[0]) if options else True
         newest_change = int(options[1]) if len(options) > 1 else None
+        store_era = int(options[4]) if len(options) > 4 else 0
         for suspect in options[2] if len(options) > 2 else ():
             if suspect == self._hosts.own.ip and self._owner.host_status.is_ready:
                 self._greet_all("not alive for another host", ip)
             self._check_suspect(suspect)
         if options:
             self._hosts.set_capacity(ip, float(options[0]))
-        self._owner.handle_host_status(HostStatus(int(plan_version), is_ready, newest_change))
+        status = HostStatus(int(plan_version), is_ready, newest_change, store_era)
+        self._owner.handle_host_status(status)
 
     def _check_suspect(self, ip: str) -> None:
         """Probe a host that isn't alive for another host, if it is alive for this one."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/model.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/model.py
@@ -94,7 +94,8 @@
     `started_ms` (Unix milliseconds) distinguishes incarnations with the same name.  `slots` is the
     number of requests that the target runs concurrently.  `warmup_s` is the remaining warm-up time
     when the target wrote the entry; a target responds slowly during its warm-up.  `revision` is the
-    store revision of the entry's last change, or 0 if it isn't known.
+    store revision of the entry's last change, or 0 if it isn't known, and `era` the era of the
+    store to which that revision belongs.
     """
 
     name: str
@@ -106,6 +107,7 @@
     started_ms: int
     warmup_s: float
     revision: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/objectstore.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/objectstore.py
@@ -1,5 +1,8 @@
 """Interface to the platform's object store.
 
+The era of the store rises each time it is restored from a copy.  Revisions that were given out
+after the copy was made are given out again, so revisions compare only within an era.
+
 An adapter implements `ObjectStore` and raises `PlatformError` or its subclasses.
 """
 
@@ -26,10 +29,11 @@
 
 @dataclass(frozen=True)
 class StoreListing:
-    """All objects of a kind, and the store revision to watch from."""
+    """All objects of a kind, the store revision to watch from, and the era of the store."""
 
     items: tuple[StoreItem, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -47,10 +51,14 @@
 
 @dataclass(frozen=True)
 class StoreChanges:
-    """Changes after a revision, oldest first, and the revision to watch from next."""
+    """Changes after a revision, oldest first, and the revision to watch from next.
+
+    If `era` isn't that of the revision that was watched from, changes may be missing.
+    """
 
     changes: tuple[StoreChange, ...]
     revision: int
+    era: int = 0
 
 
 class HistoryLostError(Exception):
@@ -71,8 +79,8 @@
         """
         ...
 
-    async def put_host(self, name: str, value: Any) -> None:
-        """Create or replace the entry of this host; raise PlatformError."""
+    async def put_host(self, name: str, value: Any) -> int:
+        """Create or replace the entry of this host; return the era, or raise PlatformError."""
         ...
 
     async def close(self) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
@@ -1,8 +1,9 @@
 """Encodes and decodes what hosts tell each other of the store's objects.
 
-A state is [kind, base revision, revision, age ms, grace ms, changes].  A change is [name, is
+A state is [kind, base revision, revision, age ms, grace ms, changes, era].  A change is [name, is
 removed, revision, value]; the value of a target is a list of its fields, that of a plan an object.
-`changes` is null if the sender doesn't tell them, and `grace ms` is 0 without a grace.
+`changes` is null if the sender doesn't tell them, and `grace ms` is 0 without a grace.  The era is
+left out if it is 0.
 """
 
 import dataclasses
@@ -43,17 +44,21 @@
         int(progress.age_s * MS_PER_S),
         int(progress.grace_s * MS_PER_S),
         changes,
+        *([progress.era] if progress.era else []),
     ]
 
 
 def decode_progress(state: State) -> tuple[ObjectKind, StoreProgress]:
     """Return the kind and what another host knows of it; raise ValueError or TypeError."""
-    kind_name, base_revision, revision, age_ms, grace_ms, encoded = state
+    kind_name, base_revision, revision, age_ms, grace_ms, encoded, *eras = state
+    era = int(eras[0]) if eras else 0
     kind = ObjectKind(kind_name)
     changes = None
     if encoded is not None:
         changes = tuple(
-            StoreChange(str(name), _decode_value(kind, value), bool(removed), int(change_revision))
+            StoreChange(
+                str(name), _decode_value(kind, value, era), bool(removed), int(change_revision)
+            )
             for name, removed, change_revision, value in encoded
         )
     return kind, StoreProgress(
@@ -62,6 +67,7 @@
         max(0.0, age_ms / MS_PER_S),
         max(0.0, grace_ms / MS_PER_S),
         changes,
+        era,
     )
 
 
@@ -95,7 +101,7 @@
     return None
 
 
-def _decode_value(kind: ObjectKind, value: Any) -> TargetEntry | FleetPlan | None:
+def _decode_value(kind: ObjectKind, value: Any, era: int) -> TargetEntry | FleetPlan | None:
     if value is None:
         return None
     if kind is ObjectKind.TARGETS:
@@ -110,6 +116,7 @@
             int(started_ms),
             float(warmup_s),
             int(revision),
+            era,
         )
     return FleetPlan(
         int(value["version"]),
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -9,15 +9,22 @@
 A host that isn't a watcher of its failure domain leaves the calls to those, and follows what they
 pass on (`receive`).  It calls the store itself if that doesn't follow from its own revision, or if
 it hears of no answer of the store for MAX_UNCONFIRMED_S.
+
+Revisions compare only within an era of the store.  Once an answer shows a newer era, the watch
+lists the kind, and objects that are missing from the restored copy have REGISTRATION_GRACE_S to be
+written again.  Answers and messages of an older era are ignored; a message of a newer one leads to
+a listing.
 """
 
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, Protocol
 
 from logbook import Logger
+from toucanspindle_core import errorcodes
 from toucanspindle_core.clock import Clock
 from toucanspindle_core.errors import PlatformError
 
@@ -43,9 +50,16 @@
 # dropped the changes since, and doesn't always say so.
 MAX_RESUME_GAP_S: Final = 3.0
 MIN_OUTAGE_S: Final = 1.0  # Entries may expire in the store during an outage longer than this.
-REGISTRATION_GRACE_S: Final = 2.0  # Live targets register again within this time after an outage.
+# Live targets register again within this time after an outage, or once the store was restored.
+REGISTRATION_GRACE_S: Final = 2.0
 MIN_LISTING_INTERVAL_S: Final = 0.3  # Least time from a listing to the next requested one.
 
+OLDER_ERA_REMEDY: Final = (
+    "find out why the store's era went back; hosts that have seen the later one must be restarted"
+)
+
+EraObserver = Callable[[int, float], None]  # Takes the era, and the time at which it was seen.
+
 log = Logger("store")
 
 
@@ -55,7 +69,8 @@
 
     Without changes, nothing changed between the two; `changes` is None if they aren't told.  The
     store confirmed `age_s` seconds ago that the revision is the newest one.  Objects that are
-    missing may be registered again within `grace_s` seconds; 0 means that they are gone.
+    missing may be registered again within `grace_s` seconds; 0 means that they are gone.  Both
+    revisions are of the same era.
     """
 
     base_revision: int
@@ -63,6 +78,7 @@
     age_s: float
     grace_s: float
     changes: tuple[StoreChange, ...] | None
+    era: int = 0
 
     def without_changes(self) -> "StoreProgress":
         """Return the same without changes; a host that lacks them must ask the store."""
@@ -125,6 +141,8 @@
         self._unchanged_since = 0  # Nothing has changed from this revision to the known one.
         self._needed_revision = 0  # Other hosts tell no changes from earlier revisions on.
         self._revision: int | None = None
+        self._era = 0
+        self._era_observers: list[EraObserver] = []
         self._outage_began_at: float | None = None
         self._may_have_expired_until = float("-inf")
         self._listed_at = float("-inf")
@@ -143,13 +161,35 @@
         """The store revision up to which changes are known; 0 while a listing is pending."""
         return self._revision or 0
 
+    @property
+    def era(self) -> int:
+        """The era of the last listing."""
+        return self._era
+
     @property
     def progress(self) -> StoreProgress | None:
         """Since when nothing has changed, as far as is known; None without a revision."""
         if self._revision is None:
             return None
         age_s = self._clock.now() - self._confirmed_at
-        return StoreProgress(self._unchanged_since, self._revision, age_s, 0.0, ())
+        return StoreProgress(self._unchanged_since, self._revision, age_s, 0.0, (), self._era)
+
+    def add_era_observer(self, observer: EraObserver) -> None:
+        """Call `observer` when a listing shows another era, before the listing is applied.
+
+        The first listing of a process counts if its era isn't 0: the store may have been restored
+        shortly before.
+        """
+        self._era_observers.append(observer)
+
+    def hear_era(self, era: int) -> None:
+        """Request a listing if another host or another call has seen a newer era of the store.
+
+        While a listing is pending nothing happens.  If that shows the earlier era, the watch call
+        or the next message leads to another one.
+        """
+        if era > self._era and self._revision is not None:
+            self.request_listing()
 
     def receive(self, progress: StoreProgress) -> bool:
         """Process what another host knows of the kind; return whether changes were applied.
@@ -157,6 +197,9 @@
         Changes from an earlier revision than the own one are applied again, which ends in the same
         state.
         """
+        if progress.era != self._era:
+            self.hear_era(progress.era)
+            return False
         if self._revision is None:
             return False
         if progress.changes is None or progress.base_revision > self._revision:
@@ -167,7 +210,7 @@
         has_changes = bool(progress.changes) and progress.revision > self._revision
         if has_changes:
             grace_until = now + progress.grace_s if progress.grace_s else None
-            changes = StoreChanges(progress.changes, progress.revision)
+            changes = StoreChanges(progress.changes, progress.revision, progress.era)
             self._unchanged_since = progress.revision
             self._listener.on_changes(changes, grace_until)
         elif not progress.changes and progress.revision >= self._unchanged_since:
@@ -216,7 +259,10 @@
             self._listing_requested.clear()
             listing = await self._store.list_all(self._kind)
             self._listed_at = self._clock.now()
+            self._refuse_older_era(listing.era)
             self._record_success()
+            if listing.era != self._era:
+                self._begin_era(listing.era)
             self._revision = listing.revision
             self._unchanged_since = listing.revision
             self._listener.on_listing(listing, self._grace_until())
@@ -234,6 +280,10 @@
         if changes is None:
             self._revision = None
             return
+        self._refuse_older_era(changes.era)
+        if changes.era != self._era:
+            self._revision = None
+            return
         self._record_success()
         if changes.revision <= self._revision:
             return  # Another host was faster.
@@ -244,6 +294,22 @@
             self._pass_on(base_revision, changes)
             await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
 
+    def _refuse_older_era(self, era: int) -> None:
+        """Raise PlatformError for an answer from before the store was restored."""
+        if era < self._era:
+            text = f"The store's answer is of era {era}, and era {self._era} has been seen."
+            raise PlatformError(errorcodes.PLATFORM_UNREACHABLE, text, OLDER_ERA_REMEDY)
+
+    def _begin_era(self, era: int) -> None:
+        """Forget revisions of the earlier era, and start the grace for missing objects."""
+        now = self._clock.now()
+        log.warning("event=store_restored kind={} era={} was={}", self._kind.value, era, self._era)
+        self._era = era
+        self._needed_revision = 0
+        self._may_have_expired_until = now + REGISTRATION_GRACE_S
+        for observer in self._era_observers:
+            observer(era, now)
+
     def _may_follow(self) -> bool:
         """Return whether other hosts watch the store for this one."""
         if self._exchange is None or self._exchange.is_watcher:
@@ -266,7 +332,9 @@
         if self._exchange is not None:
             grace_until = self._grace_until()
             grace_s = grace_until - self._clock.now() if grace_until is not None else 0.0
-            progress = StoreProgress(base_revision, changes.revision, 0.0, grace_s, changes.changes)
+            progress = StoreProgress(
+                base_revision, changes.revision, 0.0, grace_s, changes.changes, self._era
+            )
             self._exchange.pass_on(self._kind, progress, is_own=True)
 
     async def _wait_for_changes(self, revision: int) -> StoreChanges | None:
--- a/tests/test_entry_storerelay.py
+++ b/tests/test_entry_storerelay.py
@@ -8,11 +8,12 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine
-from typing import Any, Final
+from typing import Any, Final, cast
 
 from testtools import TestCase
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import PlatformError
+from toucanspindle_entry.entrynode import EntryNode, _TargetListener
 from toucanspindle_entry.hosts.datagrams import Message
 from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import (
@@ -34,6 +35,7 @@
 from toucanspindle_entry.store.storemessages import decode_progress, encode_progress
 from toucanspindle_entry.store.storerelay import StoreRelay
 from toucanspindle_entry.store.storewatch import StoreProgress, StoreWatch
+from toucanspindle_entry.targets.targettable import TargetTable
 
 from tests.entrycase import target
 from tests.virtualtime import LoopClock, run_in_virtual_time
@@ -52,10 +54,12 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = 0
         self.objects: dict[str, tuple[Any, int]] = {}
         self.history: list[StoreChange] = []
         self.first_kept = 0
         self.calls: Counter[str] = Counter()
+        self.listings: Counter[str] = Counter()
         self.silent_for: Callable[[str], bool] = lambda _: False
         self.is_down = False
         self.rng = random.Random(2)
@@ -66,11 +70,27 @@
         if value is None:
             del self.objects[name]
         else:
+            value = dataclasses.replace(value, revision=self.revision, era=self.era)
             self.objects[name] = (value, self.revision)
         self.history.append(StoreChange(name, value, value is None, self.revision))
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def restore(self, revision: int) -> None:
+        """Go back to a revision and begin the next era; the calls that wait are aborted."""
+        self.revision = revision
+        self.era += 1
+        self.history = [change for change in self.history if change.revision <= revision]
+        self.objects.clear()
+        for change in self.history:
+            if change.removed:
+                del self.objects[change.name]
+            else:
+                value = dataclasses.replace(change.value, era=self.era)
+                self.objects[change.name] = (value, change.revision)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def enter(self, ip: str) -> None:
         """Begin a call of a host; raise PlatformError if the store doesn't serve it."""
         self.calls[ip] += 1
@@ -83,14 +103,17 @@
 
     async def watch(self, ip: str, revision: int) -> StoreChanges:
         await self.enter(ip)
+        era = self.era
         deadline = asyncio.get_running_loop().time() + self.rng.uniform(*WATCH_WAITS_S)
         while True:
-            if revision < self.first_kept:
+            if era != self.era:
+                raise PlatformError(errorcodes.PLATFORM_UNREACHABLE, "restored", "wait")
+            if not self.first_kept <= revision <= self.revision:
                 raise HistoryLostError
             changes = tuple(change for change in self.history if change.revision > revision)
             left_s = deadline - asyncio.get_running_loop().time()
             if changes or left_s <= 0:
-                return StoreChanges(changes, self.revision)
+                return StoreChanges(changes, self.revision, self.era)
             try:
                 async with asyncio.timeout(left_s):
                     await self._changed.wait()
@@ -108,14 +131,15 @@
     async def list_all(
         self, kind: ObjectKind, may_be_stale: bool = False  # noqa: ARG002
     ) -> StoreListing:
+        self._store.listings[self._ip] += 1
         await self._store.enter(self._ip)
         items = [StoreItem(name, value) for name, (value, _) in self._store.objects.items()]
-        return StoreListing(tuple(items), self._store.revision)
+        return StoreListing(tuple(items), self._store.revision, self._store.era)
 
     async def watch(self, kind: ObjectKind, revision: int) -> StoreChanges:  # noqa: ARG002
         return await self._store.watch(self._ip, revision)
 
-    async def put_host(self, name: str, value: Any) -> None:
+    async def put_host(self, name: str, value: Any) -> int:
         raise NotImplementedError
 
     async def close(self) -> None:
@@ -130,6 +154,8 @@
         self.is_cut_off = False
         self.known: dict[str, Any] = {}
         self.graces: list[bool] = []
+        self.table = TargetTable(LoopClock())
+        self._table_listener = _TargetListener(cast(EntryNode, self), self.table)
         rng = random.Random(ip)
         self.hosts = LiveHosts(HostEntry(ip, ip, domain, ip), rng)
         self.relay = StoreRelay(self.hosts, lambda to, message: fleet.deliver(ip, to, message))
@@ -150,10 +176,15 @@
         self._task.cancel()
         await self.watch.close()
 
-    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
+    def targets_changed(self) -> None:
+        return
+
+    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:
+        self._table_listener.on_listing(listing, grace_until)
         self.known = {item.name: item.value for item in listing.items}
 
     def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:
+        self._table_listener.on_changes(changes, grace_until)
         self.graces.append(grace_until is not None)
         for change in changes.changes:
             if change.removed:
@@ -194,7 +225,8 @@
         loop = asyncio.get_running_loop()
         changed_at = loop.time()
         self.store.put(name, value)
-        while any(host.known.get(name) != value for host in hosts):
+        stored = self.store.objects.get(name, (None, 0))[0]
+        while any(host.known.get(name) != stored for host in hosts):
             await asyncio.sleep(0.01)
             if loop.time() - changed_at > 10.0:
                 break
--- a/tests/test_entry_storewatch.py
+++ b/tests/test_entry_storewatch.py
@@ -47,7 +47,7 @@
             raise watch_result
         return watch_result
 
-    async def put_host(self, name: str, value: Any) -> None:
+    async def put_host(self, name: str, value: Any) -> int:
         raise NotImplementedError
 
     async def close(self) -> None:
--- a/tests/test_platform_deployed.py
+++ b/tests/test_platform_deployed.py
@@ -8,13 +8,17 @@
 
 from testtools import TestCase
 from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.store.objectstore import ObjectKind
 from toucanspindle_standins.httpcall import BrokenAnswerError, HttpResult, http_call
 from toucanspindle_standins.processes import wait_until
 
 from deployedfleet import DeployedFleet
+from metastore import StoreCopy
 from platformsettings import METRICS_PORT
+from platformwire import OBJECT_KIND_NAMES
 from tests.tempfolder import temporary_folder
 
+HOST_KIND: Final = OBJECT_KIND_NAMES[ObjectKind.HOSTS]
 MISSED_CHANGE_S: Final = 10.0  # A watch call waits for 25 s.
 
 
@@ -172,6 +176,42 @@
             self.wait_until_logged(n, "version=9")
 
 
+class RestoredStoreTests(DeployedCase):
+    # Guards against an older plan, targets that are taken for gone, and hosts that the store has
+    # forgotten, after the store went back to a copy.
+    def test_hosts_serve_on_the_newest_plan_and_register_again(self) -> None:
+        copies: list[StoreCopy] = []
+        store = self.fleet.store
+        late = self.fleet.targets[0]
+
+        def forget_and_copy() -> None:
+            store.remove("servers", late.name)
+            for name in store.names(HOST_KIND)[1:]:
+                store.remove(HOST_KIND, name)
+            copies.append(store.take_copy())
+            late.register()
+
+        self.fleet.call_in_loop(forget_and_copy)
+        self.fleet.put_plan(2, PathPrefix="/moved/")
+        for n in range(self.hosts):
+            self.wait_until_logged(n, "version=2")
+            self.wait_until_logged(n, f"event=target_joined target={late.name}")
+        self.fleet.call_in_loop(lambda: store.restore(copies[0]))
+        for n in range(self.hosts):
+            self.wait_until_logged(n, "event=store_restored kind=plan era=1")
+            self.wait_until_logged(n, "event=store_restored kind=targets era=1")
+            self.assertEqual(200, self.fleet.request(n, "/moved/1").status)
+        # Only now, a moment after the era was seen.
+        self.fleet.call_in_loop(late.register)
+        wait_until(lambda: len(store.names(HOST_KIND)) == self.hosts, what="all hosts register")
+        self.fleet.put_plan(3)
+        for n in range(self.hosts):
+            self.wait_until_logged(n, "version=3")
+            log = self.fleet.log(n)
+            self.assertNotIn(f"event=target_removed target={late.name}", log.split("era=1")[-1])
+            self.assertEqual(1, log.count("event=plan_in_force version=1"))
+
+
 class TargetTests(DeployedCase):
     def test_draining_target_gets_no_new_requests(self) -> None:
         draining_target = self.fleet.targets[0]
