--- a/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
@@ -2,12 +2,12 @@
 
     ["probe", sequence number]
     ["alive", sequence number, plan version, capacity, newest change of targets, hosts not alive,
-     age of the plan's confirmation in ms]
+     age of the plan's confirmation in ms, era of the store]
     ["dead", ip, ...]
 
 The age is sent only in fleets with a time limit for revoked keys, and is null without a
 confirmation.  It is told in an answer, so that its receiver can date it from the sending of its own
-probe, see `planfreshness`.
+probe, see `planfreshness`.  The era is sent only if it isn't 0.
 
 A host that misses a probe is probed again at once, with a longer timeout.  A host that finds
 another one dead by a probe of its own reports this to the live hosts.  They probe it as well, since
@@ -91,12 +91,14 @@
     `newest_change` is the store revision of the newest change of targets that it has seen; None
     if the host, of an earlier version, tells none.  `plan_age_ms` is how long ago the plan version
     was certainly the newest one; None if that isn't known, or if the fleet doesn't tell it.
+    `store_era` is the era of the revision.
     """
 
     plan_version: int
     is_ready: bool
     newest_change: int | None
     plan_age_ms: int | None = None
+    store_era: int = 0
 
 
 class ProbeOwner(Protocol):
@@ -189,8 +191,10 @@
                 status.newest_change,
                 self._hosts.sample_not_alive(MAX_HOSTS_NAMED),
             ]
-            if self._tells_plan_age:
+            if self._tells_plan_age or status.store_era:
                 answer.append(status.plan_age_ms)
+            if status.store_era:
+                answer.append(status.store_era)
             self._send(ip, answer)
             self.check_sender(ip)
         elif kind == "alive":
@@ -233,6 +237,7 @@
         # Hosts of earlier versions tell whether they are ready in place of their capacity.
         is_ready = bool(options[0]) if options else True
         newest_change = int(options[1]) if len(options) > 1 else None
+        store_era = int(options[4]) if len(options) > 4 else 0
         for suspect in options[2] if len(options) > 2 else ():
             if suspect == self._hosts.own.ip and self._owner.host_status.is_ready:
                 self._greet_all("not alive for another host", ip)
@@ -240,7 +245,7 @@
         if options:
             self._hosts.set_capacity(ip, float(options[0]))
         plan_age_ms = int(options[3]) if len(options) > 3 and options[3] is not None else None
-        status = HostStatus(int(plan_version), is_ready, newest_change, plan_age_ms)
+        status = HostStatus(int(plan_version), is_ready, newest_change, plan_age_ms, store_era)
         asked_at = probe.asked_at if probe is not None and probe.ip == ip else None
         self._owner.handle_host_status(status, asked_at)
 
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -270,7 +270,7 @@
                 cast(TargetConnectionPool, _EmulatedPool(fleet, self)),
                 EntryMetrics(),
                 clock,
-                self.quotas,
+                quotas=self.quotas,
             )
         )
         self._rng = rng
