--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -84,6 +84,7 @@
 # A duplicate of a slot request may arrive this long after the request has ended or was refused.
 ENDED_REQUEST_MEMORY_S: Final = 2.0
 MIN_RETRY_AFTER_S: Final = 0.2
+MAX_REJECTED_BEFORE: Final = 1000  # Rejected requests counted from one slot request.
 
 
 @dataclass
@@ -237,6 +238,8 @@
         if slot_request.id in self._refusals:
             return self._refusals[slot_request.id][1]
         self._retry_budget.deposit(slot_request.retry_credit, slot_request.host, now)
+        for _ in range(min(slot_request.rejected_before, MAX_REJECTED_BEFORE)):
+            self._active_floor.record_request_end(True, now)
         decision = self._decide(slot_request, now)
         if isinstance(decision, Refused):
             self._remember_refusal(decision, now)
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -14,7 +14,7 @@
 import dataclasses
 import itertools
 import random
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 from typing import Final
 
@@ -145,6 +145,7 @@
         self._round_trips = RoundTrips()
         # When a skipped broker was first sent a request, by broker and request id, oldest first.
         self._asked_in_vain: dict[tuple[str, str], float] = {}
+        self._rejected: Counter[str] = Counter()
         self._ranking = BrokerRanking(hosts)
         self._poison = PoisonSharing(hosts, self._ranking, clock, self._send)
 
@@ -202,6 +203,7 @@
             retry_credit=self._credit_source(service).take(
                 starts_request, self._hosts.fleet_size, self._clock.now()
             ),
+            rejected_before=self._rejected.pop(service, 0),
         )
         pending = _PendingRequest(
             service, slot_request, asyncio.get_running_loop().create_future(), asyncio.Event()
@@ -234,6 +236,13 @@
             )
         return decision
 
+    def count_rejected(self, service: str) -> None:
+        """Count a request that was rejected for its account's quota, for the next slot request.
+
+        The broker has to know of it: operators count it among the requests that aren't served.
+        """
+        self._rejected[service] += 1
+
     def report_attempt(self, service: str, grant: SlotGrant, report: AttemptReport) -> None:
         """Report the outcome of a granted attempt to its broker; this releases the slot."""
         self._held_slots.pop(report.slot_request_id, None)
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -4,7 +4,7 @@
 
     ["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry, can retry,
      excluded, fingerprint, retry credit, account, account priority, account weight, body bytes,
-     allowed targets]
+     allowed targets, rejected before]
     ["grant", id, service, target, unhealthy probability, estimate age ms, address, started ms,
      entry revision, era of the entry]
     ["queued", id]
@@ -68,25 +68,26 @@
         slot_request.account_weight,
         slot_request.body_bytes,
         list(slot_request.allowed_targets),
+        slot_request.rejected_before,
     ]
-    return fields if fields != ["", 0, 1.0, 0, []] else []
+    return fields if fields != ["", 0, 1.0, 0, [], 0] else []
 
 
 def decode_slot_request(host: str, message: Message) -> tuple[str, SlotRequest]:
     """Return the service and the slot request of an `ask` message; `host` is the sender.
 
-    Hosts of earlier versions send no retry credit and nothing behind it.  Raises ValueError if the
-    credit or the size of the body is negative, or the weight isn't positive.
+    Hosts of earlier versions send no retry credit and nothing behind it.  Raises ValueError if a
+    number is negative, or the weight isn't positive.
     """
     _, slot_request_id, service, failure_domain, priority, time_left_ms, goal_left_ms, *options = (
         message
     )
     is_retry, can_retry, excluded, fingerprint, *additions = options
     retry_credit = float(additions[0]) if additions else 0.0
-    account, account_priority, account_weight, body_bytes, allowed_targets = (
-        additions[1:6] if len(additions) > 5 else ("", 0, 1.0, 0, ())
+    account, account_priority, account_weight, body_bytes, allowed_targets, rejected_before = (
+        additions[1:7] if len(additions) > 6 else ("", 0, 1.0, 0, (), 0)
     )
-    if retry_credit < 0 or body_bytes < 0 or account_weight <= 0:
+    if min(retry_credit, body_bytes, rejected_before) < 0 or account_weight <= 0:
         raise ValueError(f"invalid numbers in a slot request: {additions}")
     slot_request = SlotRequest(
         id=str(slot_request_id),
@@ -105,6 +106,7 @@
         account_weight=float(account_weight),
         body_bytes=int(body_bytes),
         allowed_targets=tuple(allowed_targets),
+        rejected_before=int(rejected_before),
     )
     return str(service), slot_request
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
@@ -31,6 +31,8 @@
     `account` names the client account, or is empty.  Its priority goes before that of the route,
     and its weight is its share of scarce slots relative to the other accounts.  `body_bytes` is the
     size of the request's body.  If `allowed_targets` isn't empty, the attempt may use only these.
+    `rejected_before` counts the requests for the service that the host has rejected, since their
+    accounts were over their quota, since its last slot request.
     """
 
     id: str
@@ -49,6 +51,7 @@
     account_weight: float = 1.0
     body_bytes: int = 0
     allowed_targets: tuple[str, ...] = ()
+    rejected_before: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -259,6 +259,7 @@
         time_left_s = progress.deadline_at - self._clock.now()
         retry_after_s = await self._quotas.acquire(account, time_left_s)
         if retry_after_s is not None:
+            self._slots.count_rejected(progress.service)
             return answers.error_response(
                 errorcodes.ACCOUNT_LIMITED,
                 "The account is over its rate limit; the request has not run.",
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -1,5 +1,6 @@
 """Tests of the slot broker: target choice, queue, refusals, retries, poison, floor, takeover."""
 
+import dataclasses
 import itertools
 import random
 from collections import deque
@@ -549,6 +550,33 @@
             used = {name for at, name in grants if start <= at < start + 2}
             self.assertGreaterEqual(len(used & recovering), 0.7 * len(recovering), start)
 
+    # Guards against sound targets that stay unused while accounts are over their quota: operators
+    # count the rejected requests among those that aren't served.
+    def test_requests_rejected_for_a_quota_count_towards_the_failure_rate(self) -> None:
+        """An account sends too much: a fifth of all requests is rejected before the broker."""
+        names = [f"t{n}" for n in range(60)]
+        recovering = set(names[:15])
+        broker = make_broker(*(target(name, slots=4) for name in names))
+        grants: list[tuple[float, str]] = []
+        running: deque[tuple[float, AttemptReport]] = deque()
+        for step in range(1000):
+            now = step * 0.012
+            while running and running[0][0] <= now:
+                ends_at, report = running.popleft()
+                broker.record_attempt(report, ends_at)
+            request = dataclasses.replace(
+                slot_request(str(step), time_left_s=9.0, goal_left_s=9.0),
+                rejected_before=int(step % 4 == 0),
+            )
+            name = granted_target(broker.request_slot(request, now))
+            grants.append((now, name))
+            fails = name in recovering and now < 4.0
+            outcome = AttemptOutcome.FAILED if fails else AttemptOutcome.ANSWERED
+            running.append((now + 0.5, attempt_report(str(step), name, outcome, 0.5)))
+        for start in (6.5, 7.5, 8.5, 9.5):
+            used = {name for at, name in grants if start <= at < start + 2}
+            self.assertGreaterEqual(len(used & recovering), 0.7 * len(recovering), start)
+
     def test_floor_is_kept_in_each_second_at_a_normal_failure_rate(self) -> None:
         """All hosts lose power at once: only the targets used in the last second count."""
         rng = random.Random(3)
