--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/accountindex.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/accountindex.py
@@ -9,18 +9,22 @@
 from toucanspindle_entry.model import ClientAccount
 
 
+class AccountError(ValueError):
+    """The accounts of a plan are inconsistent; the text contains no key."""
+
+
 class AccountIndex:
     """The client accounts of one plan by their keys."""
 
     def __init__(self, accounts: Iterable[ClientAccount]) -> None:
-        """Index the accounts; raise ValueError if two of them have the same key."""
+        """Index the accounts; raise AccountError if two of them have the same key."""
         self._accounts_by_key: dict[str, ClientAccount] = {}
         self._accounts_by_name: dict[str, ClientAccount] = {}
         for account in accounts:
             self._accounts_by_name[account.name] = account
             for key in account.keys:
                 if self._accounts_by_key.setdefault(key, account) is not account:
-                    raise ValueError(f"account {account.name!r} has a key of another account")
+                    raise AccountError(f"account {account.name!r} has a key of another account")
 
     def find(self, key: str) -> ClientAccount | None:
         """Return the account that a key belongs to, or None."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callermessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callermessages.py
@@ -44,7 +44,7 @@
 
     method: str
     target: str
-    headers: list[tuple[bytes, bytes]]
+    headers: list[tuple[bytes, bytes]] = field(repr=False)  # They may hold an account's key.
     body: Body
     received_at: float
     lease: MemoryLease | None = None
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -224,7 +224,8 @@
         if routes.accounts is None or route.is_public:
             return None
         keys = [value for name, value in request.headers if name == self._header_names.account_key]
-        account = routes.accounts.find(keys[0].decode("latin-1")) if len(keys) == 1 else None
+        key = keys[0].strip(b" \t").decode("latin-1") if len(keys) == 1 else ""
+        account = routes.accounts.find(key)
         if account is not None:
             # The time of this check counts, not that of the arrival: the host may have been
             # suspended between the two.
--- a/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
@@ -66,7 +66,7 @@
     status: int = 0
     reason: bytes = b""
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    content: Body = b""
+    content: Body = field(default=b"", repr=False)  # A plan of the store holds the accounts' keys.
     lease: MemoryLease | None = None
 
     @property
--- a/tests/test_entry_requestpath.py
+++ b/tests/test_entry_requestpath.py
@@ -10,6 +10,7 @@
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.accounts.planfreshness import PlanFreshness
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
 from toucanspindle_entry.broker.slottypes import AttemptReport, SlotRequest
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
@@ -17,7 +18,7 @@
 from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.memoryaccount import MemoryAccount
-from toucanspindle_entry.model import FleetPlan, Route, WeightedService
+from toucanspindle_entry.model import ClientAccount, FleetPlan, Route, WeightedService
 from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targets.targettable import TargetTable
 
@@ -82,10 +83,15 @@
         max_attempts: int = 1,
         granted: str = "t",
         deadline_ms: bytes = b"1000",
+        accounts: tuple[ClientAccount, ...] | None = None,
+        is_public: bool = False,
+        extra_headers: tuple[tuple[bytes, bytes], ...] = (),
+        freshness: PlanFreshness | None = None,
     ) -> tuple[list[CallerResponse], int]:
         """Send requests one after another; return the responses and the number of connections.
 
-        The broker grants the target `granted`; the host knows only the target `t`.
+        The broker grants the target `granted`; the host knows only the target `t`.  `accounts` are
+        those of the plan, and `is_public` is about its only route.
         """
         connections = 0
 
@@ -120,18 +126,27 @@
                     pool,
                     EntryMetrics(),
                     clock,
+                    freshness or PlanFreshness(None),
                 )
             )
             services = (WeightedService("orders", 1.0),)
             route = Route(
-                "r", "shop", "/", method == "GET", DEADLINE_S, 0.5, max_attempts, 1, services
-            )
-            handler.routes = RouteIndex(
-                FleetPlan(1, (route,), frozenset({"orders"})), random.Random(1)
+                "r",
+                "shop",
+                "/",
+                method == "GET",
+                DEADLINE_S,
+                0.5,
+                max_attempts,
+                1,
+                services,
+                is_public,
             )
+            plan = FleetPlan(1, (route,), frozenset({"orders"}), accounts=accounts)
+            handler.routes = RouteIndex(plan, random.Random(1))
             responses: list[CallerResponse] = []
             for request_id in request_ids:
-                headers = [(b"host", b"shop"), (b"x-deadline-ms", deadline_ms)]
+                headers = [(b"host", b"shop"), (b"x-deadline-ms", deadline_ms), *extra_headers]
                 if request_id:
                     headers.append((b"x-request-id", request_id.encode()))
                 request = CallerRequest(method, "/a", headers, b"", clock.now())
