--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/planfreshness.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/planfreshness.py
@@ -67,7 +67,11 @@
             self._confirmed_at = max(self._confirmed_at, asked_at - age_s)
 
     def era_changed(self, now: float) -> None:
-        """Distrust the store for a while, since it was restored from a copy."""
+        """Distrust the store for a while, since it was restored from a copy.
+
+        To a process that starts, the first era that it sees is a new one, unless it is 0: the store
+        may have been restored just before.
+        """
         self._trusted_from = now + RESTORED_STORE_WAIT_S
 
     def age_s(self, now: float) -> float:
--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Iterator
 
-from spec import configuration, dispatch, forwarding, permits
+from spec import configuration, dispatch, forwarding, permits, revocation
 from spec.checking import Specification, check
 
 
@@ -21,6 +21,8 @@
         yield configuration.ConfigurationSpec(configuration_guard).specification()
     for permit_guard in permits.Guard:
         yield permits.PermitSpec(permit_guard).specification()
+    for revocation_guard in revocation.Guard:
+        yield revocation.RevocationSpec(revocation_guard).specification()
 
 
 def main(late_writes: bool) -> int:
@@ -31,6 +33,7 @@
         forwarding.ForwardingSpec().specification(),
         configuration.ConfigurationSpec().specification(),
         permits.PermitSpec(late_writes=late_writes).specification(),
+        revocation.RevocationSpec().specification(),
     ):
         print(specification.describe())
         result = check(specification)
