Document client accounts and the time limit for revoked keys; check their settings

StrictRevoke of a wrong type switched the limit off without a word; it is refused now, as is a RevokeMs that isn't positive.

--- a/packages/toucanspindle-ctl/toucanctl/settingsdoc.py
+++ b/packages/toucanspindle-ctl/toucanctl/settingsdoc.py
@@ -54,6 +54,21 @@
   - `fan_in` x `connections_per_target` is at most 360 and at least `slots_per_target`.
 """
 
+# The platform writes this file; platform/platformsettings.py decodes it without a model.
+DEPLOYED_FORM: Final = """## Settings of an entry process of the deployed form
+
+The platform writes the file. Listed here are the settings that switch behaviour on or off.
+
+| table | key | type | default |
+|---|---|---|---|
+| `Bounds` | `StrictRevoke` | boolean | `false` |
+| `Bounds` | `RevokeMs` | number, above 0 | required with `StrictRevoke` |
+
+- `StrictRevoke`: whether the time limit for revoked account keys applies.
+- `RevokeMs`: time after the acknowledgement of a plan at which no host may use a key any more that
+  the plan took away.
+"""
+
 # Texts for the limits in a JSON schema, by keyword.
 LIMIT_PHRASES: Final = {
     "format": "{}",
@@ -82,6 +97,7 @@
         _section("### `[[account_classes]]`", AccountClassModel),
         RULES,
         _section("## Settings of an entry host (`toucanspindle --settings`)", ProcessSettings),
+        DEPLOYED_FORM,
         _section("## Settings of `toucanctl` (`~/.toucanctl.toml`)", CtlSettings),
     ]
     return "\n".join(sections)
--- a/tests/test_entry_planfreshness.py
+++ b/tests/test_entry_planfreshness.py
@@ -6,6 +6,7 @@
 
 from testtools import TestCase
 from toucanspindle_core.clock import ManualClock
+from toucanspindle_core.errors import SettingsError
 from toucanspindle_entry.accounts.planfreshness import PlanFreshness, encode_age_ms
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.hosts.hostprober import HostProber, HostStatus
@@ -14,6 +15,9 @@
 from toucanspindle_entry.store.objectstore import ObjectKind, StoreChanges
 from toucanspindle_entry.store.storewatch import StoreProgress, StoreWatch
 
+from deployedfleet import SETTINGS
+from platformsettings import load_settings
+from tests.tempfolder import temporary_folder
 from tests.test_entry_accounts import ACCOUNTS, KEY
 from tests.test_entry_requestpath import FaultyTargetCase
 from tests.test_entry_storewatch import FakeStore, RecordingListener, one_change
@@ -74,6 +78,30 @@
         self.assertTrue(PlanFreshness(None).may_run_keyed(1e9))
         self.assertNotIn(b"plan_age", EntryMetrics().render(0))
 
+    # Guards against a bound that is off because its setting can't be read.
+    def test_bound_is_decoded_or_the_settings_are_refused(self) -> None:
+        path = temporary_folder(self) / "host.toml"
+        names = ("name", "front", "ready", "control", "directory", "peer")
+        values = dict.fromkeys(names, "1") | {
+            "ip": "127.0.0.1",
+            "seeds": "",
+            "store": "127.0.0.1:1",
+        }
+        for bounds, revoke_s in (
+            ("StrictRevoke = true\nRevokeMs = 5000", REVOKE_S),
+            ("StrictRevoke = false\nRevokeMs = 5000", None),
+            ("RevokeMs = 5000", None),
+        ):
+            path.write_text(SETTINGS.format(bounds=bounds, **values))
+            self.assertEqual(revoke_s, load_settings(path)[0].bounds.revoke_s)
+        for bounds in (
+            "StrictRevoke = 1",
+            "StrictRevoke = true",
+            "StrictRevoke = true\nRevokeMs = 0",
+        ):
+            path.write_text(SETTINGS.format(bounds=bounds, **values))
+            self.assertRaises(SettingsError, load_settings, path)
+
     def test_change_of_state_is_told_once(self) -> None:
         self.freshness.record_store_answer(10.0, 3, 3)
         changes = [self.freshness.take_state_change(now) for now in (11.0, 12.0, 20.0, 21.0)]
