--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
@@ -126,6 +126,7 @@
         self._own_ip = hosts.own.ip
         self._clock = clock
         self._endpoint: DatagramEndpoint | None = None
+        self._check_host: Callable[[str], None] = _ignore
         self._is_skipped = is_skipped
         rules = QuotaRules(bounds)
         self._keeper = QuotaKeeper(rules)
@@ -154,9 +155,10 @@
             "accounts_limited": self._keeper.limited_count,
         }
 
-    def attach(self, endpoint: DatagramEndpoint) -> None:
-        """Set the datagram endpoint for sending messages."""
+    def attach(self, endpoint: DatagramEndpoint, check_host: Callable[[str], None]) -> None:
+        """Set the datagram endpoint, and what probes a host that was silent."""
         self._endpoint = endpoint
+        self._check_host = check_host
 
     def set_plan(self, plan: FleetPlan, index: AccountIndex | None) -> None:
         """Put the limits of a plan in force; `index` is None if the plan has no accounts."""
@@ -246,6 +248,7 @@
                 return
             self._skipped_until[keeper] = self._clock.now() + SILENT_KEEPER_SKIP_S
             self.counts["silent_keepers"] += 1
+            self._check_host(keeper)
             log.warning("event=keeper_silent keeper={}", keeper)
             if not state.waiting:
                 return
@@ -416,6 +419,8 @@
                 share = 1 / hosts
             return KeeperRole(max(first_since, self._trusted_since), share)
         first = next(ip for ip in self._ranking.ranked(account) if self._ranking.is_alive(ip))
+        if first not in self._substituted:
+            self._check_host(first)
         asked_by = self._substituted.setdefault(first, {})
         asked_by[ip] = now
         return KeeperRole(None, min(1.0, len(asked_by) / hosts))
@@ -500,3 +505,7 @@
     def _reads_stale_messages(self, now: float) -> bool:
         self._detect_gap(now)
         return now - self._trusted_since < STALE_MESSAGES_S
+
+
+def _ignore(ip: str) -> None:
+    """Stand in for the prober until the client is attached."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
@@ -2,8 +2,8 @@
 
 Each account has a token bucket.  Other hosts may have granted credit that this one doesn't know
 of, so a bucket is full at its start only if this host has been the first in rank for a whole
-window.  Otherwise it starts with at most half of what the bound allows beyond the quota; two
-takeovers in one window then keep the bound.
+window.  Otherwise it starts with a part of what the bound allows beyond the quota; two takeovers
+in one window then keep the bound.
 
 A returned credit counts only if the bucket hasn't been full since that credit was granted.  If it
 has, a new token has already replaced the credit, and both would be used.
@@ -71,10 +71,21 @@
         self._overage = bounds.quota_overage
         self._slack = bounds.quota_slack
 
+    def capacity(self, limits: AccountLimits, share: float) -> float:
+        """Return how many tokens a bucket holds under a share of the limits.
+
+        Half of the constant slack comes on top of the burst.  Random arrivals at 62% of the rate
+        would otherwise empty a bucket of 3 tokens for about one in 14 requests.
+        """
+        return max(1.0, (limits.burst + self._slack / 2) * share)
+
     def takeover_credit(self, limits: AccountLimits) -> float:
-        """Return how much a keeper may grant on top of what others have granted unknown to it."""
+        """Return how much a keeper may grant on top of what others have granted unknown to it.
+
+        Two takeovers in one window use up what the capacity leaves of the slack.
+        """
         quota = limits.rate_per_s * self.window_s + limits.burst
-        return min(limits.burst, (self._overage * quota + self._slack) / 2)
+        return (self._overage * quota + self._slack / 2) / 2
 
 
 @dataclass(slots=True)
@@ -133,7 +144,8 @@
             self._buckets[account] = bucket
         else:
             self._refill(bucket, limits, role, now)
-        granted = min(wanted, max(int(bucket.tokens / 2), int(min(bucket.tokens, 1.0))))
+        at_hand = max(0, int(bucket.tokens))
+        granted = min(wanted, max(at_hand // 2, min(at_hand, 1)))
         bucket.tokens -= granted
         if granted == wanted or bucket.tokens >= 1:
             return QuotaAnswer(granted, 0.0)
@@ -210,9 +222,8 @@
             return True
         return bucket.asked_at < role.first_since and now - role.first_since < self._rules.window_s
 
-    @staticmethod
-    def _capacity(limits: AccountLimits, role: KeeperRole) -> float:
-        return max(1.0, limits.burst * role.share)
+    def _capacity(self, limits: AccountLimits, role: KeeperRole) -> float:
+        return self._rules.capacity(limits, role.share)
 
     @staticmethod
     def _reserve(bucket: _Bucket, now: float) -> float:
@@ -256,7 +267,7 @@
             start = self._rules.takeover_credit(limits) / hosts + self._rng.random()
             bucket = self._buckets[account] = _LoneBucket(start, alone_since)
         filled = bucket.tokens + rate * max(0.0, now - bucket.used_at)
-        bucket.tokens = min(filled, max(1.0, limits.burst / hosts))
+        bucket.tokens = min(filled, self._rules.capacity(limits, 1 / hosts))
         bucket.used_at = now
         if bucket.tokens < 1:
             return (1 - bucket.tokens) / rate
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -217,9 +217,9 @@
         )
         self._datagrams = DatagramEndpoint(settings.ip, settings.peer_port, self._handle_datagram)
         self._slots.attach(self._datagrams)
-        self._quotas.attach(self._datagrams)
         self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
         self._prober = HostProber(self._hosts, self._datagrams.send, self, self._clock, self._rng)
+        self._quotas.attach(self._datagrams, self._prober.check_silent)
         self._relay = StoreRelay(self._hosts, self._datagrams.send)
         self._plan_watch = self._create_watch(ObjectKind.PLAN, _PlanListener(self))
         self._target_watch = self._create_watch(
--- a/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/hosts/hostprober.py
@@ -187,6 +187,10 @@
         if peer is not None and peer.is_dead and ip not in self._probed:
             self._probe(ip)
 
+    def check_silent(self, ip: str) -> None:
+        """Probe a live host that didn't answer another question."""
+        self._check_suspect(ip)
+
     def _handle_answer(self, ip: str, message: Message) -> None:
         """Mark a host as alive, and as ready or not; pass its status on."""
         _, seq, plan_version, *options = message
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -25,7 +25,7 @@
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
 from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
-from toucanspindle_entry.hosts.hostprober import PROBE_INTERVAL_S
+from toucanspindle_entry.hosts.hostprober import PROBE_INTERVAL_S, PROBE_TIMEOUTS_S
 from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import (
     ClientAccount,
@@ -261,7 +261,10 @@
         self.quotas = QuotaClient(
             self.live_hosts, fleet.shape.bounds, LoopClock(), rng, self.slots.is_skipped
         )
-        self.quotas.attach(cast(DatagramEndpoint, _EmulatedEndpoint(fleet, self)))
+        self.quotas.attach(
+            cast(DatagramEndpoint, _EmulatedEndpoint(fleet, self)),
+            lambda other: fleet.check_host(self, other),
+        )
         self.handler = RequestHandler(
             HandlerDependencies(
                 HEADER_NAMES,
@@ -351,6 +354,7 @@
         self._request_count = 0
         self._tasks: dict[asyncio.Task[CallerResponse], EmulatedHost] = {}
         self.statuses: list[int] = []
+        self.parted: set[str] = set()  # These hosts exchange datagrams only with one another.
         self.leaving: set[str] = set()
         self.limits: dict[str, float] = {}
         self.pause_s = 0.0
@@ -375,6 +379,8 @@
         ends = (sender, receiver)
         if sender.is_muted or any(host.is_cut_off or not host.is_running for host in ends):
             return
+        if (sender.ip in self.parted) != (ip in self.parted):
+            return
         delay_s = SLOW_HOST_DELAY_S if receiver.is_slow else MESSAGE_DELAY_S
 
         def receive() -> None:
@@ -589,6 +595,42 @@
 
         asyncio.get_running_loop().call_later(for_s, end)
 
+    def part(self, ips: set[str], for_s: float) -> None:
+        """Part hosts from the others for `for_s`; each side takes the other for dead meanwhile."""
+        loop = asyncio.get_running_loop()
+        self.parted = set(ips)
+        for ip in self.ips:
+            for other in self.ips:
+                if (ip in ips) != (other in ips):
+                    loop.call_later(self.rng.uniform(0.5, 1.5), self._declare_dead, ip, other)
+
+        def end() -> None:
+            self.parted = set()
+            for ip in self.ips:
+                self._announce_later(ip)
+
+        loop.call_later(for_s, end)
+
+    def check_host(self, host: EmulatedHost, ip: str) -> None:
+        """Let a host probe another one until it has missed as many probes as a dead host does."""
+        loop = asyncio.get_running_loop()
+        misses = 0
+
+        def probe() -> None:
+            nonlocal misses
+            misses += not self._reaches(host, ip)
+            if misses == len(PROBE_TIMEOUTS_S) and host.is_running:
+                self._declare_dead(host.ip, ip)
+
+        for n in range(len(PROBE_TIMEOUTS_S)):
+            loop.call_later(sum(PROBE_TIMEOUTS_S[: n + 1]), probe)
+
+    def _reaches(self, host: EmulatedHost, ip: str) -> bool:
+        """Return whether another host answers a probe of a host now."""
+        other = self.hosts[ip]
+        is_parted = (host.ip in self.parted) != (ip in self.parted)
+        return other.is_running and not (is_parted or other.is_disturbed or host.is_cut_off)
+
     def _declare_dead_later(self, ip: str) -> None:
         """Let most of the other hosts declare a host dead, each at a moment of its own."""
         for other in self.ips:
