--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
@@ -223,6 +223,9 @@
         return bucket.asked_at < role.first_since and now - role.first_since < self._rules.window_s
 
     def _capacity(self, limits: AccountLimits, role: KeeperRole) -> float:
+        if role.first_since is None:
+            # The share of a substitute grows from nothing with the hosts that turn to it.
+            return self._rules.takeover_credit(limits)
         return self._rules.capacity(limits, role.share)
 
     @staticmethod
