--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -246,7 +246,6 @@
         )
         self._datagrams = DatagramEndpoint(settings.ip, settings.peer_port, self._handle_datagram)
         self._slots.attach(self._datagrams)
-        self._quotas.attach(self._datagrams)
         self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
         self._prober = HostProber(
             self._hosts,
@@ -258,6 +257,7 @@
             first_seq=secrets.randbits(PROBE_SEQ_BITS) if self._freshness.is_bounded else 1,
             tells_plan_age=self._freshness.is_bounded,
         )
+        self._quotas.attach(self._datagrams, self._prober.check_silent)
         self._relay = StoreRelay(self._hosts, self._datagrams.send)
         self._plan_listener = _PlanListener(self)
         self._plan_watch = StoreWatch(
