Spare the calls of a large fleet that follow a change, and stale listings of hosts

All watchers call anew 0.8 s after a change, none of these calls ends within 1.2 s, and so each of the other hosts called the store 1.4 s after the change. The case was missed by a test whose changes came each second.

From 64 known hosts on, the watchers' calls after a change or a listing end at different times, the first watcher's within 0.3 s and later each 0.9 s, and a call that ends is told at once. A host that knows the others leaves out the first listing of hosts, and lists them each 60 s once a listing that has its own registration names no further one.

Smaller fleets are served as before.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -60,6 +60,8 @@
 # Waits between host listings; the last repeats.  At a first start the entries of the others may
 # be missing in an outdated listing for some seconds.
 HOST_LIST_WAITS_S: Final = (0.05, 0.6, 2.0, 3.0, 5.0, 15.0)
+# In a large fleet, once a listing that is newer than this host's registration names no other one.
+COMPLETE_HOST_LIST_WAIT_S: Final = 60.0
 LONE_HOST_WAIT_S: Final = 2.0  # From this wait on a host that knows no other needs a new listing.
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
 REGISTER_RETRY_S: Final = 0.5  # Wait between registration attempts, before jitter.
@@ -483,19 +485,27 @@
         """Ask the seeds for the other hosts, and greet each unknown host that the store lists.
 
         Outdated listings cost the store little.  Only a requested listing is up to date, and those
-        of a host that hasn't found any other.
+        of a host that hasn't found any other.  In a large fleet a host that already knows the
+        others leaves out the first listing, and lists them rarely once no listing names a further
+        one.
         """
         seeds = [ip for ip in self._settings.seeds if ip != self._own_entry.ip]
         self._rng.shuffle(seeds)
         for ip in seeds:
             self._announcer.greet(ip)
         waits = iter(HOST_LIST_WAITS_S)
+        unheard: set[str] = set()  # Listed hosts that had not answered by then.
+        is_complete = False
         while True:
             # One seed at a time, since each names all hosts.
             if seeds:
                 self._announcer.ask_for_hosts(seeds.pop())
             wait_s = next(waits, HOST_LIST_WAITS_S[-1])
+            if is_complete and self._relay.is_large:
+                wait_s = COMPLETE_HOST_LIST_WAIT_S
             is_requested = await self._wait_for_host_listing(wait_s * self._rng.uniform(0.9, 1.1))
+            if wait_s == HOST_LIST_WAITS_S[0] and self._relay.is_large and not is_requested:
+                continue
             is_alone = wait_s >= LONE_HOST_WAIT_S and not self._hosts.peers
             may_be_stale = not (is_requested or is_alone)
             try:
@@ -508,8 +518,12 @@
             ]
             # An outdated listing counts only if it is newer than this host's registration: one from
             # before may lack hosts, and would make the parts of limits that are split too large.
-            if not may_be_stale or self._own_entry in registrations:
+            is_counted = not may_be_stale or self._own_entry in registrations
+            if is_counted:
                 self._hosts.record_listing(len(registrations))
+            known = {self._own_entry.ip, *self._hosts.peers}
+            previously_unheard, unheard = unheard, {r.ip for r in registrations} - known
+            is_complete = is_counted and unheard <= previously_unheard
             for registration in registrations:
                 self._announcer.greet_first(registration.ip)
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/objectstore.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/objectstore.py
@@ -72,9 +72,12 @@
         """Return all objects of a kind, perhaps outdated if `may_be_stale`; raise PlatformError."""
         ...
 
-    async def watch(self, kind: ObjectKind, revision: int) -> StoreChanges:
+    async def watch(
+        self, kind: ObjectKind, revision: int, max_wait_s: float | None = None
+    ) -> StoreChanges:
         """Wait for changes after a revision; return no changes if the wait times out.
 
+        `max_wait_s` is the longest wait; None leaves it to the adapter.
         Raises PlatformError, or HistoryLostError if the store no longer keeps those changes.
         """
         ...
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
@@ -28,6 +28,7 @@
 
 WATCHERS_PER_DOMAIN: Final = 2
 ANNOUNCE_INTERVAL_S: Final = 0.25
+LARGE_FLEET_HOSTS: Final = 64  # Calls of smaller fleets cost little, and are left as they were.
 MAX_CHANGES_BYTES: Final = 16_384  # Larger changes are not passed on; hosts read them themselves.
 
 log = Logger("store")
@@ -74,18 +75,34 @@
         own = self._hosts.own
         return own.ip in self._watchers_by_domain().get(own.failure_domain, [])
 
+    @property
+    def is_large(self) -> bool:
+        """Whether at least LARGE_FLEET_HOSTS hosts are known."""
+        return len(self._hosts.peers) + 1 >= LARGE_FLEET_HOSTS
+
+    @property
+    def is_first_watcher(self) -> bool:
+        """Whether this host is the first watcher of the first failure domain by name."""
+        by_domain = self._watchers_by_domain()
+        return bool(by_domain) and by_domain[min(by_domain)][:1] == [self._hosts.own.ip]
+
     async def run(self) -> None:
         """Tell the hosts of the failure domain and the other watchers what is known, forever."""
         while True:
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
-            if self.is_watcher:
-                states = [
-                    storemessages.encode_progress(kind, progress)
-                    for kind, watch in self._watches.items()
-                    if (progress := watch.progress) is not None
-                ]
-                if states:
-                    self._send_to(["store", states], to_watchers=True)
+            self.announce()
+
+    def announce(self) -> None:
+        """Tell now what is known of all kinds, if this host watches the store."""
+        if not self.is_watcher:
+            return
+        states = [
+            storemessages.encode_progress(kind, progress)
+            for kind, watch in self._watches.items()
+            if (progress := watch.progress) is not None
+        ]
+        if states:
+            self._send_to(["store", states], to_watchers=True)
 
     def pass_on(self, kind: ObjectKind, progress: StoreProgress, is_own: bool) -> None:
         """Pass new changes on; `is_own` if this host read them from the store itself."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -46,6 +46,16 @@
 # within 2 s.
 MAX_UNCONFIRMED_S: Final = 1.4
 MIN_FOLLOW_S: Final = 0.02
+# A change, or a start of all hosts, makes all watchers call at the same time.  In a large fleet
+# their next calls end at different times within this, as each call that ends confirms the revision
+# to all hosts.  Otherwise no call would end for MAX_UNCONFIRMED_S, and every host would call.
+SPREAD_WAIT_S: Final = 1.0
+# The first watcher of a large fleet ends its calls at least this often, and its first one after a
+# change this soon, for the same reason.  The pause after a change takes up to 0.8 s more, and it
+# takes up to 0.25 s until the other watchers pass a confirmation on.
+FIRST_WATCHER_WAIT_S: Final = 0.9
+FIRST_WATCHER_SPREAD_WAIT_S: Final = 0.3
+MIN_SPREAD_WAIT_S: Final = 0.05
 # A host that has heard of no confirmation for longer lists the kind again: the store may have
 # dropped the changes since, and doesn't always say so.
 MAX_RESUME_GAP_S: Final = 3.0
@@ -93,6 +103,20 @@
         """Whether this host watches the store for others."""
         ...
 
+    @property
+    def is_large(self) -> bool:
+        """Whether so many hosts are known that calls of each one are to be avoided."""
+        ...
+
+    @property
+    def is_first_watcher(self) -> bool:
+        """Whether this host is the first one among the watchers of all failure domains."""
+        ...
+
+    def announce(self) -> None:
+        """Tell now what is known of all kinds, if this host watches the store."""
+        ...
+
     def pass_on(self, kind: ObjectKind, progress: StoreProgress, is_own: bool) -> None:
         """Pass new changes on; `is_own` if this host read them from the store itself."""
         ...
@@ -147,6 +171,7 @@
         self._may_have_expired_until = float("-inf")
         self._listed_at = float("-inf")
         self._retry_wait_s = FIRST_RETRY_WAIT_S
+        self._is_in_step = True  # Other watchers' last calls ended at the same time.
         self._task: asyncio.Task[None] | None = None
         self._listing_requested = asyncio.Event()
         self._listing_requested_or_behind = asyncio.Event()
@@ -264,6 +289,7 @@
             if listing.era != self._era:
                 self._begin_era(listing.era)
             self._revision = listing.revision
+            self._is_in_step = True
             self._unchanged_since = listing.revision
             self._listener.on_listing(listing, self._grace_until())
             return
@@ -285,10 +311,13 @@
             self._revision = None
             return
         self._record_success()
-        if changes.revision <= self._revision:
-            return  # Another host was faster.
-        self._revision = changes.revision
-        if changes.changes:
+        is_newer = changes.revision > self._revision
+        self._revision = max(self._revision, changes.revision)
+        if not changes.changes:
+            if self._exchange is not None and self._exchange.is_large:
+                self._exchange.announce()
+        elif is_newer:  # Otherwise another host was faster.
+            self._is_in_step = True
             base_revision, self._unchanged_since = self._unchanged_since, changes.revision
             self._listener.on_changes(changes, self._grace_until())
             self._pass_on(base_revision, changes)
@@ -340,7 +369,8 @@
     async def _wait_for_changes(self, revision: int) -> StoreChanges | None:
         """Wait for changes; return None if a new listing is requested first."""
         loop = asyncio.get_running_loop()
-        watch_task = loop.create_task(self._store.watch(self._kind, revision))
+        max_wait_s = self._choose_max_wait_s()
+        watch_task = loop.create_task(self._store.watch(self._kind, revision, max_wait_s))
         listing_request_task = loop.create_task(self._listing_requested.wait())
         try:
             await asyncio.wait(
@@ -352,6 +382,17 @@
             watch_task.cancel()
             await asyncio.gather(watch_task, return_exceptions=True)
 
+    def _choose_max_wait_s(self) -> float | None:
+        """Return the longest wait of the next watch call, or None for the usual one."""
+        is_in_step, self._is_in_step = self._is_in_step, False
+        if self._exchange is None or not self._exchange.is_large:
+            return None
+        is_first = self._exchange.is_first_watcher
+        if is_in_step:
+            spread_s = FIRST_WATCHER_SPREAD_WAIT_S if is_first else SPREAD_WAIT_S
+            return self._rng.uniform(MIN_SPREAD_WAIT_S, spread_s)
+        return FIRST_WATCHER_WAIT_S if is_first else None
+
     def _grace_until(self) -> float | None:
         """Return until when missing objects may be registered again, or None if they are gone."""
         until = self._may_have_expired_until
--- a/tests/test_entry_storerelay.py
+++ b/tests/test_entry_storerelay.py
@@ -101,10 +101,11 @@
         if self.is_down:
             raise PlatformError(errorcodes.PLATFORM_UNREACHABLE, "down", "wait")
 
-    async def watch(self, ip: str, revision: int) -> StoreChanges:
+    async def watch(self, ip: str, revision: int, max_wait_s: float | None = None) -> StoreChanges:
         await self.enter(ip)
         era = self.era
-        deadline = asyncio.get_running_loop().time() + self.rng.uniform(*WATCH_WAITS_S)
+        wait_s = min(self.rng.uniform(*WATCH_WAITS_S), max_wait_s or WATCH_WAITS_S[1])
+        deadline = asyncio.get_running_loop().time() + wait_s
         while True:
             if era != self.era:
                 raise PlatformError(errorcodes.PLATFORM_UNREACHABLE, "restored", "wait")
@@ -136,8 +137,10 @@
         items = [StoreItem(name, value) for name, (value, _) in self._store.objects.items()]
         return StoreListing(tuple(items), self._store.revision, self._store.era)
 
-    async def watch(self, kind: ObjectKind, revision: int) -> StoreChanges:  # noqa: ARG002
-        return await self._store.watch(self._ip, revision)
+    async def watch(
+        self, kind: ObjectKind, revision: int, max_wait_s: float | None = None  # noqa: ARG002
+    ) -> StoreChanges:
+        return await self._store.watch(self._ip, revision, max_wait_s)
 
     async def put_host(self, name: str, value: Any) -> int:
         raise NotImplementedError
--- a/tests/test_entry_storewatch.py
+++ b/tests/test_entry_storewatch.py
@@ -40,7 +40,9 @@
         self.listings += 1
         return StoreListing((StoreItem("a", self.listings),), 100 * self.listings)
 
-    async def watch(self, kind: ObjectKind, revision: int) -> StoreChanges:  # noqa: ARG002
+    async def watch(
+        self, kind: ObjectKind, revision: int, max_wait_s: float | None = None  # noqa: ARG002
+    ) -> StoreChanges:
         self.watched_revisions.append(revision)
         watch_result = await self.watch_results.get()
         if isinstance(watch_result, Exception):
