Start hosts of a large fleet from what other hosts know of the store

Each start of a host listed all targets, four pages for 160 and 148 for 7,400. A starting host now asks two of its seeds for the plan and the targets, by datagrams, in pages of 4 KB. A host answers if it is ready, knows 64 hosts, and has a recent confirmation of the store; one of another failure domain names the watchers of the asking host's domain. Otherwise, or without an answer within 0.03 s, the host lists from the store as before.

A host that starts later makes no listing of plan or targets.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -52,6 +52,7 @@
     StoreListing,
 )
 from toucanspindle_entry.store.storerelay import StoreRelay
+from toucanspindle_entry.store.storesnapshot import StoreSnapshots
 from toucanspindle_entry.store.storewatch import REGISTRATION_GRACE_S, StoreWatch
 from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targets.targettable import TargetTable
@@ -213,12 +214,18 @@
         self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
         self._prober = HostProber(self._hosts, self._datagrams.send, self, self._clock, self._rng)
         self._relay = StoreRelay(self._hosts, self._datagrams.send)
+        self._snapshots = StoreSnapshots(
+            self._hosts, self._relay, self._datagrams.send, settings.seeds, self._rng
+        )
         self._plan_watch = self._create_watch(ObjectKind.PLAN, _PlanListener(self))
         self._target_watch = self._create_watch(
             ObjectKind.TARGETS, _TargetListener(self, self._targets)
         )
-        self._relay.set_watches(
-            {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
+        watches = {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
+        self._relay.set_watches(watches)
+        self._snapshots.set_sources(
+            watches,
+            {ObjectKind.PLAN: self._plan_objects, ObjectKind.TARGETS: self._target_objects},
         )
         for watch in (self._plan_watch, self._target_watch):
             watch.add_era_observer(self._handle_era)
@@ -450,6 +457,8 @@
         """Process a datagram about slots or about other hosts; ignore unknown kinds."""
         if self._slots.handle_message(ip, message) or self._relay.handle_message(ip, message):
             return
+        if self._snapshots.handle_message(ip, message):
+            return
         kind = message[0]
         now = self._clock.now()
         if self._prober.handle_message(ip, message):
@@ -578,7 +587,26 @@
     def _create_watch(
         self, kind: ObjectKind, listener: _PlanListener | _TargetListener
     ) -> StoreWatch:
-        return StoreWatch(self._store, kind, listener, self._clock, self._rng, exchange=self._relay)
+        return StoreWatch(
+            self._store,
+            kind,
+            listener,
+            self._clock,
+            self._rng,
+            exchange=self._relay,
+            snapshots=self._snapshots,
+        )
+
+    def _plan_objects(self) -> list[tuple[str, FleetPlan]] | None:
+        """Return the plan in force for a host that starts, or None without one."""
+        routes = self._request_handler.routes
+        return [("plan", routes.plan)] if routes is not None else None
+
+    def _target_objects(self) -> list[tuple[str, TargetEntry]] | None:
+        """Return the targets for a host that starts, or None while some are kept for a grace."""
+        if not self._targets.is_settled:
+            return None
+        return [(entry.name, entry) for entry in self._targets.all_entries()]
 
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
@@ -34,7 +34,7 @@
     changes = None
     if progress.changes is not None:
         changes = [
-            [change.name, int(change.removed), change.revision, _encode_value(change.value)]
+            [change.name, int(change.removed), change.revision, encode_value(change.value)]
             for change in progress.changes
         ]
     return [
@@ -57,7 +57,7 @@
     if encoded is not None:
         changes = tuple(
             StoreChange(
-                str(name), _decode_value(kind, value, era), bool(removed), int(change_revision)
+                str(name), decode_value(kind, value, era), bool(removed), int(change_revision)
             )
             for name, removed, change_revision, value in encoded
         )
@@ -76,7 +76,7 @@
     return len(orjson.dumps(state))
 
 
-def _encode_value(value: Any) -> Any:
+def encode_value(value: Any) -> Any:
     """Return the encoded value of an object, or null if it isn't one that hosts use."""
     if isinstance(value, TargetEntry):
         return [
@@ -101,7 +101,11 @@
     return None
 
 
-def _decode_value(kind: ObjectKind, value: Any, era: int) -> TargetEntry | FleetPlan | None:
+def decode_value(kind: ObjectKind, value: Any, era: int) -> TargetEntry | FleetPlan | None:
+    """Return the value of an object, whose revision is of an era of the store.
+
+    Raises ValueError, TypeError, KeyError or IndexError for a malformed one.
+    """
     if value is None:
         return None
     if kind is ObjectKind.TARGETS:
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
@@ -69,11 +69,20 @@
             self._is_ready = is_ready
             self._ranked_at_revision = -1
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host is ready, and not stopping."""
+        return self._is_ready
+
+    def watchers_of(self, failure_domain: str) -> list[str]:
+        """Return the IP addresses of the watchers of a failure domain, by rank."""
+        return self._watchers_by_domain().get(failure_domain, [])
+
     @property
     def is_watcher(self) -> bool:
         """Whether this host watches the store for its failure domain."""
         own = self._hosts.own
-        return own.ip in self._watchers_by_domain().get(own.failure_domain, [])
+        return own.ip in self.watchers_of(own.failure_domain)
 
     @property
     def is_large(self) -> bool:
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -56,6 +56,9 @@
 FIRST_WATCHER_WAIT_S: Final = 0.9
 FIRST_WATCHER_SPREAD_WAIT_S: Final = 0.3
 MIN_SPREAD_WAIT_S: Final = 0.05
+# A host that knows no others yet takes itself for a watcher.  One that started from a snapshot
+# first gets to know them.
+SETTLE_S: Final = 0.5
 # A host that has heard of no confirmation for longer lists the kind again: the store may have
 # dropped the changes since, and doesn't always say so.
 MAX_RESUME_GAP_S: Final = 3.0
@@ -95,6 +98,22 @@
         return dataclasses.replace(self, base_revision=self.revision, changes=None)
 
 
+@dataclass(frozen=True)
+class StoreSnapshot:
+    """A listing from another host; the store confirmed its revision `age_s` seconds ago."""
+
+    listing: StoreListing
+    age_s: float
+
+
+class SnapshotSource(Protocol):
+    """Gives a starting host what other hosts know."""
+
+    async def fetch(self, kind: ObjectKind) -> StoreSnapshot | None:
+        """Return what another host knows of a kind, or None if it must be read from the store."""
+        ...
+
+
 class ChangeExchange(Protocol):
     """Decides which hosts watch the store, and passes changes on to the others."""
 
@@ -150,10 +169,12 @@
         rng: random.Random,
         *,
         exchange: ChangeExchange | None = None,
+        snapshots: SnapshotSource | None = None,
     ) -> None:
         """Create a watch; nothing is called before `start`.
 
-        Without an exchange the host always watches the store itself.
+        Without an exchange the host always watches the store itself.  The first listing is taken
+        from `snapshots` if possible.
         """
         self._store = store
         self._kind = kind
@@ -161,6 +182,7 @@
         self._clock = clock
         self._rng = rng
         self._exchange = exchange
+        self._snapshots = snapshots
         self._confirmed_at = float("-inf")
         self._unchanged_since = 0  # Nothing has changed from this revision to the known one.
         self._needed_revision = 0  # Other hosts tell no changes from earlier revisions on.
@@ -281,17 +303,7 @@
     async def _list_or_watch(self) -> None:
         """Run one listing, or one watch call, and pass the result to the listener."""
         if self._revision is None:
-            self._listing_requested.clear()
-            listing = await self._store.list_all(self._kind)
-            self._listed_at = self._clock.now()
-            self._refuse_older_era(listing.era)
-            self._record_success()
-            if listing.era != self._era:
-                self._begin_era(listing.era)
-            self._revision = listing.revision
-            self._is_in_step = True
-            self._unchanged_since = listing.revision
-            self._listener.on_listing(listing, self._grace_until())
+            await self._list()
             return
         if self._listing_requested.is_set():
             self._revision = None
@@ -323,6 +335,31 @@
             self._pass_on(base_revision, changes)
             await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
 
+    async def _list(self) -> None:
+        """List the kind, or take what another host knows of it at the start."""
+        self._listing_requested.clear()
+        snapshot = await self._fetch_first()
+        if snapshot is not None:
+            listing, age_s = snapshot.listing, snapshot.age_s
+        else:
+            listing, age_s = await self._store.list_all(self._kind), 0.0
+        self._listed_at = self._clock.now()
+        self._refuse_older_era(listing.era)
+        self._record_success(age_s)
+        if listing.era != self._era:
+            self._begin_era(listing.era)
+        self._revision = listing.revision
+        self._is_in_step = True
+        self._unchanged_since = listing.revision
+        self._listener.on_listing(listing, self._grace_until())
+        if snapshot is not None:
+            await self._wait_for_listing_request(SETTLE_S)
+
+    async def _fetch_first(self) -> StoreSnapshot | None:
+        """Return the objects as another host knows them, when this watch starts."""
+        snapshots, self._snapshots = self._snapshots, None
+        return await snapshots.fetch(self._kind) if snapshots is not None else None
+
     def _refuse_older_era(self, era: int) -> None:
         """Raise PlatformError for an answer from before the store was restored."""
         if era < self._era:
@@ -398,10 +435,10 @@
         until = self._may_have_expired_until
         return until if self._clock.now() < until else None
 
-    def _record_success(self) -> None:
+    def _record_success(self, age_s: float = 0.0) -> None:
         """Reset the backoff; after a long outage, start the grace for missing objects."""
         now = self._clock.now()
-        self._confirmed_at = now
+        self._confirmed_at = now - age_s
         if self._outage_began_at is not None:
             log.info(
                 "event=store_regained kind={} away_s={:.2f}",
--- a/packages/toucanspindle-entry/toucanspindle_entry/targets/targettable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/targettable.py
@@ -50,6 +50,11 @@
         """Names of targets whose entries are missing since an outage of the store."""
         return frozenset(self._unconfirmed_until)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether all entries are as the store has them, with none kept for a grace."""
+        return not self._unconfirmed_until and not self._held_draining
+
     @property
     def notices(self) -> TargetNotices:
         """What targets have said of themselves in responses to this host."""
@@ -65,6 +70,10 @@
         """The store revision of the newest change that this host has seen."""
         return self._newest_change
 
+    def all_entries(self) -> list[TargetEntry]:
+        """Return all entries."""
+        return list(self._entries.values())
+
     def get(self, name: str) -> TargetEntry | None:
         """Return the entry of a target, or None if it is unknown."""
         return self._entries.get(name)
--- a/tests/nodefleet.py
+++ b/tests/nodefleet.py
@@ -171,6 +171,10 @@
 class VirtualNode(EntryNode):
     """An entry node without TCP ports."""
 
+    @property
+    def host_ip(self) -> str:
+        return self._own_entry.ip
+
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
         return
 
@@ -183,13 +187,13 @@
         self.store.put(ObjectKind.PLAN, "main", plan(1))
         self.loss = loss
         self.endpoints: dict[str, VirtualEndpoint] = {}
-        self.nodes: dict[str, EntryNode] = {}
+        self.nodes: dict[str, VirtualNode] = {}
         self.started_at: dict[str, float] = {}
         self.ready_after_s: dict[str, float] = {}
         self.datagram_bytes: Counter[str] = Counter()
         self._rng = random.Random(1)
 
-    async def start(self, n: int) -> EntryNode:
+    async def start(self, n: int) -> VirtualNode:
         """Start a host."""
         loop = asyncio.get_running_loop()
         ip = f"10.0.{n // 200}.{n % 200 + 1}"
@@ -221,15 +225,21 @@
             await node.start()
         return node
 
-    async def wait_ready(self, limit_s: float = 20.0) -> None:
-        """Wait until all hosts are ready; `ready_after_s` tells how long each took."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + limit_s
-        while len(self.ready_after_s) < len(self.nodes) and loop.time() < deadline:
-            for ip, node in self.nodes.items():
-                if node.is_ready:
-                    self.ready_after_s.setdefault(ip, loop.time() - self.started_at[ip])
-            await asyncio.sleep(0.002)
+    async def start_all(self, size: int, spread_s: float) -> None:
+        """Start hosts at random times within `spread_s`, and wait until all are ready.
+
+        `ready_after_s` tells how long each took.
+        """
+
+        async def start_one(n: int) -> None:
+            await asyncio.sleep(self._rng.uniform(0.0, spread_s))
+            node = await self.start(n)
+            ip = node.host_ip
+            while not node.is_ready:
+                await asyncio.sleep(0.001)
+            self.ready_after_s[ip] = asyncio.get_running_loop().time() - self.started_at[ip]
+
+        await asyncio.gather(*(start_one(n) for n in range(size)))
 
     def deliver(self, sender: str, receiver: str, message: Message) -> None:
         """Deliver a datagram as bytes, unless it is lost or too large."""
--- a/tests/test_entry_storecalls.py
+++ b/tests/test_entry_storecalls.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from testtools import TestCase
@@ -12,13 +13,15 @@
 from toucanspindle_entry.store.objectstore import ObjectKind
 
 from tests.entrycase import target
-from tests.nodefleet import NodeFleet
+from tests.nodefleet import NodeFleet, VirtualNode, plan
 from tests.test_entry_storerelay import MAX_LAG_S, RelayFleet
 from tests.virtualtime import run_in_virtual_time
 
 LARGE: Final = 114
 SMALL: Final = 40
 TARGETS: Final = 160
+LISTINGS: Final = {"list plan", "list targets"}
+LISTED_READY_S: Final = 0.02  # Four pages of targets from the emulated store.
 
 
 class RareChangeTests(TestCase):
@@ -66,8 +69,7 @@
             fleet = NodeFleet()
             for n in range(TARGETS):
                 fleet.store.put(ObjectKind.TARGETS, f"t{n}", target(f"t{n}"))
-            await asyncio.gather(*(fleet.start(n) for n in range(size)))
-            await fleet.wait_ready()
+            await fleet.start_all(size, spread_s=1.0)
             await asyncio.sleep(42.0)
             pages = sum(n for (_, call), n in fleet.store.callers.items() if call == "stale hosts")
             least_known = min(len(node._hosts.peers) for node in fleet.nodes.values())
@@ -89,3 +91,120 @@
         listings, least_known = self.play(SMALL)
         self.assertGreater(listings, 6.5)
         self.assertEqual(SMALL, least_known)
+
+
+class SnapshotTests(TestCase):
+    """Hosts that start beside hosts that know the targets."""
+
+    def play(
+        self, scenario: Callable[[NodeFleet], Awaitable[None]], size: int, loss: float
+    ) -> None:
+        async def main() -> None:
+            fleet = NodeFleet(loss)
+            for n in range(TARGETS):
+                fleet.store.put(ObjectKind.TARGETS, f"t{n:03}", target(f"t{n:03}"))
+            await fleet.start_all(size, spread_s=1.0)
+            await asyncio.sleep(4.0)
+            await scenario(fleet)
+            await fleet.close()
+
+        run_in_virtual_time(main())
+
+    async def start_one(self, fleet: NodeFleet) -> tuple[VirtualNode, set[str]]:
+        """Start a host; return it and the kinds that it listed until it was ready."""
+        fleet.store.callers.clear()
+        node = await fleet.start(len(fleet.nodes))
+        async with asyncio.timeout(10.0):
+            while not node.is_ready:
+                await asyncio.sleep(0.001)
+        ip = node.host_ip
+        fleet.ready_after_s[ip] = asyncio.get_running_loop().time() - fleet.started_at[ip]
+        return node, {call for caller, call in fleet.store.callers if caller == ip} & LISTINGS
+
+    def check_targets(self, fleet: NodeFleet, node: VirtualNode) -> None:
+        stored = fleet.store.objects[ObjectKind.TARGETS]
+        known = {entry.name: entry.slots for entry in node._targets.all_entries()}
+        self.assertEqual({name: entry.slots for name, entry in stored.items()}, known)
+
+    # Guards against pages of listings for each host that starts, and against a snapshot whose
+    # later pages are taken for the state at the revision of the first.
+    def test_host_of_a_large_fleet_starts_without_listing(self) -> None:
+        async def start_while_targets_change(fleet: NodeFleet) -> None:
+            store = fleet.store
+
+            def change() -> None:
+                store.put(ObjectKind.TARGETS, "t002", None)
+                store.put(ObjectKind.TARGETS, "t157", target("t157", slots=7))
+
+            for n in range(8):
+                asyncio.get_running_loop().call_later(n * 0.003, change if not n else int)
+                node, listings = await self.start_one(fleet)
+                self.assertEqual(set(), listings)
+                if not n:
+                    await asyncio.sleep(MAX_LAG_S)
+                self.check_targets(fleet, node)
+                self.assertLess(fleet.ready_after_s[node.host_ip], LISTED_READY_S + 0.03)
+
+        self.play(start_while_targets_change, LARGE, loss=0.0)
+
+    # Guards against a start that waits for lost datagrams, or takes a part for the whole.
+    def test_starts_on_lossy_links_are_complete_and_soon(self) -> None:
+        async def start_several(fleet: NodeFleet) -> None:
+            for _ in range(10):
+                node, _ = await self.start_one(fleet)
+                self.check_targets(fleet, node)
+                self.assertLess(fleet.ready_after_s[node.host_ip], 1.0)
+
+        self.play(start_several, LARGE, loss=0.1)
+
+    def test_host_of_a_small_fleet_lists(self) -> None:
+        async def start(fleet: NodeFleet) -> None:
+            node, listings = await self.start_one(fleet)
+            self.assertEqual(LISTINGS, listings)
+            self.check_targets(fleet, node)
+
+        self.play(start, SMALL, loss=0.0)
+
+    # Guards against a wait for hosts that aren't ready either.
+    def test_large_fleet_that_starts_at_once_is_ready_as_soon_as_by_listing(self) -> None:
+        async def main() -> None:
+            fleet = NodeFleet()
+            for n in range(TARGETS):
+                fleet.store.put(ObjectKind.TARGETS, f"t{n:03}", target(f"t{n:03}"))
+            await fleet.start_all(LARGE, spread_s=0.3)
+            self.assertLess(max(fleet.ready_after_s.values()), LISTED_READY_S + 0.03)
+            for node in fleet.nodes.values():
+                self.check_targets(fleet, node)
+            await fleet.close()
+
+        run_in_virtual_time(main())
+
+    # Guards against a host that starts with targets which others only keep for the grace, and
+    # against one that gets stuck between the eras.
+    def test_host_that_starts_after_a_restoration_follows_the_new_era(self) -> None:
+        async def restore(fleet: NodeFleet) -> None:
+            store = fleet.store
+            store.take_copy()
+            store.put(ObjectKind.TARGETS, "lost", target("lost"))
+            store.put(ObjectKind.PLAN, "main", plan(2))
+            await asyncio.sleep(MAX_LAG_S)
+            store.restore()
+            await asyncio.sleep(1.0)
+            node, listings = await self.start_one(fleet)
+            self.assertIn("list targets", listings)
+            self.assertIsNone(node._targets.get("lost"))
+            # The plan in force is newer than the copy's.
+            self.assertEqual(2, node.host_status.plan_version)
+            await asyncio.sleep(3.0)
+            node, listings = await self.start_one(fleet)
+            self.assertNotIn("list targets", listings)
+            self.assertEqual(1, node._targets.era)
+            store.put(ObjectKind.TARGETS, "lost", target("lost", slots=9))
+            await asyncio.sleep(MAX_LAG_S)
+            for node in fleet.nodes.values():
+                self.check_targets(fleet, node)
+            self.assertEqual(
+                set(store.objects[ObjectKind.HOSTS]), {f"h{n}" for n in range(len(fleet.nodes))}
+            )
+
+        self.play(restore, LARGE, loss=0.0)
