Merge the sparing of store calls, for fleets with a bound for revoked keys

Such a fleet calls the store for the plan about twice as often to confirm it. Others are served as before, so the sparing depends on that bound.

--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -56,6 +56,7 @@
     StoreListing,
 )
 from toucanspindle_entry.store.storerelay import StoreRelay
+from toucanspindle_entry.store.storesnapshot import StoreSnapshots
 from toucanspindle_entry.store.storewatch import REGISTRATION_GRACE_S, StoreWatch
 from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targets.targettable import TargetTable
@@ -64,6 +65,8 @@
 # Waits between host listings; the last repeats.  At a first start the entries of the others may
 # be missing in an outdated listing for some seconds.
 HOST_LIST_WAITS_S: Final = (0.05, 0.6, 2.0, 3.0, 5.0, 15.0)
+# In a large fleet, once a listing that is newer than this host's registration names no other one.
+COMPLETE_HOST_LIST_WAIT_S: Final = 60.0
 LONE_HOST_WAIT_S: Final = 2.0  # From this wait on a host that knows no other needs a new listing.
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
 REGISTER_RETRY_S: Final = 0.5  # Wait between registration attempts, before jitter.
@@ -132,7 +135,7 @@
     def __init__(self, node: "EntryNode") -> None:
         self._node = node
 
-        self._plan_name: str | None = None
+        self.plan_name: str | None = None
         # Version of the newest plan that the store has shown, or None without one.
         self.shown_version: int | None = None
 
@@ -148,11 +151,11 @@
         for change in changes.changes:
             if isinstance(change.value, FleetPlan) and not change.removed:
                 self._apply(change.name, change.value)
-            elif change.removed and change.name == self._plan_name:
+            elif change.removed and change.name == self.plan_name:
                 self.shown_version = None
 
     def _apply(self, name: str, plan: FleetPlan) -> None:
-        self._plan_name = name
+        self.plan_name = name
         self.shown_version = plan.version
         self._node.apply_plan(plan)
 
@@ -258,27 +261,24 @@
             tells_plan_age=self._freshness.is_bounded,
         )
         self._quotas.attach(self._datagrams, self._prober.check_silent)
-        self._relay = StoreRelay(self._hosts, self._datagrams.send)
+        self._relay = StoreRelay(
+            self._hosts, self._datagrams.send, may_spare_calls=settings.spares_store_calls
+        )
+        self._snapshots = StoreSnapshots(
+            self._hosts, self._relay, self._datagrams.send, settings.seeds, self._rng
+        )
         self._plan_listener = _PlanListener(self)
-        self._plan_watch = StoreWatch(
-            store,
-            ObjectKind.PLAN,
-            self._plan_listener,
-            self._clock,
-            self._rng,
-            exchange=self._relay,
-            on_answer=self._confirm_plan,
+        self._plan_watch = self._create_watch(
+            ObjectKind.PLAN, self._plan_listener, self._confirm_plan
         )
-        self._target_watch = StoreWatch(
-            store,
-            ObjectKind.TARGETS,
-            _TargetListener(self, self._targets),
-            self._clock,
-            self._rng,
-            exchange=self._relay,
+        self._target_watch = self._create_watch(
+            ObjectKind.TARGETS, _TargetListener(self, self._targets)
         )
-        self._relay.set_watches(
-            {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
+        watches = {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
+        self._relay.set_watches(watches)
+        self._snapshots.set_sources(
+            watches,
+            {ObjectKind.PLAN: self._plan_objects, ObjectKind.TARGETS: self._target_objects},
         )
         for watch in (self._plan_watch, self._target_watch):
             watch.add_era_observer(self._handle_era)
@@ -525,7 +525,7 @@
         """Process a datagram about slots, quotas or other hosts; ignore unknown kinds."""
         if self._slots.handle_message(ip, message) or self._relay.handle_message(ip, message):
             return
-        if self._quotas.handle_message(ip, message):
+        if self._quotas.handle_message(ip, message) or self._snapshots.handle_message(ip, message):
             return
         kind = message[0]
         now = self._clock.now()
@@ -594,19 +594,27 @@
         """Ask the seeds for the other hosts, and greet each unknown host that the store lists.
 
         Outdated listings cost the store little.  Only a requested listing is up to date, and those
-        of a host that hasn't found any other.
+        of a host that hasn't found any other.  In a large fleet a host that already knows the
+        others leaves out the first listing, and lists them rarely once no listing names a further
+        one.
         """
         seeds = [ip for ip in self._settings.seeds if ip != self._own_entry.ip]
         self._rng.shuffle(seeds)
         for ip in seeds:
             self._announcer.greet(ip)
         waits = iter(HOST_LIST_WAITS_S)
+        unheard: set[str] = set()  # Listed hosts that had not answered by then.
+        is_complete = False
         while True:
             # One seed at a time, since each names all hosts.
             if seeds:
                 self._announcer.ask_for_hosts(seeds.pop())
             wait_s = next(waits, HOST_LIST_WAITS_S[-1])
+            if is_complete and self._relay.spares_calls:
+                wait_s = COMPLETE_HOST_LIST_WAIT_S
             is_requested = await self._wait_for_host_listing(wait_s * self._rng.uniform(0.9, 1.1))
+            if wait_s == HOST_LIST_WAITS_S[0] and self._relay.spares_calls and not is_requested:
+                continue
             is_alone = wait_s >= LONE_HOST_WAIT_S and not self._hosts.peers
             may_be_stale = not (is_requested or is_alone)
             try:
@@ -619,8 +627,12 @@
             ]
             # An outdated listing counts only if it is newer than this host's registration: one from
             # before may lack hosts, and would make the parts of limits that are split too large.
-            if not may_be_stale or self._own_entry in registrations:
+            is_counted = not may_be_stale or self._own_entry in registrations
+            if is_counted:
                 self._hosts.record_listing(len(registrations))
+            known = {self._own_entry.ip, *self._hosts.peers}
+            previously_unheard, unheard = unheard, {r.ip for r in registrations} - known
+            is_complete = is_counted and unheard <= previously_unheard
             for registration in registrations:
                 self._announcer.greet_first(registration.ip)
 
@@ -672,6 +684,34 @@
                 self._target_watch.request_listing()
             suspended_s = current_suspended_s
 
+    def _create_watch(
+        self,
+        kind: ObjectKind,
+        listener: _PlanListener | _TargetListener,
+        on_answer: Callable[[float], None] | None = None,
+    ) -> StoreWatch:
+        return StoreWatch(
+            self._store,
+            kind,
+            listener,
+            self._clock,
+            self._rng,
+            exchange=self._relay,
+            on_answer=on_answer,
+            snapshots=self._snapshots if self._settings.spares_store_calls else None,
+        )
+
+    def _plan_objects(self) -> list[tuple[str, FleetPlan]] | None:
+        """Return the plan in force for a host that starts, or None without one."""
+        routes, name = self._request_handler.routes, self._plan_listener.plan_name
+        return [(name, routes.plan)] if routes is not None and name is not None else None
+
+    def _target_objects(self) -> list[tuple[str, TargetEntry]] | None:
+        """Return the targets for a host that starts, or None while some are kept for a grace."""
+        if not self._targets.is_settled:
+            return None
+        return [(entry.name, entry) for entry in self._targets.all_entries()]
+
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
         loop = asyncio.get_running_loop()
         self._servers[name] = await loop.create_server(
--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -66,6 +66,15 @@
     memory_mb: float = 200.0
     caller_stall_s: float = 15.0
 
+    @property
+    def spares_store_calls(self) -> bool:
+        """Whether a host of a large fleet learns from other hosts what the store holds.
+
+        A fleet with a bound for revoked keys calls the store for the plan about twice as often.
+        It makes up for that with fewer other calls.
+        """
+        return self.bounds.revoke_s is not None
+
     @property
     def peer_memory_bytes(self) -> int:
         """The memory that peers may hold in the process, in bytes."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
@@ -28,6 +28,7 @@
 
 WATCHERS_PER_DOMAIN: Final = 2
 ANNOUNCE_INTERVAL_S: Final = 0.25
+LARGE_FLEET_HOSTS: Final = 64  # Calls of smaller fleets cost little, and are left as they were.
 MAX_CHANGES_BYTES: Final = 16_384  # Larger changes are not passed on; hosts read them themselves.
 
 log = Logger("store")
@@ -49,8 +50,12 @@
 class StoreRelay:
     """Decides whether this host watches the store, and exchanges changes with the other hosts."""
 
-    def __init__(self, hosts: LiveHosts, send: SendMessage) -> None:
-        """Create a relay without watches; `set_watches` adds them."""
+    def __init__(self, hosts: LiveHosts, send: SendMessage, may_spare_calls: bool = False) -> None:
+        """Create a relay without watches; `set_watches` adds them.
+
+        With `may_spare_calls`, hosts of a large fleet avoid calls that each host would make.
+        """
+        self._may_spare_calls = may_spare_calls
         self._hosts = hosts
         self._send = send
         self._watches: Mapping[ObjectKind, RelayedWatch] = {}
@@ -68,11 +73,31 @@
             self._is_ready = is_ready
             self._ranked_at_revision = -1
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host is ready, and not stopping."""
+        return self._is_ready
+
+    def watchers_of(self, failure_domain: str) -> list[str]:
+        """Return the IP addresses of the watchers of a failure domain, by rank."""
+        return self._watchers_by_domain().get(failure_domain, [])
+
     @property
     def is_watcher(self) -> bool:
         """Whether this host watches the store for its failure domain."""
         own = self._hosts.own
-        return own.ip in self._watchers_by_domain().get(own.failure_domain, [])
+        return own.ip in self.watchers_of(own.failure_domain)
+
+    @property
+    def spares_calls(self) -> bool:
+        """Whether calls that each host would make are to be avoided now."""
+        return self._may_spare_calls and len(self._hosts.peers) + 1 >= LARGE_FLEET_HOSTS
+
+    @property
+    def is_first_watcher(self) -> bool:
+        """Whether this host is the first watcher of the first failure domain by name."""
+        by_domain = self._watchers_by_domain()
+        return bool(by_domain) and by_domain[min(by_domain)][:1] == [self._hosts.own.ip]
 
     def domain_watchers(self) -> list[str]:
         """Return the IP addresses of the other hosts that watch the store for this domain."""
@@ -84,14 +109,19 @@
         """Tell the hosts of the failure domain and the other watchers what is known, forever."""
         while True:
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
-            if self.is_watcher:
-                states = [
-                    storemessages.encode_progress(kind, progress)
-                    for kind, watch in self._watches.items()
-                    if (progress := watch.progress) is not None
-                ]
-                if states:
-                    self._send_to(["store", states], to_watchers=True)
+            self.announce()
+
+    def announce(self) -> None:
+        """Tell now what is known of all kinds, if this host watches the store."""
+        if not self.is_watcher:
+            return
+        states = [
+            storemessages.encode_progress(kind, progress)
+            for kind, watch in self._watches.items()
+            if (progress := watch.progress) is not None
+        ]
+        if states:
+            self._send_to(["store", states], to_watchers=True)
 
     def pass_on(self, kind: ObjectKind, progress: StoreProgress, is_own: bool) -> None:
         """Pass new changes on; `is_own` if this host read them from the store itself."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -46,6 +46,19 @@
 # within 2 s.
 MAX_UNCONFIRMED_S: Final = 1.4
 MIN_FOLLOW_S: Final = 0.02
+# A change, or a start of all hosts, makes all watchers call at the same time.  In a large fleet
+# their next calls end at different times within this, as each call that ends confirms the revision
+# to all hosts.  Otherwise no call would end for MAX_UNCONFIRMED_S, and every host would call.
+SPREAD_WAIT_S: Final = 1.0
+# The first watcher of a large fleet ends its calls at least this often, and its first one after a
+# change this soon, for the same reason.  The pause after a change takes up to 0.8 s more, and it
+# takes up to 0.25 s until the other watchers pass a confirmation on.
+FIRST_WATCHER_WAIT_S: Final = 0.9
+FIRST_WATCHER_SPREAD_WAIT_S: Final = 0.3
+MIN_SPREAD_WAIT_S: Final = 0.05
+# A host that knows no others yet takes itself for a watcher.  One that started from a snapshot
+# first gets to know them.
+SETTLE_S: Final = 0.5
 # A host that has heard of no confirmation for longer lists the kind again: the store may have
 # dropped the changes since, and doesn't always say so.
 MAX_RESUME_GAP_S: Final = 3.0
@@ -85,6 +98,22 @@
         return dataclasses.replace(self, base_revision=self.revision, changes=None)
 
 
+@dataclass(frozen=True)
+class StoreSnapshot:
+    """A listing from another host; the store confirmed its revision `age_s` seconds ago."""
+
+    listing: StoreListing
+    age_s: float
+
+
+class SnapshotSource(Protocol):
+    """Gives a starting host what other hosts know."""
+
+    async def fetch(self, kind: ObjectKind) -> StoreSnapshot | None:
+        """Return what another host knows of a kind, or None if it must be read from the store."""
+        ...
+
+
 class ChangeExchange(Protocol):
     """Decides which hosts watch the store, and passes changes on to the others."""
 
@@ -93,6 +122,20 @@
         """Whether this host watches the store for others."""
         ...
 
+    @property
+    def spares_calls(self) -> bool:
+        """Whether calls that each host would make are to be avoided now."""
+        ...
+
+    @property
+    def is_first_watcher(self) -> bool:
+        """Whether this host is the first one among the watchers of all failure domains."""
+        ...
+
+    def announce(self) -> None:
+        """Tell now what is known of all kinds, if this host watches the store."""
+        ...
+
     def pass_on(self, kind: ObjectKind, progress: StoreProgress, is_own: bool) -> None:
         """Pass new changes on; `is_own` if this host read them from the store itself."""
         ...
@@ -127,12 +170,14 @@
         *,
         exchange: ChangeExchange | None = None,
         on_answer: Callable[[float], None] | None = None,
+        snapshots: SnapshotSource | None = None,
     ) -> None:
         """Create a watch; nothing is called before `start`.
 
         Without an exchange the host always watches the store itself.  `on_answer` is called after
         the listener got what an answer of the store shows, with the time at which the call was
-        sent: what the answer shows was the newest at some time after that.
+        sent: what the answer shows was the newest at some time after that.  The first listing is
+        taken from `snapshots` if possible.
         """
         self._store = store
         self._kind = kind
@@ -141,6 +186,7 @@
         self._rng = rng
         self._exchange = exchange
         self._on_answer = on_answer
+        self._snapshots = snapshots
         self._confirmed_at = float("-inf")
         self._unchanged_since = 0  # Nothing has changed from this revision to the known one.
         self._needed_revision = 0  # Other hosts tell no changes from earlier revisions on.
@@ -151,6 +197,7 @@
         self._may_have_expired_until = float("-inf")
         self._listed_at = float("-inf")
         self._retry_wait_s = FIRST_RETRY_WAIT_S
+        self._is_in_step = True  # Other watchers' last calls ended at the same time.
         self._task: asyncio.Task[None] | None = None
         self._listing_requested = asyncio.Event()
         self._listing_requested_or_behind = asyncio.Event()
@@ -260,18 +307,7 @@
     async def _list_or_watch(self) -> None:
         """Run one listing, or one watch call, and pass the result to the listener."""
         if self._revision is None:
-            self._listing_requested.clear()
-            sent_at = self._clock.now()
-            listing = await self._store.list_all(self._kind)
-            self._listed_at = self._clock.now()
-            self._refuse_older_era(listing.era)
-            self._record_success()
-            if listing.era != self._era:
-                self._begin_era(listing.era)
-            self._revision = listing.revision
-            self._unchanged_since = listing.revision
-            self._listener.on_listing(listing, self._grace_until())
-            self._note_answer(sent_at)
+            await self._list()
             return
         if self._listing_requested.is_set():
             self._revision = None
@@ -292,20 +328,49 @@
             self._revision = None
             return
         self._record_success()
-        if changes.revision <= self._revision:
-            # Another host was faster, or nothing has changed.
-            if changes.revision >= watched_revision:
-                self._note_answer(sent_at)
-            return
-        self._revision = changes.revision
-        if changes.changes:
+        is_newer = changes.revision > self._revision
+        self._revision = max(self._revision, changes.revision)
+        applies_changes = is_newer and bool(changes.changes)  # Otherwise another host was faster.
+        if applies_changes:
+            self._is_in_step = True
             base_revision, self._unchanged_since = self._unchanged_since, changes.revision
             self._listener.on_changes(changes, self._grace_until())
             self._pass_on(base_revision, changes)
-        self._note_answer(sent_at)
-        if changes.changes:
+        elif not changes.changes and self._exchange is not None and self._exchange.spares_calls:
+            self._exchange.announce()
+        if changes.revision >= watched_revision:
+            self._note_answer(sent_at)
+        if applies_changes:
             await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
 
+    async def _list(self) -> None:
+        """List the kind, or take what another host knows of it at the start."""
+        self._listing_requested.clear()
+        snapshot = await self._fetch_first()
+        sent_at = self._clock.now()
+        if snapshot is not None:
+            listing, age_s = snapshot.listing, snapshot.age_s
+        else:
+            listing, age_s = await self._store.list_all(self._kind), 0.0
+        self._listed_at = self._clock.now()
+        self._refuse_older_era(listing.era)
+        self._record_success(age_s)
+        if listing.era != self._era:
+            self._begin_era(listing.era)
+        self._revision = listing.revision
+        self._is_in_step = True
+        self._unchanged_since = listing.revision
+        self._listener.on_listing(listing, self._grace_until())
+        if snapshot is None:
+            self._note_answer(sent_at)
+        else:
+            await self._wait_for_listing_request(SETTLE_S)
+
+    async def _fetch_first(self) -> StoreSnapshot | None:
+        """Return the objects as another host knows them, when this watch starts."""
+        snapshots, self._snapshots = self._snapshots, None
+        return await snapshots.fetch(self._kind) if snapshots is not None else None
+
     def _refuse_older_era(self, era: int) -> None:
         """Raise PlatformError for an answer from before the store was restored."""
         if era < self._era:
@@ -352,7 +417,8 @@
     async def _wait_for_changes(self, revision: int) -> StoreChanges | None:
         """Wait for changes; return None if a new listing is requested first."""
         loop = asyncio.get_running_loop()
-        watch_task = loop.create_task(self._store.watch(self._kind, revision))
+        max_wait_s = self._choose_max_wait_s()
+        watch_task = loop.create_task(self._store.watch(self._kind, revision, max_wait_s))
         listing_request_task = loop.create_task(self._listing_requested.wait())
         try:
             await asyncio.wait(
@@ -368,15 +434,26 @@
         if self._on_answer is not None:
             self._on_answer(sent_at)
 
+    def _choose_max_wait_s(self) -> float | None:
+        """Return the longest wait of the next watch call, or None for the usual one."""
+        is_in_step, self._is_in_step = self._is_in_step, False
+        if self._exchange is None or not self._exchange.spares_calls:
+            return None
+        is_first = self._exchange.is_first_watcher
+        if is_in_step:
+            spread_s = FIRST_WATCHER_SPREAD_WAIT_S if is_first else SPREAD_WAIT_S
+            return self._rng.uniform(MIN_SPREAD_WAIT_S, spread_s)
+        return FIRST_WATCHER_WAIT_S if is_first else None
+
     def _grace_until(self) -> float | None:
         """Return until when missing objects may be registered again, or None if they are gone."""
         until = self._may_have_expired_until
         return until if self._clock.now() < until else None
 
-    def _record_success(self) -> None:
+    def _record_success(self, age_s: float = 0.0) -> None:
         """Reset the backoff; after a long outage, start the grace for missing objects."""
         now = self._clock.now()
-        self._confirmed_at = now
+        self._confirmed_at = now - age_s
         if self._outage_began_at is not None:
             log.info(
                 "event=store_regained kind={} away_s={:.2f}",
--- a/tests/test_entry_storerelay.py
+++ b/tests/test_entry_storerelay.py
@@ -101,10 +101,11 @@
         if self.is_down:
             raise PlatformError(errorcodes.PLATFORM_UNREACHABLE, "down", "wait")
 
-    async def watch(self, ip: str, revision: int) -> StoreChanges:
+    async def watch(self, ip: str, revision: int, max_wait_s: float | None = None) -> StoreChanges:
         await self.enter(ip)
         era = self.era
-        deadline = asyncio.get_running_loop().time() + self.rng.uniform(*WATCH_WAITS_S)
+        wait_s = min(self.rng.uniform(*WATCH_WAITS_S), max_wait_s or WATCH_WAITS_S[1])
+        deadline = asyncio.get_running_loop().time() + wait_s
         while True:
             if era != self.era:
                 raise PlatformError(errorcodes.PLATFORM_UNREACHABLE, "restored", "wait")
@@ -136,8 +137,10 @@
         items = [StoreItem(name, value) for name, (value, _) in self._store.objects.items()]
         return StoreListing(tuple(items), self._store.revision, self._store.era)
 
-    async def watch(self, kind: ObjectKind, revision: int) -> StoreChanges:  # noqa: ARG002
-        return await self._store.watch(self._ip, revision)
+    async def watch(
+        self, kind: ObjectKind, revision: int, max_wait_s: float | None = None  # noqa: ARG002
+    ) -> StoreChanges:
+        return await self._store.watch(self._ip, revision, max_wait_s)
 
     async def put_host(self, name: str, value: Any) -> int:
         raise NotImplementedError
@@ -158,7 +161,11 @@
         self._table_listener = _TargetListener(cast(EntryNode, self), self.table)
         rng = random.Random(ip)
         self.hosts = LiveHosts(HostEntry(ip, ip, domain, ip), rng)
-        self.relay = StoreRelay(self.hosts, lambda to, message: fleet.deliver(ip, to, message))
+        self.relay = StoreRelay(
+            self.hosts,
+            lambda to, message: fleet.deliver(ip, to, message),
+            may_spare_calls=fleet.may_spare_calls,
+        )
         client = StoreClient(fleet.store, ip)
         self.watch = StoreWatch(
             client, ObjectKind.TARGETS, self, LoopClock(), rng, exchange=self.relay
@@ -196,7 +203,8 @@
 class RelayFleet:
     """Hosts in four failure domains that know each other."""
 
-    def __init__(self, size: int, loss: float = 0.0) -> None:
+    def __init__(self, size: int, loss: float = 0.0, *, may_spare_calls: bool = False) -> None:
+        self.may_spare_calls = may_spare_calls
         self.store = EmulatedStore()
         self.loss = loss
         self.rng = random.Random(1)
