--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -84,6 +84,9 @@
 ASK_WATCHER_AGE_S: Final = 1.0
 LIST_PLAN_AGE_S: Final = 2.0
 LIST_PLAN_INTERVAL_S: Final = 1.0
+# Watchers list a plan with accounts after each watch call, as that shows what is newest just then.
+# A plan of more keys is too large: 500 keys are about 35 KB, each 1.2 s.
+MAX_LISTED_KEYS: Final = 500
 PROBE_SEQ_BITS: Final = 32
 
 log = Logger("node")
@@ -134,10 +137,13 @@
         self._plan_name: str | None = None
         # Version of the newest plan that the store has shown, or None without one.
         self.shown_version: int | None = None
+        # Whether the plan that the store has now can't be decoded.
+        self.is_unreadable = False
 
     def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
         # A plan that can't be decoded counts as none here: a valid one may have come before it.
         self.shown_version = None
+        self.is_unreadable = True
         for item in listing.items:
             if isinstance(item.value, FleetPlan):
                 self._apply(item.name, item.value)
@@ -149,9 +155,12 @@
                 self._apply(change.name, change.value)
             elif change.removed and change.name == self._plan_name:
                 self.shown_version = None
+            elif change.name in {self._plan_name, ""}:  # An unreadable object may have no name.
+                self.is_unreadable = True
 
     def _apply(self, name: str, plan: FleetPlan) -> None:
         self._plan_name = name
+        self.is_unreadable = False
         self.shown_version = plan.version
         self._node.apply_plan(plan)
 
@@ -255,7 +264,8 @@
             self._clock,
             self._rng,
             exchange=self._relay,
-            on_answer=self._confirm_plan,
+            on_answer=self._confirm_plan if self._freshness.is_bounded else None,
+            confirms_by_listing=self._lists_plan,
         )
         self._target_watch = StoreWatch(
             store,
@@ -271,6 +281,7 @@
         self._missed_targets = MissedChanges()
         self._host_listing_requested = asyncio.Event()
         self._targets_known = False
+        self._is_plan_small = False
         self._announced_ready = False
         self._stopping = False
         self._connections: set[CallerConnection] = set()
@@ -459,6 +470,9 @@
         if routes is not None and plan.version <= routes.plan.version:
             return
         self._request_handler.routes = RouteIndex(plan, self._rng)
+        accounts = plan.accounts
+        key_count = sum(len(account.keys) for account in accounts or ())
+        self._is_plan_small = accounts is not None and key_count <= MAX_LISTED_KEYS
         log.info("event=plan_in_force version={} routes={}", plan.version, len(plan.routes))
         self._announce_when_ready()
 
@@ -512,20 +526,30 @@
             sent_at, self._plan_listener.shown_version, self._plan_version()
         )
 
+    def _lists_plan(self) -> bool:
+        """Return whether the plan is listed to confirm it, rather than only watched.
+
+        A listing of a plan that can't be decoded doesn't tell whether a valid one came before it.
+        """
+        return self._is_plan_small and not self._plan_listener.is_unreadable
+
     async def _keep_plan_confirmed(self) -> None:
         """Ask other hosts, and then the store, for a newer confirmation; log changes of state."""
         listing_requested_at = float("-inf")
         while True:
             await asyncio.sleep(CONFIRM_INTERVAL_S)
             now = self._clock.now()
+            self._log_confirmation(now)
+            routes = self._request_handler.routes
+            if routes is None or routes.accounts is None:
+                continue
             age_s = self._freshness.age_s(now)
             if age_s > ASK_WATCHER_AGE_S and (watchers := self._relay.domain_watchers()):
                 self._prober.ask(self._rng.choice(watchers))
-            is_due = now - listing_requested_at > LIST_PLAN_INTERVAL_S
+            is_due = now - listing_requested_at > LIST_PLAN_INTERVAL_S and self._lists_plan()
             if age_s > LIST_PLAN_AGE_S and is_due and not self._plan_watch.is_unreachable:
                 listing_requested_at = now
                 self._plan_watch.request_listing()
-            self._log_confirmation(now)
 
     def _log_confirmation(self, now: float) -> None:
         may_run = self._freshness.take_state_change(now)
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -43,6 +43,9 @@
 # A host that has heard of no confirmation for longer lists the kind again: the store may have
 # dropped the changes since, and doesn't always say so.
 MAX_RESUME_GAP_S: Final = 3.0
+# If answers to watches are to prove what is newest: longest pause between two calls.  The store may
+# drop its history without notice, and then a watch from before doesn't tell the changes since.
+MAX_WATCH_PAUSE_S: Final = 0.5
 MIN_OUTAGE_S: Final = 1.0  # Entries may expire in the store during an outage longer than this.
 REGISTRATION_GRACE_S: Final = 2.0  # Live targets register again within this time after an outage.
 MIN_LISTING_INTERVAL_S: Final = 0.3  # Least time from a listing to the next requested one.
@@ -112,12 +115,15 @@
         *,
         exchange: ChangeExchange | None = None,
         on_answer: Callable[[float], None] | None = None,
+        confirms_by_listing: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a watch; nothing is called before `start`.
 
         Without an exchange the host always watches the store itself.  `on_answer` is called after
         the listener got what an answer of the store shows, with the time at which the call was
-        sent: what the answer shows was the newest at some time after that.
+        sent: what the answer shows was the newest at some time after that.  With
+        `confirms_by_listing` the kind is also listed after each watch call, and only listings count
+        as answers.
         """
         self._store = store
         self._kind = kind
@@ -126,6 +132,8 @@
         self._rng = rng
         self._exchange = exchange
         self._on_answer = on_answer
+        self._confirms_by_listing = confirms_by_listing
+        self._answered_at = float("-inf")
         self._confirmed_at = float("-inf")
         self._unchanged_since = 0  # Nothing has changed from this revision to the known one.
         self._needed_revision = 0  # Other hosts tell no changes from earlier revisions on.
@@ -238,24 +246,31 @@
             self._revision = None
             return
         sent_at, watched_revision = self._clock.now(), self._revision
+        is_paused = sent_at - self._answered_at > MAX_WATCH_PAUSE_S
+        if self._on_answer is not None and is_paused and not self._confirms_by_listing():
+            self._revision = None
+            return
         changes = await self._wait_for_changes(watched_revision)
         if changes is None:
             self._revision = None
             return
         self._record_success()
-        if changes.revision <= self._revision:
-            # Another host was faster, or nothing has changed.
-            if changes.revision >= watched_revision:
-                self._note_answer(sent_at)
-            return
+        is_new = changes.revision > self._revision  # Otherwise another host may have been faster.
+        if is_new:
+            self._apply(changes)
+        if self._on_answer is not None and self._confirms_by_listing():
+            await self._confirm_by_listing()
+        elif changes.revision >= watched_revision:  # Otherwise the store went back.
+            self._note_answer(sent_at)
+        if is_new and changes.changes:
+            await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
+
+    def _apply(self, changes: StoreChanges) -> None:
         self._revision = changes.revision
         if changes.changes:
             base_revision, self._unchanged_since = self._unchanged_since, changes.revision
             self._listener.on_changes(changes, self._grace_until())
             self._pass_on(base_revision, changes)
-        self._note_answer(sent_at)
-        if changes.changes:
-            await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
 
     def _may_follow(self) -> bool:
         """Return whether other hosts watch the store for this one."""
@@ -297,7 +312,18 @@
             watch_task.cancel()
             await asyncio.gather(watch_task, return_exceptions=True)
 
+    async def _confirm_by_listing(self) -> None:
+        """List the kind to find out whether the newest change is known.
+
+        The watch goes on from its own revision, so that it tells other hosts all changes.
+        """
+        sent_at = self._clock.now()
+        listing = await self._store.list_all(self._kind)
+        self._listener.on_listing(listing, self._grace_until())
+        self._note_answer(sent_at)
+
     def _note_answer(self, sent_at: float) -> None:
+        self._answered_at = self._clock.now()
         if self._on_answer is not None:
             self._on_answer(sent_at)
 
