--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -62,6 +62,9 @@
 # A host that has heard of no confirmation for longer lists the kind again: the store may have
 # dropped the changes since, and doesn't always say so.
 MAX_RESUME_GAP_S: Final = 3.0
+# If answers to watches are to prove what is newest: longest pause between two calls.  The store may
+# drop its history without notice, and then a watch from before doesn't tell the changes since.
+MAX_WATCH_PAUSE_S: Final = 0.5
 MIN_OUTAGE_S: Final = 1.0  # Entries may expire in the store during an outage longer than this.
 # Live targets register again within this time after an outage, or once the store was restored.
 REGISTRATION_GRACE_S: Final = 2.0
@@ -171,13 +174,15 @@
         exchange: ChangeExchange | None = None,
         on_answer: Callable[[float], None] | None = None,
         snapshots: SnapshotSource | None = None,
+        confirms_by_listing: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a watch; nothing is called before `start`.
 
         Without an exchange the host always watches the store itself.  `on_answer` is called after
         the listener got what an answer of the store shows, with the time at which the call was
-        sent: what the answer shows was the newest at some time after that.  The first listing is
-        taken from `snapshots` if possible.
+        sent: what the answer shows was the newest at some time after that.  With
+        `confirms_by_listing` the kind is also listed after each watch call, and only listings count
+        as answers.  The first listing is taken from `snapshots` if possible.
         """
         self._store = store
         self._kind = kind
@@ -187,6 +192,8 @@
         self._exchange = exchange
         self._on_answer = on_answer
         self._snapshots = snapshots
+        self._confirms_by_listing = confirms_by_listing
+        self._answered_at = float("-inf")
         self._confirmed_at = float("-inf")
         self._unchanged_since = 0  # Nothing has changed from this revision to the known one.
         self._needed_revision = 0  # Other hosts tell no changes from earlier revisions on.
@@ -319,6 +326,10 @@
             self._revision = None
             return
         sent_at, watched_revision = self._clock.now(), self._revision
+        is_paused = sent_at - self._answered_at > MAX_WATCH_PAUSE_S
+        if self._on_answer is not None and is_paused and not self._confirms_by_listing():
+            self._revision = None
+            return
         changes = await self._wait_for_changes(watched_revision)
         if changes is None:
             self._revision = None
@@ -332,17 +343,22 @@
         self._revision = max(self._revision, changes.revision)
         applies_changes = is_newer and bool(changes.changes)  # Otherwise another host was faster.
         if applies_changes:
-            self._is_in_step = True
-            base_revision, self._unchanged_since = self._unchanged_since, changes.revision
-            self._listener.on_changes(changes, self._grace_until())
-            self._pass_on(base_revision, changes)
+            self._apply(changes)
         elif not changes.changes and self._exchange is not None and self._exchange.spares_calls:
             self._exchange.announce()
-        if changes.revision >= watched_revision:
+        if self._on_answer is not None and self._confirms_by_listing():
+            await self._confirm_by_listing()
+        elif changes.revision >= watched_revision:  # Otherwise the store went back.
             self._note_answer(sent_at)
         if applies_changes:
             await self._wait_for_listing_request(CHANGE_INTERVAL_S[self._kind])
 
+    def _apply(self, changes: StoreChanges) -> None:
+        self._is_in_step = True
+        base_revision, self._unchanged_since = self._unchanged_since, changes.revision
+        self._listener.on_changes(changes, self._grace_until())
+        self._pass_on(base_revision, changes)
+
     async def _list(self) -> None:
         """List the kind, or take what another host knows of it at the start."""
         self._listing_requested.clear()
@@ -430,7 +446,22 @@
             watch_task.cancel()
             await asyncio.gather(watch_task, return_exceptions=True)
 
+    async def _confirm_by_listing(self) -> None:
+        """List the kind to find out whether the newest change is known.
+
+        The watch goes on from its own revision, so that it tells other hosts all changes.
+        """
+        sent_at = self._clock.now()
+        listing = await self._store.list_all(self._kind)
+        self._refuse_older_era(listing.era)
+        if listing.era != self._era:
+            self._revision = None
+            return
+        self._listener.on_listing(listing, self._grace_until())
+        self._note_answer(sent_at)
+
     def _note_answer(self, sent_at: float) -> None:
+        self._answered_at = self._clock.now()
         if self._on_answer is not None:
             self._on_answer(sent_at)
 
@@ -439,6 +470,8 @@
         is_in_step, self._is_in_step = self._is_in_step, False
         if self._exchange is None or not self._exchange.spares_calls:
             return None
+        if self._on_answer is not None:
+            return None  # A shorter watch doesn't prove what is newest.
         is_first = self._exchange.is_first_watcher
         if is_in_step:
             spread_s = FIRST_WATCHER_SPREAD_WAIT_S if is_first else SPREAD_WAIT_S
