--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/localbroker.py
@@ -15,7 +15,7 @@
 from toucanspindle_core.clock import Clock
 
 from toucanspindle_entry.broker.poisontracker import PoisonTracker
-from toucanspindle_entry.broker.slotbroker import AVOID_MIN_UNHEALTHY, SlotBroker
+from toucanspindle_entry.broker.slotbroker import SlotBroker
 from toucanspindle_entry.broker.slottypes import (
     AttemptReport,
     Decision,
@@ -23,6 +23,7 @@
     Refused,
     SlotRequest,
 )
+from toucanspindle_entry.broker.targetchoice import AVOID_MIN_UNHEALTHY
 from toucanspindle_entry.model import TargetEntry
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.targets.targethealth import AttemptOutcome
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -15,13 +15,13 @@
 import random
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
 from toucanspindle_entry.broker.activetargetfloor import ActiveTargetFloor
 from toucanspindle_entry.broker.failuretimes import FailureTimes
 from toucanspindle_entry.broker.fleetretrybudget import FleetRetryBudget
 from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.slotlease import LEASE_GRACE_S, Lease
 from toucanspindle_entry.broker.slotqueue import PendingRequest, SlotQueue
 from toucanspindle_entry.broker.slottypes import (
     AttemptReport,
@@ -32,7 +32,8 @@
     Refused,
     SlotRequest,
 )
-from toucanspindle_entry.broker.targetcandidates import TargetCandidates, cross_domain_cost
+from toucanspindle_entry.broker.targetcandidates import TargetCandidates
+from toucanspindle_entry.broker.targetchoice import TargetChoice, is_eligible
 from toucanspindle_entry.broker.targetlimits import TargetLimits
 from toucanspindle_entry.broker.targetrecord import TargetRecord
 from toucanspindle_entry.model import TargetEntry
@@ -51,28 +52,12 @@
 HARMLESS_OUTCOMES: Final = frozenset(
     {AttemptOutcome.ANSWERED, AttemptOutcome.SHED, AttemptOutcome.WITHDRAWN}
 )
-LEASE_GRACE_S: Final = 0.5  # A lease without a report expires this long after its deadline.
 INITIAL_WORK_S: Final = 0.3  # Assumed time of an attempt before the first answer.
 INITIAL_WORK_WEIGHT: Final = 4  # In answers; the first answers to arrive are the shortest ones.
 WORK_SMOOTHING: Final = 0.05  # Smoothing factor of the mean; averages about 20 answers.
 SLOWNESS_SMOOTHING: Final = 0.06  # Smoothing factor of a target's slowness.
 # Work times are long-tailed, so a single long one is weak evidence of a slow target.
 MAX_RELATIVE_WORK: Final = 5.0  # Multiples of the mean work time.
-# A request waits for a busy target instead of using a free one if the free target's unhealthy
-# probability exceeds AVOID_MIN_UNHEALTHY, the busy target's is lower by more than AVOID_MIN_GAIN,
-# and the request has more than AVOID_MIN_WORK_TIMES mean work times left to wait.
-AVOID_MIN_UNHEALTHY: Final = 0.4
-AVOID_MIN_GAIN: Final = 0.25
-AVOID_MIN_WORK_TIMES: Final = 1.5
-# An avoided target gets one probe request AVOIDED_PROBE_INTERVAL_S after its last request.  A
-# request that can't be retried is the probe only after it has waited for
-# PROBE_MIN_WAIT_WORK_TIMES mean work times.
-AVOIDED_PROBE_INTERVAL_S: Final = 1.5
-PROBE_MIN_WAIT_WORK_TIMES: Final = 0.5
-# A new target that has had no request gets one that can be retried after the first delay, or any
-# request after the second one.
-NEW_TARGET_DELAY_RETRYABLE_S: Final = 1.5
-NEW_TARGET_DELAY_S: Final = 3.5  # Operators investigate new targets that are idle after 8 s.
 OVERDUE_WORK_TIMES: Final = 5.0  # A longer attempt is evidence that the target is unhealthy.
 SHED_PAUSE_S: Final = 0.02  # The broker skips a target for this long after it shed a request.
 CONNECT_FAILED_PAUSE_S: Final = 1.0  # The same after a failed connect or a misdirected request.
@@ -86,25 +71,6 @@
 MIN_RETRY_AFTER_S: Final = 0.2
 
 
-@dataclass
-class _Lease:
-    """A granted slot, held until its attempt is reported or the lease expires.
-
-    `retry_credit_at` is when the credit that a retry took was deposited, or None.  `is_settled` is
-    true once the attempt has outlived the failures of unhealthy targets.
-    """
-
-    host: str
-    target: str
-    granted_at: float
-    expires_at: float
-    fingerprint: str
-    can_retry: bool = False
-    retry_credit_at: float | None = None
-    is_overdue: bool = False
-    is_settled: bool = False
-
-
 class SlotBroker:
     """Grants, queues and refuses the slot requests for one service.
 
@@ -127,7 +93,7 @@
         self.service = service
         self._rng = rng
         self._targets: dict[str, TargetRecord] = {}
-        self._leases: dict[str, _Lease] = {}
+        self._leases: dict[str, Lease] = {}
         self._queue = SlotQueue()
         self._retry_budget = FleetRetryBudget(bounds.retry_burst, rng)
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
@@ -136,6 +102,7 @@
         self._poison_tracker = poison_tracker or PoisonTracker()
         self._limits = TargetLimits(rng)
         self._candidates = TargetCandidates(self._limits, self._active_floor, rng)
+        self._choice = TargetChoice(self._candidates, self._active_floor)
         self._failure_times = FailureTimes()
         self._unsettled: deque[tuple[float, str]] = deque()  # Time of the grant, slot request id.
         self._ended_at: dict[str, float] = {}
@@ -254,7 +221,7 @@
         )
         if not self._queue.count_ahead_of(slot_request.priority):
             self._candidates.refresh(now)
-            target = self._choose_target(pending, now)
+            target = self._choice.choose(pending, self._mean_work_s, now)
             if target is not None:
                 return self._grant(pending, target, now)
         return self._enqueue_or_refuse(pending, now)
@@ -294,7 +261,7 @@
             if slot_request_id in self._leases:
                 continue
             expires_at = now + time_left_s + LEASE_GRACE_S
-            self._leases[slot_request_id] = _Lease(host, target, now, expires_at, fingerprint)
+            self._leases[slot_request_id] = Lease(host, target, now, expires_at, fingerprint)
             if target in self._targets:
                 self._targets[target].leases.add(slot_request_id)
         self._candidates.invalidate()
@@ -376,7 +343,7 @@
                 break
             if pending.slot_request.is_retry and not self._retry_budget.has_credit(now):
                 continue
-            target = self._choose_target(pending, now)
+            target = self._choice.choose(pending, self._mean_work_s, now)
             if target is None:
                 passed_over += 1
                 continue
@@ -395,7 +362,7 @@
             return Refused(slot_request.id, slot_request.host, RefusalReason.POISON, 0.0)
         if slot_request.time_left_s <= 0:
             return Refused(slot_request.id, slot_request.host, RefusalReason.TOO_LATE, 0.0)
-        if not any(self._is_eligible(record, slot_request) for record in self._targets.values()):
+        if not any(is_eligible(record, slot_request) for record in self._targets.values()):
             return Refused(
                 slot_request.id,
                 slot_request.host,
@@ -447,101 +414,12 @@
             decisions.append(refusal)
         return decisions
 
-    def _is_eligible(self, record: TargetRecord, slot_request: SlotRequest) -> bool:
-        return record.takes_requests and record.entry.name not in slot_request.excluded
-
-    def _choose_target(self, pending: PendingRequest, now: float) -> TargetRecord | None:
-        """Return the target for a request, or None if the request should wait.
-
-        Targets that the active-target floor requires come first, then new targets without any
-        request, then the free target of least cost.
-        """
-        slot_request = pending.slot_request
-        preferred = self._floor_target(slot_request, now) or (
-            self._unused_new_target(slot_request, now)
-        )
-        if preferred is not None:
-            return preferred
-        best = self._candidates.cheapest(slot_request.failure_domain, slot_request.excluded)
-        if best is None:
-            return None
-        should_avoid_best = (
-            best.unhealthy_probability > AVOID_MIN_UNHEALTHY
-            and self._candidates.least_unhealthy_busy(slot_request.excluded)
-            < best.unhealthy_probability - AVOID_MIN_GAIN
-        )
-        if (
-            should_avoid_best
-            and self._can_wait_for_healthier_target(pending, now)
-            and not self._may_probe(best.record, pending, now)
-        ):
-            return None
-        return best.record
-
-    def _can_wait_for_healthier_target(self, pending: PendingRequest, now: float) -> bool:
-        """Return whether a request has time to wait for a healthier target.
-
-        A first attempt waits only while it can still meet its latency goal.  A retry has usually
-        missed its goal, so it may wait until its deadline: a late answer is better than a failure,
-        and retries are too few to delay other requests.
-        """
-        wait_until = pending.deadline_at if pending.slot_request.is_retry else pending.goal_at
-        return wait_until - now > AVOID_MIN_WORK_TIMES * self._mean_work_s
-
-    def _may_probe(self, record: TargetRecord, pending: PendingRequest, now: float) -> bool:
-        """Return whether a request may probe an avoided target.
-
-        Without probes a recovered target stays unused while requests wait for other targets.
-        """
-        if (
-            record.leases
-            or now - self._active_floor.last_granted_at(record.entry.name)
-            < AVOIDED_PROBE_INTERVAL_S
-        ):
-            return False
-        has_waited = now - pending.arrived_at > PROBE_MIN_WAIT_WORK_TIMES * self._mean_work_s
-        return pending.slot_request.can_retry or has_waited
-
-    def _floor_target(self, slot_request: SlotRequest, now: float) -> TargetRecord | None:
-        """Return one of the free targets due for the floor.
-
-        It is the one most likely healthy, or the one idle for longest if the floor prefers that.
-        """
-        due = [
-            candidate
-            for candidate in self._candidates.floor_due
-            if candidate.record.entry.name not in slot_request.excluded
-        ]
-        if not due:
-            return None
-        self._active_floor.record_floor_request(now)
-        self._candidates.floor_request_granted()
-        if self._active_floor.prefers_longest_idle:
-            return min(
-                (candidate.record for candidate in due),
-                key=lambda record: self._active_floor.last_granted_at(record.entry.name),
-            )
-        return min(
-            due,
-            key=lambda candidate: candidate.unhealthy_probability
-            + cross_domain_cost(candidate.record.entry.failure_domain, slot_request.failure_domain),
-        ).record
-
-    def _unused_new_target(self, slot_request: SlotRequest, now: float) -> TargetRecord | None:
-        """Return a free target that joined a while ago and has had no request yet, or None."""
-        wait_s = NEW_TARGET_DELAY_RETRYABLE_S if slot_request.can_retry else NEW_TARGET_DELAY_S
-        for record in self._candidates.unused:
-            is_excluded = record.entry.name in slot_request.excluded
-            if not is_excluded and now - record.joined_at > wait_s:
-                return record
-        return None
-
     def _grant(self, pending: PendingRequest, record: TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
         # Retries are counted when they reach a target, which a queued one does later.
         retry_credit_at = self._retry_budget.spend(now) if slot_request.is_retry else None
         expires_at = pending.deadline_at + LEASE_GRACE_S
-        self._leases[slot_request.id] = _Lease(
+        self._leases[slot_request.id] = Lease(
             slot_request.host,
             record.entry.name,
             now,
@@ -627,7 +505,7 @@
             incarnation = f"{report.target}@{record.entry.started_ms}"
             self._poison_tracker.record_crash(report.fingerprint, incarnation, now)
 
-    def _record_floor_result(self, report: AttemptReport, lease: _Lease | None, now: float) -> None:
+    def _record_floor_result(self, report: AttemptReport, lease: Lease | None, now: float) -> None:
         """Count the end of a request towards the service's failure rate.
 
         A failed attempt isn't the end of its request if the request can be retried.
@@ -652,7 +530,7 @@
         ):
             del self._refusals[oldest]
 
-    def _release_lease(self, slot_request_id: str, now: float) -> _Lease | None:
+    def _release_lease(self, slot_request_id: str, now: float) -> Lease | None:
         """Remove a lease and free its slot; return the lease, or None if it is unknown."""
         lease = self._leases.pop(slot_request_id, None)
         if lease is not None and lease.target in self._targets:
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -10,14 +10,7 @@
 from testtools import TestCase
 from toucanspindle_entry.broker.poisontracker import ANSWER_EXEMPTION_S, PoisonTracker
 from toucanspindle_entry.broker.retrycredit import RetryCreditSource
-from toucanspindle_entry.broker.slotbroker import (
-    AVOID_MIN_UNHEALTHY,
-    AVOIDED_PROBE_INTERVAL_S,
-    MAX_PASSED_OVER,
-    NEW_TARGET_DELAY_RETRYABLE_S,
-    NEW_TARGET_DELAY_S,
-    SlotBroker,
-)
+from toucanspindle_entry.broker.slotbroker import MAX_PASSED_OVER, SlotBroker
 from toucanspindle_entry.broker.slottypes import (
     AttemptReport,
     Grant,
@@ -25,6 +18,12 @@
     RefusalReason,
     Refused,
 )
+from toucanspindle_entry.broker.targetchoice import (
+    AVOID_MIN_UNHEALTHY,
+    AVOIDED_PROBE_INTERVAL_S,
+    NEW_TARGET_DELAY_RETRYABLE_S,
+    NEW_TARGET_DELAY_S,
+)
 from toucanspindle_entry.model import TargetState
 from toucanspindle_entry.targets.targethealth import (
     PRIOR_UNHEALTHY_PROBABILITY,
