Let the service emulator play spells of shedding

Targets reject a share of what arrives for some seconds, or run fewer requests than they registered. The result counts repeats at the targets, so that a run shows the worst window of the retry budget.

--- a/bench/serviceemulator.py
+++ b/bench/serviceemulator.py
@@ -19,6 +19,7 @@
 import heapq
 import itertools
 import math
+from bisect import bisect_left
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -32,6 +33,7 @@
     AttemptReport,
     Decision,
     Grant,
+    RefusalReason,
     Refused,
     SlotRequest,
 )
@@ -39,6 +41,7 @@
 from toucanspindle_entry.settings import FleetBounds
 from toucanspindle_entry.targets.targethealth import AttemptOutcome, HealthEstimate
 
+SHED_TIME_S: Final = 0.005  # In which a target rejects a request.
 MESSAGE_DELAY_S: Final = 0.001  # One way between two hosts, including the processing.
 SHARED_VIEW_LAG_S: Final = 0.005  # Age of the information that hosts share.
 TICK_INTERVAL_S: Final = 0.1  # The interval at which an entry host calls `SlotBroker.tick`.
@@ -52,7 +55,10 @@
     Work times are log-normal with a sigma of `spread`, or exponential if `spread` is None.  Healthy
     targets fail the share `error_share` of the requests that they run.  At any time the share
     `sick_share` of the targets is unhealthy, each for `spell_s` on average, and fails the share
-    `sick_fails` of its requests.
+    `sick_fails` of its requests.  From `shed_from_s` to `shed_until_s`, `shed_targets` targets (all
+    if None) reject the share `shed_share` of what arrives at once.  A host sends a shed request
+    again while it has time, or without `resends_shed` only to further targets.  Targets run only
+    `real_slots` requests at once if that is set, whatever they registered.
     """
 
     name: str
@@ -73,11 +79,21 @@
     hosts: int = 40
     retry_ratio: float = 0.2
     retry_burst: float = 60.0
+    shed_share: float = 0.0
+    shed_from_s: float = 0.0
+    shed_until_s: float = 0.0
+    shed_targets: int | None = None
+    resends_shed: bool = True
+    real_slots: int | None = None
 
 
 @dataclass
 class LoadResult:
-    """Outcomes from the callers' view, as counts of requests, and the waits in seconds."""
+    """Outcomes from the callers' view, as counts of requests, and the waits in seconds.
+
+    `arrivals_s` and `repeats_s` hold the times at which callers sent a request and at which a
+    target got one again, and `sheds_s` those at which a target rejected one.
+    """
 
     within_goal: int = 0
     late: int = 0
@@ -85,12 +101,33 @@
     refused: int = 0
     attempts: int = 0
     waits_s: list[float] = field(default_factory=list)
+    arrivals_s: list[float] = field(default_factory=list)
+    repeats_s: list[float] = field(default_factory=list)
+    sheds_s: list[float] = field(default_factory=list)
 
     @property
     def total_requests(self) -> int:
         """Number of requests with any outcome."""
         return self.within_goal + self.late + self.failed + self.refused
 
+    @property
+    def unserved(self) -> int:
+        """Number of requests without an answer before their deadline."""
+        return self.failed + self.refused
+
+    def worst_repeat_excess(self, ratio: float, burst: float, window_s: float) -> float:
+        """Return by how much the worst window exceeds the retry budget; negative if none does."""
+        worst = float("-inf")
+        for start in self.repeats_s:
+            repeats = bisect_left(self.repeats_s, start + window_s) - bisect_left(
+                self.repeats_s, start
+            )
+            requests = bisect_left(self.arrivals_s, start + window_s) - bisect_left(
+                self.arrivals_s, start
+            )
+            worst = max(worst, repeats - ratio * requests - burst)
+        return worst
+
     @property
     def mean_wait_s(self) -> float:
         """Mean time in seconds from a request's arrival until a target began to run it."""
@@ -105,12 +142,17 @@
     arrived_at: float
     work_s: float
     excluded: list[str] = field(default_factory=list)
+    shed_by: list[str] = field(default_factory=list)
+    sent_to: set[str] = field(default_factory=set)
+    asks_shedders: bool = False
+    ask_count: int = 0
     send_count: int = 0
     has_retried_refusal: bool = False
 
 
 @dataclass
 class _Target:
+    number: int
     entry: TargetEntry
     rng: Random
     shape: ServiceShape
@@ -202,6 +244,7 @@
 
         def arrive() -> None:
             domain = DOMAINS[host % len(DOMAINS)]
+            self.result.arrivals_s.append(self.now)
             self._request_slot(_Request(number, f"h{host}", domain, self.now, work_s))
 
         return arrive
@@ -209,8 +252,12 @@
     def _request_slot(self, request: _Request) -> None:
         shape = self.shape
         age_s = self.now - request.arrived_at
+        excluded, allowed = [*request.excluded, *request.shed_by], ()
+        if request.asks_shedders:
+            excluded, allowed = request.excluded, tuple(request.shed_by)
+        request.ask_count += 1
         slot_request = SlotRequest(
-            id=f"{request.number}.{request.send_count}.{int(request.has_retried_refusal)}",
+            id=f"{request.number}.{request.ask_count}",
             host=request.host,
             failure_domain=request.domain,
             priority=1,
@@ -218,11 +265,12 @@
             goal_left_s=max(0.0, shape.goal_s - age_s),
             is_retry=request.send_count > 0,
             can_retry=shape.idempotent and request.send_count + 1 < shape.max_attempts,
-            excluded=tuple(request.excluded),
+            excluded=tuple(excluded),
             fingerprint=str(request.number),
             retry_credit=self._credit_source(request.host).take(
-                request.send_count == 0, shape.hosts, self.now
+                request.ask_count == 1, shape.hosts, self.now
             ),
+            allowed_targets=allowed,
         )
         self._policy.request_slot(
             slot_request, lambda decision: self._handle_decision(request, slot_request, decision)
@@ -244,6 +292,11 @@
             self._handle_refusal(request, decision)
 
     def _handle_refusal(self, request: _Request, decision: Refused) -> None:
+        lacks_other_target = decision.reason is RefusalReason.NO_TARGET and request.shed_by
+        if lacks_other_target and not request.asks_shedders:
+            request.asks_shedders = True
+            self._request_slot(request)
+            return
         if request.send_count:
             self.result.failed += 1
             return
@@ -259,20 +312,31 @@
     ) -> None:
         self.result.attempts += 1
         request.send_count += 1
+        request.sent_to.add(target.entry.name)
         sent_at = self.now
+        if request.send_count > 1:
+            self.result.repeats_s.append(self.now)
 
         def report_outcome(outcome: AttemptOutcome) -> None:
             self._handle_outcome(request, slot_request, target, outcome, sent_at)
 
-        if target.is_unhealthy(self.now) and target.rng.random() < self.shape.sick_fails:
+        if self._is_shedding(target) and target.rng.random() < self.shape.shed_share:
+            self.result.sheds_s.append(self.now)
+            self.schedule(SHED_TIME_S, lambda: report_outcome(AttemptOutcome.SHED))
+        elif target.is_unhealthy(self.now) and target.rng.random() < self.shape.sick_fails:
             self.schedule(MESSAGE_DELAY_S, lambda: report_outcome(AttemptOutcome.FAILED))
-        elif target.running < target.entry.slots:
+        elif target.running < (self.shape.real_slots or target.entry.slots):
             self._start_work(request, target, report_outcome)
         elif len(target.queue) < self.shape.target_queue:
             target.queue.append(lambda: self._start_work(request, target, report_outcome))
         else:
             self.schedule(MESSAGE_DELAY_S, lambda: report_outcome(AttemptOutcome.SHED))
 
+    def _is_shedding(self, target: _Target) -> bool:
+        shape = self.shape
+        is_affected = shape.shed_targets is None or target.number < shape.shed_targets
+        return is_affected and shape.shed_from_s <= self.now < shape.shed_until_s
+
     def _start_work(
         self, request: _Request, target: _Target, report_outcome: Callable[[AttemptOutcome], None]
     ) -> None:
@@ -315,10 +379,22 @@
             else:
                 self.result.late += 1
             return
+        if outcome is AttemptOutcome.SHED and self.shape.resends_shed:
+            if target.entry.name not in request.shed_by:
+                request.shed_by.append(target.entry.name)
+            request.asks_shedders = len(request.sent_to) >= self.shape.max_attempts
+            if self.now + 0.05 < request.arrived_at + self.shape.deadline_s:
+                self._request_slot(request)
+            else:
+                self.result.refused += 1
+            return
         request.excluded.append(target.entry.name)
+        if target.entry.name in request.shed_by:
+            request.shed_by.remove(target.entry.name)
         can_retry = self.shape.idempotent or outcome is AttemptOutcome.SHED
         in_time = latency_s < self.shape.deadline_s
-        if can_retry and in_time and request.send_count < self.shape.max_attempts:
+        may_send = len(request.sent_to) < self.shape.max_attempts
+        if can_retry and in_time and may_send:
             self._request_slot(request)
         elif outcome is AttemptOutcome.SHED:
             self.result.refused += 1
@@ -342,7 +418,9 @@
             warmup_s=0.0,
         )
         rng = Random(self._rng.getrandbits(32))
-        target = _Target(entry, rng, self.shape, unhealthy=rng.random() < self.shape.sick_share)
+        target = _Target(
+            number, entry, rng, self.shape, unhealthy=rng.random() < self.shape.sick_share
+        )
         target.next_change_at = (
             rng.expovariate(1 / target.mean_state_duration_s) if self.shape.sick_share else 0.0
         )
