Hold retries back while targets shed, and save the budget for the end

For 8.5 s each target of a service rejects 55% of what it receives within 5 ms. A request was rejected twice and refused with nearly all of its time left. Now the host asks again until the deadline, and the broker decides when: sheddingcontrol tells shedding from full targets, keeps a reserve of the budget, and paces the retries after the spell; budgetwindow keeps the bound over the sliding window.

tests: max_attempts bounds the targets of a request now, so the fleet test counts targets instead of arrivals; FakeSlots has no credit to repeat a shed request, as its tests are about the connections.

--- a/bench/serviceemulator.py
+++ b/bench/serviceemulator.py
@@ -92,7 +92,8 @@
     """Outcomes from the callers' view, as counts of requests, and the waits in seconds.
 
     `arrivals_s` and `repeats_s` hold the times at which callers sent a request and at which a
-    target got one again, and `sheds_s` those at which a target rejected one.
+    target got one again, and `sheds_s` those at which a target rejected one.  `shedding_s` holds
+    the times at which the broker began or ceased to take the service for shedding, by turns.
     """
 
     within_goal: int = 0
@@ -104,6 +105,7 @@
     arrivals_s: list[float] = field(default_factory=list)
     repeats_s: list[float] = field(default_factory=list)
     sheds_s: list[float] = field(default_factory=list)
+    shedding_s: list[float] = field(default_factory=list)
 
     @property
     def total_requests(self) -> int:
@@ -116,9 +118,17 @@
         return self.failed + self.refused
 
     def worst_repeat_excess(self, ratio: float, burst: float, window_s: float) -> float:
-        """Return by how much the worst window exceeds the retry budget; negative if none does."""
+        """Return by how much the worst window exceeds the retry budget; negative if none does.
+
+        Windows begin or end at a repeat, while callers send requests.
+        """
         worst = float("-inf")
-        for start in self.repeats_s:
+        starts = [
+            start for at in self.repeats_s for start in (at, math.nextafter(at - window_s, at))
+        ]
+        for start in starts:
+            if not 0 <= start <= self.arrivals_s[-1] - window_s:
+                continue
             repeats = bisect_left(self.repeats_s, start + window_s) - bisect_left(
                 self.repeats_s, start
             )
@@ -252,9 +262,10 @@
     def _request_slot(self, request: _Request) -> None:
         shape = self.shape
         age_s = self.now - request.arrived_at
-        excluded, allowed = [*request.excluded, *request.shed_by], ()
+        excluded = [*request.excluded, *request.shed_by]
+        allowed: list[str] = []
         if request.asks_shedders:
-            excluded, allowed = request.excluded, tuple(request.shed_by)
+            excluded, allowed = request.excluded, request.shed_by
         request.ask_count += 1
         slot_request = SlotRequest(
             id=f"{request.number}.{request.ask_count}",
@@ -270,7 +281,7 @@
             retry_credit=self._credit_source(request.host).take(
                 request.ask_count == 1, shape.hosts, self.now
             ),
-            allowed_targets=allowed,
+            allowed_targets=tuple(allowed),
         )
         self._policy.request_slot(
             slot_request, lambda decision: self._handle_decision(request, slot_request, decision)
@@ -468,6 +479,9 @@
             self._emulator.schedule(TICK_INTERVAL_S, self._tick)
 
     def _deliver(self, decisions: list[Decision]) -> None:
+        changes_s = self._emulator.result.shedding_s
+        if self._broker.is_shedding != bool(len(changes_s) % 2):
+            changes_s.append(self._emulator.now)
         for decision in decisions:
             if isinstance(decision, Grant | Refused):
                 answer = self._pending_answers.pop(decision.slot_request_id)
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/fleetretrybudget.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/fleetretrybudget.py
@@ -9,6 +9,10 @@
 therefore staked: with a probability equal to the credit it becomes a whole retry, otherwise it is
 lost.  The mean stays the same.  A broker that has just spent credit waits for more instead, since
 many stakes would add up to a large deviation from the mean.
+
+While targets shed requests, a broker may save credit for longer: it may spend what was deposited in
+the last window, less all that it spent in it (`BudgetWindow`, `spend_saved`).  The capacity isn't
+used then, so the part of the burst among the deposits counts for more.
 """
 
 import random
@@ -16,20 +20,29 @@
 from collections import deque
 from typing import Final
 
+from toucanspindle_entry.broker.budgetwindow import BudgetWindow
+from toucanspindle_entry.broker.retrycredit import BURST_SHARE
+
 CREDIT_LIFETIME_S: Final = 1.0
 # Share of the burst.  Bounds the retries that can follow at once after a time without any.
 FLEET_CAPACITY_BURST_SHARE: Final = 0.25
 MIN_CAPACITY: Final = 1.0  # In retries; below it a broker could grant none.
+# Share of the burst that all brokers may save up.  Hosts create BURST_SHARE of it; with a credit
+# source that a host hasn't used for 2 s, a window may hold a fifth more than was created in it.
+WINDOW_BURST_SHARE: Final = BURST_SHARE + FLEET_CAPACITY_BURST_SHARE
 
 
 class FleetRetryBudget:
     """Credit for the retries that one broker may grant; times are seconds of its clock."""
 
-    def __init__(self, burst: float, rng: random.Random) -> None:
+    def __init__(self, ratio: float, burst: float, window_s: float, rng: random.Random) -> None:
         """Create the budget of the only broker of a fleet with one host; it has no credit.
 
-        The fleet may use `burst` retries in a window.
+        The fleet may use `ratio` retries per request and `burst` ones in a window of `window_s`
+        seconds.
         """
+        self._ratio = ratio
+        self.window = BudgetWindow(window_s)
         self._fleet_capacity = burst * FLEET_CAPACITY_BURST_SHARE
         self._fleet_size: int | None = 1
         self._rng = rng
@@ -53,10 +66,14 @@
         self._deposited_at.pop(host, None)
         self._deposited_at[host] = now
         self._add(credit, now)
+        # The first slot request of a request carries the ratio, all others less.
+        burst_part = credit - self._ratio if credit >= self._ratio else credit
+        self.window.deposit(credit + burst_part * (WINDOW_BURST_SHARE / BURST_SHARE - 1), now)
 
-    def refund(self, deposited_at: float, now: float) -> None:
+    def refund(self, deposited_at: float, spent_at: float, now: float) -> None:
         """Give back the credit of a retry that reached no target, as `spend` dated it."""
         self._add(1.0, deposited_at)
+        self.window.refund(1.0, spent_at)
         self._expire(now)
 
     def may_admit(self, waiting_retries: int, now: float) -> bool:
@@ -68,10 +85,12 @@
         is_stakeable = not waiting_retries and now - self._spent_at > CREDIT_LIFETIME_S
         if is_stakeable and 0 < self._credit < 1:
             is_won = self._rng.random() < self._credit
+            self.window.spend(self._credit, now)
             self._deposits.clear()
             self._credit = 0.0
             if is_won:
                 self._add(1.0, now)
+                self.window.deposit(1.0, now)
         return self._credit >= 1 + waiting_retries
 
     def has_credit(self, now: float) -> bool:
@@ -86,6 +105,7 @@
         """
         self._expire(now)
         self._spent_at = now
+        self.window.spend(1.0, now)
         oldest_at = self._deposits[0][0]
         left = 1.0
         while self._deposits and left > 0:
@@ -96,6 +116,11 @@
         self._credit = sum(credit for _, credit in self._deposits)
         return oldest_at
 
+    def spend_saved(self, now: float) -> None:
+        """Take the credit of one retry from the window; its balance must allow that."""
+        self._spent_at = now
+        self.window.spend(1.0, now)
+
     def _capacity(self) -> float:
         if self._fleet_size is None:
             return MIN_CAPACITY
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/localbroker.py
@@ -67,6 +67,14 @@
         """Tell the hosts that may be brokers too what was granted of limited targets."""
         ...
 
+    def count_held_retry(self, service: str) -> None:
+        """Count a retry that is held back while targets shed requests."""
+        ...
+
+    def record_shedding(self, service: str, is_shedding: bool) -> None:
+        """Record that the targets of a service begin or stop to shed requests."""
+        ...
+
     def share_crashes(self, service: str, fingerprint: str) -> None:
         """Tell other hosts which targets a request crashed; none if one has answered."""
         ...
@@ -91,6 +99,7 @@
         self._broker = SlotBroker(service, bounds, rng, link.poison_tracker)
         self._last_request_at = float("-inf")
         self._deferred_requests: list[SlotRequest] | None = None
+        self._was_shedding = False
         self._tick_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -119,7 +128,7 @@
             if all(deferred.id != slot_request.id for deferred in self._deferred_requests):
                 self._deferred_requests.append(slot_request)
             return
-        self._send_decision(self._broker.request_slot(slot_request, self._last_request_at))
+        self._decide(slot_request, self._last_request_at)
 
     def record_attempt(self, report: AttemptReport) -> None:
         """Record the outcome of an attempt and send the grants that became possible."""
@@ -154,6 +163,12 @@
         for target, outcome, age_ms in sorted(results, key=lambda result: -result[2]):
             self._broker.adopt_result(str(target), AttemptOutcome(outcome), now - age_ms / 1000)
 
+    def adopt_retries(self, retries: Iterable[tuple[int, float]]) -> None:
+        """Count the retries that a host sent recently, each given by a number and its age in s."""
+        now = self._clock.now()
+        for count, age_s in retries:
+            self._broker.adopt_retries(count, now - age_s)
+
     def adopt_notices(self, notices: Iterable[TargetNotice]) -> None:
         """Heed what targets said of themselves to a host."""
         for notice in notices:
@@ -214,7 +229,32 @@
         self._update_limit_share()
         now = self._clock.now()
         for slot_request in deferred_requests:
-            self._send_decision(self._broker.request_slot(slot_request, now))
+            self._decide(slot_request, now)
+        self._broker.forget_saved_credit()
+
+    def _decide(self, slot_request: SlotRequest, now: float) -> None:
+        held_before = self._broker.held_retries
+        self._send_decision(self._broker.request_slot(slot_request, now))
+        if self._broker.held_retries > held_before:
+            self._link.count_held_retry(self._service)
+        self._log_shedding_change()
+
+    def _log_shedding_change(self) -> None:
+        """Log when the targets of the service begin or stop to shed requests."""
+        is_shedding = self._broker.is_shedding
+        if is_shedding == self._was_shedding:
+            return
+        self._was_shedding = is_shedding
+        self._link.record_shedding(self._service, is_shedding)
+        log.info(
+            "event={} service={} shed={:.2f} held={} saved={:.0f} in_use={}",
+            "shedding_begins" if is_shedding else "shedding_ends",
+            self._service,
+            self._broker.shed_share,
+            self._broker.held_retries,
+            self._broker.saved_retries(self._clock.now()),
+            self._broker.slots_in_use,
+        )
 
     def _arm_tick(self) -> None:
         if self._tick_timer is None:
@@ -232,6 +272,7 @@
             self._broker.set_limit_share(self._link.limit_share(self._service), self._clock.now())
 
     def _send_decisions(self, decisions: list[Decision]) -> None:
+        self._log_shedding_change()
         for decision in decisions:
             self._send_decision(decision)
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -9,7 +9,8 @@
 target is unhealthy, its utilization, its slowness, and surcharges for another failure domain, for
 warm-up and for an unconfirmed registration.  When no suitable slot is free, the request waits in a
 queue ordered by priority and arrival.  The broker refuses a request at once when the expected wait
-is longer than the request may wait.
+is longer than the request may wait.  While targets shed requests, retries are held back and sent
+as `sheddingcontrol` decides.
 """
 
 import random
@@ -21,6 +22,7 @@
 from toucanspindle_entry.broker.failuretimes import FailureTimes
 from toucanspindle_entry.broker.fleetretrybudget import FleetRetryBudget
 from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.sheddingcontrol import SheddingControl
 from toucanspindle_entry.broker.slotlease import LEASE_GRACE_S, Lease
 from toucanspindle_entry.broker.slotqueue import PendingRequest, SlotQueue
 from toucanspindle_entry.broker.slottypes import (
@@ -95,7 +97,10 @@
         self._targets: dict[str, TargetRecord] = {}
         self._leases: dict[str, Lease] = {}
         self._queue = SlotQueue()
-        self._retry_budget = FleetRetryBudget(bounds.retry_burst, rng)
+        self._retry_budget = FleetRetryBudget(
+            bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s, rng
+        )
+        self._shedding = SheddingControl(bounds.retry_window_s)
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
         self._mean_work_s = INITIAL_WORK_S
         self._answer_count = 0
@@ -120,8 +125,27 @@
 
     @property
     def queue_length(self) -> int:
-        """Number of queued slot requests."""
-        return len(self._queue)
+        """Number of queued slot requests, with the retries that are held back."""
+        return len(self._queue) + len(self._shedding)
+
+    @property
+    def is_shedding(self) -> bool:
+        """Whether the targets of the service shed requests, as of the last call."""
+        return self._shedding.is_shedding
+
+    @property
+    def shed_share(self) -> float:
+        """The smoothed share of the attempts that are shed."""
+        return self._shedding.shed_share
+
+    @property
+    def held_retries(self) -> int:
+        """Number of retries that are held back."""
+        return len(self._shedding)
+
+    def saved_retries(self, now: float) -> float:
+        """Return the number of retries that the budget's window allows."""
+        return self._retry_budget.window.balance(now)
 
     @property
     def has_limited_targets(self) -> bool:
@@ -133,6 +157,13 @@
         """Exponentially smoothed time of an answered attempt, in seconds."""
         return self._mean_work_s
 
+    def forget_saved_credit(self) -> None:
+        """Forget the retry credit that was saved up, at a takeover.
+
+        A host that was suspended reads credit that hosts created long before.
+        """
+        self._retry_budget.window.forget_deposits()
+
     def set_fleet_size(self, fleet_size: int | None) -> None:
         """Set the number of hosts that share the retry budget, or None while it isn't known."""
         self._retry_budget.set_fleet_size(fleet_size)
@@ -196,7 +227,7 @@
         lease = self._leases.get(slot_request.id)
         if lease is not None:
             return self._make_grant(slot_request, lease.target, now)
-        if slot_request.id in self._queue:
+        if slot_request.id in self._queue or slot_request.id in self._shedding:
             return Queued(slot_request.id, slot_request.host)
         if slot_request.id in self._ended_at:
             # This is a delayed duplicate; its host no longer waits for an answer.
@@ -219,6 +250,8 @@
         pending = PendingRequest(
             slot_request, now, now + slot_request.time_left_s, now + slot_request.goal_left_s
         )
+        if slot_request.is_retry and self._shedding.saves_credit(now):
+            return self._send_or_hold(pending, now)
         if not self._queue.count_ahead_of(slot_request.priority):
             self._candidates.refresh(now)
             target = self._choice.choose(pending, self._mean_work_s, now)
@@ -238,11 +271,14 @@
         has_connect_failed = report.outcome is AttemptOutcome.CONNECT_FAILED
         if lease and lease.retry_credit_at is not None and has_connect_failed:
             # No target has seen this retry.
-            self._retry_budget.refund(lease.retry_credit_at, now)
+            self._retry_budget.refund(lease.retry_credit_at, lease.granted_at, now)
         self._queue.remove(report.slot_request_id)
+        self._shedding.remove(report.slot_request_id)
         record = self._targets.get(report.target)
         is_evidence = lease is not None or report.outcome is not AttemptOutcome.WITHDRAWN
         if record is not None and is_evidence:
+            utilization = len(record.leases) / max(1, record.entry.slots)
+            self._shedding.record_outcome(report, utilization, now)
             self._update_target(record, report, lease is not None and lease.is_settled, now)
             self._candidates.update(record, now)
         if report.notice is not None:
@@ -276,6 +312,10 @@
             record.health.observe(outcome, max(observed_at, record.health.updated_at))
             self._candidates.invalidate()
 
+    def adopt_retries(self, count: int, sent_at: float) -> None:
+        """Count retries that a host sent before this broker took over."""
+        self._retry_budget.window.adopt_spent(count, sent_at)
+
     def adopt_notice(self, notice: TargetNotice, now: float) -> None:
         """Heed what a target said of itself to any host; ignore another incarnation's notice."""
         self._limits.adopt(notice, now)
@@ -290,6 +330,7 @@
     def clear_leases(self, now: float) -> None:
         """Drop all leases, before they are adopted again from the hosts."""
         self._leases.clear()
+        self._retry_budget.window.forget_spent()
         self._limits.forget_savings(now)
         for record in self._targets.values():
             record.leases.clear()
@@ -304,6 +345,7 @@
             self._release_lease(slot_request_id, now)
             self._active_floor.record_request_end(True, now)
         self._queue.remove_host(host)
+        self._shedding.remove_host(host)
         return self.grant_queued(now)
 
     def tick(self, now: float) -> list[Decision]:
@@ -324,6 +366,7 @@
                 if record is not None:
                     record.health.apply_likelihood_ratio(OVERDUE_LIKELIHOOD_RATIO, now)
                     self._candidates.update(record, now)
+        self._shedding.update(now)
         self._queue.reorder(now, self._mean_work_s)
         decisions = self.grant_queued(now, len(self._queue))
         return decisions + self._refuse_unservable(now)
@@ -333,15 +376,19 @@
 
         The search ends after `max_passed_over` requests in a row that no free target suits.
         """
-        if not self._queue:
+        if not len(self._queue) and not len(self._shedding):
             return []
         self._candidates.refresh(now)
+        return self._grant_waiting(now, max_passed_over) + self._grant_held(now, max_passed_over)
+
+    def _grant_waiting(self, now: float, max_passed_over: int) -> list[Decision]:
+        """Grant free slots to the queue."""
         grants: list[tuple[PendingRequest, Grant]] = []
         passed_over = 0
         for pending in self._queue:
             if not self._candidates.has_free_target or passed_over > max_passed_over:
                 break
-            if pending.slot_request.is_retry and not self._retry_budget.has_credit(now):
+            if pending.slot_request.is_retry and not self._has_retry_credit(now):
                 continue
             target = self._choice.choose(pending, self._mean_work_s, now)
             if target is None:
@@ -353,6 +400,60 @@
             self._queue.remove(pending.slot_request.id)
         return [grant for _, grant in grants]
 
+    def _send_or_hold(self, pending: PendingRequest, now: float) -> Decision:
+        """Send a retry at once if credit may be spent on it, or hold it back.
+
+        After the shedding, those that were held back go first.
+        """
+        is_next = self._shedding.is_shedding or not len(self._shedding)
+        if is_next and not len(self._queue) and self._may_send_retry(now, was_held=False):
+            self._candidates.refresh(now)
+            target = self._choice.choose(pending, self._mean_work_s, now)
+            if target is not None:
+                return self._grant(pending, target, now)
+        self._shedding.hold(pending)
+        return Queued(pending.slot_request.id, pending.slot_request.host)
+
+    def _grant_held(self, now: float, max_passed_over: int) -> list[Decision]:
+        """Send retries that are held back, as far as credit and free slots allow.
+
+        When all slots are in use, they join the queue, which shares the slots.
+        """
+        grants: list[tuple[PendingRequest, Grant]] = []
+        queued: list[PendingRequest] = []
+        passed_over = 0
+        for pending in self._shedding:
+            if passed_over > max_passed_over or not self._may_send_retry(
+                now, len(queued), was_held=True
+            ):
+                break
+            target = self._choice.choose(pending, self._mean_work_s, now)
+            if target is not None:
+                grants.append((pending, self._grant(pending, target, now)))
+                passed_over = 0
+            elif self._candidates.has_free_target or self._shedding.is_shedding:
+                passed_over += 1
+            else:
+                queued.append(pending)
+        for pending, _ in grants:
+            self._shedding.remove(pending.slot_request.id)
+        for pending in queued:
+            self._shedding.remove(pending.slot_request.id)
+            self._queue.add(pending, now, self._mean_work_s)
+        return [grant for _, grant in grants]
+
+    def _may_send_retry(self, now: float, also_waiting: int = 0, *, was_held: bool) -> bool:
+        """Return whether saved credit may be spent beside the retries that wait for a slot."""
+        window = self._retry_budget.window
+        balance = window.balance(now) - self._queue.retries - also_waiting
+        return self._shedding.may_send(balance, window.deposited(now), now, was_held=was_held)
+
+    def _has_retry_credit(self, now: float) -> bool:
+        """Return whether a retry in the queue may be granted."""
+        if self._shedding.saves_credit(now):
+            return self._retry_budget.window.balance(now) >= 1
+        return self._retry_budget.has_credit(now)
+
     def _check_admission(self, slot_request: SlotRequest, now: float) -> Refused | None:
         """Return a refusal if the request can't be served at all.
 
@@ -369,7 +470,11 @@
                 RefusalReason.NO_TARGET,
                 self._retry_after_s(now),
             )
-        if slot_request.is_retry and not self._retry_budget.may_admit(self._queue.retries, now):
+        if (
+            slot_request.is_retry
+            and not self._shedding.saves_credit(now)
+            and not self._retry_budget.may_admit(self._queue.retries, now)
+        ):
             return Refused(
                 slot_request.id, slot_request.host, RefusalReason.RETRY_BUDGET_EXHAUSTED, 0.0
             )
@@ -402,7 +507,9 @@
     def _refuse_unservable(self, now: float) -> list[Decision]:
         """Remove and refuse queued requests that can't finish before their deadline."""
         decisions: list[Decision] = []
-        for pending in self._queue.remove_due_before(now + self._mean_work_s / 2):
+        unservable = self._queue.remove_due_before(now + self._mean_work_s / 2)
+        unservable += self._shedding.remove_unservable(self._mean_work_s, now)
+        for pending in unservable:
             slot_request = pending.slot_request
             refusal = Refused(
                 slot_request.id,
@@ -417,7 +524,8 @@
     def _grant(self, pending: PendingRequest, record: TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
         # Retries are counted when they reach a target, which a queued one does later.
-        retry_credit_at = self._retry_budget.spend(now) if slot_request.is_retry else None
+        retry_credit_at = self._spend_retry_credit(now) if slot_request.is_retry else None
+        self._shedding.record_grant(slot_request.id, slot_request.is_retry, now)
         expires_at = pending.deadline_at + LEASE_GRACE_S
         self._leases[slot_request.id] = Lease(
             slot_request.host,
@@ -436,6 +544,14 @@
         retry_wait_s = now - pending.arrived_at if slot_request.is_retry else None
         return self._make_grant(slot_request, record.entry.name, now, retry_wait_s)
 
+    def _spend_retry_credit(self, now: float) -> float:
+        """Take the credit of one retry; return when it was deposited, if it wasn't saved."""
+        if not self._shedding.saves_credit(now):
+            return self._retry_budget.spend(now)
+        self._retry_budget.spend_saved(now)
+        self._shedding.record_sent(now)
+        return now
+
     def _make_grant(
         self,
         slot_request: SlotRequest,
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -25,6 +25,7 @@
 from toucanspindle_entry.broker.localbroker import LocalBroker
 from toucanspindle_entry.broker.poisonsharing import PoisonSharing
 from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.recentretries import RecentRetries
 from toucanspindle_entry.broker.retrycredit import RetryCreditSource
 from toucanspindle_entry.broker.slottypes import (
     AttemptReport,
@@ -33,6 +34,7 @@
     Refused,
     SlotRequest,
 )
+from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.hosts.brokerchoice import BrokerRanking
 from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.hosts.livehosts import LiveHosts
@@ -117,9 +119,13 @@
         bounds: FleetBounds,
         clock: Clock,
         rng: random.Random,
+        *,
+        metrics: EntryMetrics | None = None,
     ) -> None:
         """Create a client; call `attach` before the first slot request.
 
+        The brokers on this host count in `metrics`.
+
         `clock` must count the time for which the host is suspended.  Otherwise a broker that wakes
         up would grant retries with credit that should have expired.
         """
@@ -128,6 +134,7 @@
         self._bounds = bounds
         self._clock = clock
         self._rng = rng
+        self._metrics = metrics if metrics is not None else EntryMetrics()
         self._endpoint: DatagramEndpoint | None = None
         self._own_ip = hosts.own.ip
         self._ids = itertools.count(1)
@@ -137,6 +144,7 @@
         self._held_slots: dict[str, _HeldSlot] = {}
         self._ended_at: dict[str, float] = {}  # By slot request id, in the order of time.
         self._recent_results: deque[tuple[float, str, str, AttemptOutcome]] = deque()
+        self._recent_retries = RecentRetries(bounds.retry_window_s)
         # The timer for the next resend and the time of the first send, by broker and request id.
         self._unacknowledged: dict[tuple[str, str], tuple[asyncio.TimerHandle, float]] = {}
         self._skipped_until: dict[str, float] = {}
@@ -227,6 +235,8 @@
         self._pending.pop(slot_request.id, None)
         decision = pending.future.result()
         if isinstance(decision, SlotGrant):
+            if slot_request.is_retry:
+                self._recent_retries.record(service, self._clock.now())
             expires_at = self._clock.now() + slot_request.time_left_s
             self._held_slots[slot_request.id] = _HeldSlot(
                 service, decision.target, expires_at, slot_request.fingerprint
@@ -272,6 +282,10 @@
                 self._poison.tracker.adopt(str(fingerprint), targets, self._clock.now())
             notices = message[5] if len(message) > 5 else []
             self._local_broker(message[1]).adopt_notices(map(decode_notice, notices))
+            retries = message[6] if len(message) > 6 else []
+            self._local_broker(message[1]).adopt_retries(
+                (int(count), age_ms / 1000) for count, age_ms in retries
+            )
         elif kind == "crashed":
             self._poison.handle_message(ip, message)
         elif kind == "granted":
@@ -485,6 +499,14 @@
             self._endpoint.send(ip, ["sync", service])
         self._send_held_state(self._own_ip, service)
 
+    def count_held_retry(self, service: str) -> None:
+        """Count a retry that is held back while targets shed requests."""
+        self._metrics.count_held_retry(service)
+
+    def record_shedding(self, service: str, is_shedding: bool) -> None:
+        """Record that the targets of a service begin or stop to shed requests."""
+        self._metrics.record_shedding(service, is_shedding)
+
     def share_crashes(self, service: str, fingerprint: str) -> None:
         """Tell other hosts which targets a request crashed; none if one has answered."""
         self._poison.share(service, fingerprint)
@@ -544,13 +566,17 @@
             for ended_at, result_service, target, outcome in self._recent_results
             if result_service == service and now - ended_at < RESULT_MEMORY_S
         ]
+        retries = self._recent_retries.of_service(service, now)
         if ip == self._own_ip:
             self._local_broker(service).adopt_host_state(ip, leases, results)
+            self._local_broker(service).adopt_retries(
+                (count, age_ms / 1000) for count, age_ms in retries
+            )
             return
         poison = self._poison.tracker.poison_messages(now)
         notices = [encode_notice(notice) for notice in self._targets.notices_of_service(service)]
-        if self._endpoint is not None and (leases or results or poison or notices):
-            self._endpoint.send(ip, ["held", service, leases, results, poison, notices])
+        if self._endpoint is not None and (leases or results or poison or notices or retries):
+            self._endpoint.send(ip, ["held", service, leases, results, poison, notices, retries])
 
 
 def _withdrawal_report(slot_request_id: str, target: str) -> AttemptReport:
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotlease.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotlease.py
@@ -10,8 +10,9 @@
 class Lease:
     """A granted slot, held until its attempt is reported or the lease expires.
 
-    `retry_credit_at` is when the credit that a retry took was deposited, or None.  `is_settled` is
-    true once the attempt has outlived the failures of unhealthy targets.
+    `retry_credit_at` is when the credit that a retry took was deposited, or None without credit;
+    credit from the budget's window is dated by the grant.  `is_settled` is true once the attempt
+    has outlived the failures of unhealthy targets.
     """
 
     host: str
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -12,16 +12,18 @@
     ["end", service, id, target, outcome, work ms, fingerprint, notice]
     ["noted", id]
     ["sync", service]
-    ["held", service, leases, results, poison messages as [fingerprint, targets], notices]
+    ["held", service, leases, results, poison messages as [fingerprint, targets], notices,
+     retries as [count, age ms]]
     ["crashed", service, fingerprint, targets]
     ["granted", service, [[notice, count], ...]]
 
 A host sends `ask` for a slot, `end` for the outcome of an attempt, and `held` with its slots,
-recent outcomes, known poison messages and targets' notices in reply to `sync`.  A broker answers
-`ask` with `grant`, `queued` or `refused`, acknowledges `end` with `noted`, and sends `sync` when it
-takes over.  `crashed` is described in `poisonsharing`.  A broker sends `granted` to the hosts that
-may be brokers too for its grants of targets that limit their requests.  `id` is that of the slot
-request.  A notice is encoded as in `targetnotices`; it is null if the target sent no response.
+recent outcomes, known poison messages, targets' notices and recent retries in reply to `sync`.  A
+broker answers `ask` with `grant`, `queued` or `refused`, acknowledges `end` with `noted`, and sends
+`sync` when it takes over.  `crashed` is described in `poisonsharing`.  A broker sends `granted` to
+the hosts that may be brokers too for its grants of targets that limit their requests.  `id` is that
+of the slot request.  A notice is encoded as in `targetnotices`; it is null if the target sent no
+response.
 """
 
 from toucanspindle_entry.broker.slottypes import (
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/targetcandidates.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/targetcandidates.py
@@ -133,6 +133,18 @@
                     break
         return best
 
+    def cheapest_of(self, names: Collection[str], excluded: Collection[str]) -> Candidate | None:
+        """Return the free target of least cost among a few, whatever their failure domains."""
+        best: Candidate | None = None
+        best_cost = float("inf")
+        for name in names:
+            candidate = self._candidates.get(name)
+            if candidate is None or candidate.cost is None or name in excluded:
+                continue
+            if candidate.cost < best_cost:
+                best, best_cost = candidate, candidate.cost
+        return best
+
     def least_unhealthy_busy(self, excluded: Collection[str]) -> float:
         """Return the lowest unhealthy probability of the busy targets, or 1 without any."""
         return next((unhealthy for unhealthy, name in self._busy if name not in excluded), 1.0)
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/targetchoice.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/targetchoice.py
@@ -48,6 +48,11 @@
         request, then the free target of least cost.
         """
         slot_request = pending.slot_request
+        if slot_request.allowed_targets:
+            allowed = self._candidates.cheapest_of(
+                slot_request.allowed_targets, slot_request.excluded
+            )
+            return allowed.record if allowed is not None else None
         preferred = self._floor_target(slot_request, now) or (
             self._unused_new_target(slot_request, now)
         )
@@ -134,4 +139,9 @@
 
 def is_eligible(record: TargetRecord, slot_request: SlotRequest) -> bool:
     """Return whether a target may get an attempt of a request, now or later."""
-    return record.takes_requests and record.entry.name not in slot_request.excluded
+    name, allowed = record.entry.name, slot_request.allowed_targets
+    return (
+        record.takes_requests
+        and name not in slot_request.excluded
+        and (not allowed or name in allowed)
+    )
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -6,6 +6,10 @@
 caller, status 408, 421, 429 or 503 means that the request has not run, so once a request may have
 run, the handler neither relays nor generates these statuses.
 
+A request goes to as many targets as its route allows attempts.  A target that shed it, that is
+refused it unexecuted, may get it again, so a shed request is sent until its deadline, at the times
+that the broker decides.
+
 A faulty target may repeat an earlier response on a kept connection.  There only a response that
 echoes the id of the request is its own, and a request without an id gets a new connection.
 """
@@ -75,10 +79,12 @@
 
     `deadline_at` and `CallerRequest.received_at` are in seconds of the handler's clock.
     `excluded_targets` lists targets that already failed the request or have left, which the broker
-    may not know.  `unused_grants` counts grants without a sent request.  `last_response` is the
-    last error response that may be relayed.  `lacks_memory` tells that the process had no memory
-    for a response.  `account` is None if the request needs no client account, and
-    `plan_has_accounts` tells whether the plan that routed the request has accounts at all.
+    may not know; `shed_by` lists those that shed it.  `targets_sent` names all that got it.  Once
+    `asks_shedders` is true, only targets that shed it may get it.  `unshed_attempts` counts the
+    attempts that weren't shed, and `unused_grants` the grants without a sent request.
+    `last_response` is the last error response that may be relayed.  `lacks_memory` tells that the
+    process had no memory for a response.  `account` is None if the request needs no client account,
+    and `plan_has_accounts` tells whether the plan that routed the request has accounts at all.
     """
 
     request: CallerRequest
@@ -90,6 +96,10 @@
     account: ClientAccount | None = None
     plan_has_accounts: bool = False
     excluded_targets: list[str] = field(default_factory=list)
+    shed_by: list[str] = field(default_factory=list)
+    targets_sent: set[str] = field(default_factory=set)
+    asks_shedders: bool = False
+    unshed_attempts: int = 0
     slot_request_id: str = ""
     attempts_sent: int = 0
     unused_grants: int = 0
@@ -242,6 +252,9 @@
                 is_stopped = self._is_stopping and not progress.may_have_run
                 return self._fail_request(progress, None, "stopping" if is_stopped else "timeout")
             if isinstance(slot_or_refusal, Refused):
+                if self._may_ask_shedders(progress, slot_or_refusal):
+                    progress.asks_shedders = True
+                    continue
                 return self._fail_request(progress, slot_or_refusal, slot_or_refusal.reason.value)
             attempt = await self._run_attempt(progress, slot_or_refusal)
             self._record_attempt(progress, slot_or_refusal, attempt)
@@ -267,13 +280,18 @@
             goal_left_s=max(0.0, goal_at - now),
             is_retry=progress.attempts_sent > 0,
             can_retry=progress.route.idempotent
-            and progress.attempts_sent + 1 < progress.route.max_attempts,
-            excluded=(*progress.excluded_targets, *self._targets.unusable(progress.service)),
+            and len(progress.targets_sent) + 1 < progress.route.max_attempts,
+            excluded=(
+                *progress.excluded_targets,
+                *(() if progress.asks_shedders else progress.shed_by),
+                *self._targets.unusable(progress.service),
+            ),
             fingerprint=progress.fingerprint,
             account=account.name if account is not None else "",
             account_priority=account.priority if account is not None else 0,
             account_weight=(account.rate_per_s if account is not None else 0.0) or 1.0,
             body_bytes=len(progress.request.body),
+            allowed_targets=tuple(progress.shed_by) if progress.asks_shedders else (),
         )
         try:
             async with asyncio.timeout(max(0.0, progress.deadline_at - now)) as timeout:
@@ -345,6 +363,7 @@
         except ConnectError as error:
             return _AttemptResult(AttemptOutcome.CONNECT_FAILED, None, str(error))
         progress.attempts_sent += 1
+        progress.targets_sent.add(grant.target)
         if progress.attempts_sent > 1:
             self._record_retry(progress, grant)
         may_have_run_before = progress.may_have_run
@@ -433,6 +452,11 @@
             )
         return _AttemptResult(AttemptOutcome.ANSWERED, relayed, f"status {response.status}")
 
+    def _may_ask_shedders(self, progress: _RequestProgress, refused: Refused) -> bool:
+        """Return whether a refused request may go again to the targets that shed it."""
+        lacks_other_target = refused.reason is RefusalReason.NO_TARGET and bool(progress.shed_by)
+        return lacks_other_target and not progress.asks_shedders
+
     def _may_retry(self, progress: _RequestProgress, attempt: _AttemptResult) -> bool:
         """Return whether a failed attempt may be followed by another; count unused grants."""
         if progress.lacks_memory or progress.deadline_at - self._clock.now() < MIN_ATTEMPT_S:
@@ -441,7 +465,11 @@
             progress.unused_grants += 1
             if progress.unused_grants > MAX_UNUSED_GRANTS:
                 return False
-        elif progress.attempts_sent >= progress.route.max_attempts:
+        elif progress.unshed_attempts >= progress.route.max_attempts:
+            return False
+        if len(progress.targets_sent) >= progress.route.max_attempts:
+            progress.asks_shedders = True
+        if progress.asks_shedders and not progress.shed_by:
             return False
         return progress.route.idempotent or not progress.may_have_run
 
@@ -541,7 +569,10 @@
     def _record_attempt(
         self, progress: _RequestProgress, grant: SlotGrant, attempt: _AttemptResult
     ) -> None:
-        """Count and log an attempt; exclude its target from further ones unless it answered."""
+        """Count and log an attempt; exclude its target from further ones if it failed.
+
+        A target that shed the request may get it again.
+        """
         self._metrics.count_attempt(progress.service, attempt.outcome.value)
         if attempt.outcome is AttemptOutcome.ANSWERED:
             self._log_served_sample(progress, grant)
@@ -560,6 +591,14 @@
             progress.attempts_sent,
             attempt.detail,
         )
+        if attempt.outcome is AttemptOutcome.SHED:
+            if grant.target not in progress.shed_by:
+                progress.shed_by.append(grant.target)
+            return
+        if attempt.outcome not in OUTCOMES_WITHOUT_SEND:
+            progress.unshed_attempts += 1
+        if grant.target in progress.shed_by:
+            progress.shed_by.remove(grant.target)
         progress.excluded_targets.append(grant.target)
 
     def _log_served_sample(self, progress: _RequestProgress, grant: SlotGrant) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -20,6 +20,9 @@
         self._attempts: Counter[tuple[str, str]] = Counter()
         self._failures: Counter[tuple[str, str]] = Counter()
         self._retries: Counter[str] = Counter()
+        self._held_retries: Counter[str] = Counter()
+        self._shedding_spells: Counter[str] = Counter()
+        self._shedding: dict[str, bool] = {}
         self._disconnected_callers: Counter[str] = Counter()
         self._unrouted: Counter[int] = Counter()
         self._rejected: Counter[int] = Counter()
@@ -43,6 +46,15 @@
         """Count an attempt beyond the first one of its request."""
         self._retries[service] += 1
 
+    def count_held_retry(self, service: str) -> None:
+        """Count a retry that the broker on this host held back while targets shed requests."""
+        self._held_retries[service] += 1
+
+    def record_shedding(self, service: str, is_shedding: bool) -> None:
+        """Record that the targets of a service begin or stop to shed, by the broker here."""
+        self._shedding[service] = is_shedding
+        self._shedding_spells[service] += is_shedding
+
     def count_failure(self, service: str, reason: str) -> None:
         """Count a request without a usable response, by the reason of the failure."""
         self._failures[service, reason] += 1
@@ -85,9 +97,17 @@
             for (service, value), count in sorted(counts.items()):
                 labels = f'service="{service}",{label}="{value}"'
                 lines.append(f"{prefix}_{name}_total{{{labels}}} {count}")
-        lines.append(f"# TYPE {prefix}_retries_total counter")
-        for service, count in sorted(self._retries.items()):
-            lines.append(f'{prefix}_retries_total{{service="{service}"}} {count}')
+        for name, by_service in (
+            ("retries", self._retries),
+            ("held_retries", self._held_retries),
+            ("shedding_spells", self._shedding_spells),
+        ):
+            lines.append(f"# TYPE {prefix}_{name}_total counter")
+            for service, count in sorted(by_service.items()):
+                lines.append(f'{prefix}_{name}_total{{service="{service}"}} {count}')
+        lines.append(f"# TYPE {prefix}_shedding gauge")
+        for service, is_shedding in sorted(self._shedding.items()):
+            lines.append(f'{prefix}_shedding{{service="{service}"}} {int(is_shedding)}')
         lines.append(f"# TYPE {prefix}_callers_left_total counter")
         for service, count in sorted(self._disconnected_callers.items()):
             lines.append(f'{prefix}_callers_left_total{{service="{service}"}} {count}')
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -193,7 +193,12 @@
         self._connection_pool = TargetConnectionPool(self._clock, memory)
         self._metrics = EntryMetrics()
         self._slots = SlotClient(
-            self._hosts, self._targets, settings.bounds, self._clock, self._rng
+            self._hosts,
+            self._targets,
+            settings.bounds,
+            self._clock,
+            self._rng,
+            metrics=self._metrics,
         )
         self._request_handler = RequestHandler(
             HandlerDependencies(
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -91,7 +91,8 @@
 class TargetRecord:
     """What the targets of a fleet saw, and when the callers sent their requests.
 
-    `arrivals` holds (time, request id), `crashes` (time, target) of the request that crashes them,
+    `arrivals` holds (time, request id), `targets` the targets at which a request arrived, by its
+    id, `crashes` (time, target) of the request that crashes them,
     `last_arrivals` the time of the last arrival by sending host and target, and `deadlines` the
     times at which the deadlines passed on end, by request id.  `sent_at` is when the caller sent a
     request, `leaving_told_at` when a target first told a host (by incarnation) that it is leaving,
@@ -107,6 +108,7 @@
     requests: list[float] = field(default_factory=list)
     crashes: list[tuple[float, str]] = field(default_factory=list)
     last_arrivals: dict[tuple[str, str], float] = field(default_factory=dict)
+    targets: dict[str, set[str]] = field(default_factory=dict)
     deadlines: dict[str, list[float]] = field(default_factory=dict)
     sent_at: dict[str, float] = field(default_factory=dict)
     leaving_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
@@ -362,6 +364,7 @@
         deadline_at = now + int(head[HEADER_NAMES.deadline_ms]) / 1000
         self.record.deadlines.setdefault(request_id.decode(), []).append(deadline_at)
         target_name = head[HEADER_NAMES.expected_target].decode()
+        self.record.targets.setdefault(request_id.decode(), set()).add(target_name)
         self.record.last_arrivals[host.ip, target_name] = now
         told_at = self.record.leaving_told_at.get((host.incarnation, target_name), math.inf)
         if self.record.sent_at[request_id.decode()] > told_at + self.shape.bounds.drain_s:
--- a/tests/test_entry_requestpath.py
+++ b/tests/test_entry_requestpath.py
@@ -1,9 +1,10 @@
-"""Tests of a request's way to a faulty target and back, over real sockets."""
+"""Tests of a request's way to a faulty target and back."""
 
 import asyncio
 import dataclasses
 import random
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final, cast
 
@@ -11,7 +12,7 @@
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.hostport import HostPort
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
-from toucanspindle_entry.broker.slottypes import AttemptReport, SlotRequest
+from toucanspindle_entry.broker.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
 from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
 from toucanspindle_entry.callers.routeindex import RouteIndex
@@ -19,10 +20,12 @@
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import FleetPlan, Route, WeightedService
 from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
 from toucanspindle_entry.targets.targettable import TargetTable
 
-from tests.emulatedfleet import HEADER_NAMES
+from tests.emulatedfleet import HEADER_NAMES, EmulatedFleet, FleetShape
 from tests.entrycase import target
+from tests.virtualtime import run_in_virtual_time
 
 DEADLINE_S: Final = 1.0
 MEMORY_BYTES: Final = 10_000_000
@@ -32,7 +35,7 @@
 
 
 class FakeSlots:
-    """Grants every request a slot at the only target."""
+    """Grants every request a slot at the only target, but has no credit to repeat a shed one."""
 
     def __init__(self, target_name: str = "t") -> None:
         self._target_name = target_name
@@ -45,7 +48,10 @@
 
     async def acquire(
         self, service: str, slot_request: SlotRequest, starts_request: bool  # noqa: ARG002
-    ) -> SlotGrant:
+    ) -> SlotGrant | Refused:
+        if slot_request.is_retry and self.outcomes[-1] == AttemptOutcome.SHED.value:
+            reason = RefusalReason.RETRY_BUDGET_EXHAUSTED
+            return Refused(slot_request.id, "", reason, 0.0)
         return SlotGrant(slot_request.id, self._target_name, "", 1, 0.0, 0, "")
 
     def report_attempt(self, service: str, grant: SlotGrant, report: AttemptReport) -> None:
@@ -277,3 +283,24 @@
         first_sent_at, _ = deadlines[0]
         for sent_at, deadline_ms in deadlines:
             self.assertLessEqual(sent_at - first_sent_at + deadline_ms / 1000, DEADLINE_S + 0.1)
+
+
+class ShedRequestTests(TestCase):
+    """Targets shed most requests that reach them, and a request may go to two of them."""
+
+    def test_shed_request_goes_on_until_its_deadline_and_to_two_targets_only(self) -> None:
+        """It used to fail after two rejections within milliseconds."""
+        shape = FleetShape(
+            idempotent=False, max_attempts=2, shed_share=0.7, fail_share=0.0, rate=30.0
+        )
+        fleets: list[EmulatedFleet] = []
+
+        async def main() -> None:
+            fleets.append(EmulatedFleet(shape, 1))
+            await fleets[0].run_load(20.0)
+
+        run_in_virtual_time(main())
+        record = fleets[0].record
+        self.assertEqual(2, max(len(names) for names in record.targets.values()))
+        arrivals = Counter(request_id for _, request_id in record.arrivals)
+        self.assertLess(2, max(arrivals.values()))
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -64,7 +64,7 @@
 
 class FleetRetryBudgetTests(TestCase):
     def test_each_retry_takes_one_credit(self) -> None:
-        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget = FleetRetryBudget(0.2, 60.0, 10.0, random.Random(1))
         for _ in range(10):
             budget.deposit(0.25, HOST, 0.0)
         for _ in range(2):
@@ -75,20 +75,20 @@
 
     def test_credit_expires(self) -> None:
         """Brokers that take over by turns must not use credit of minutes ago."""
-        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget = FleetRetryBudget(0.2, 60.0, 10.0, random.Random(1))
         budget.deposit(5.0, HOST, 0.0)
         self.assertTrue(budget.has_credit(CREDIT_LIFETIME_S))
         self.assertFalse(budget.has_credit(CREDIT_LIFETIME_S + 0.01))
 
     def test_credit_is_limited_to_the_capacity(self) -> None:
-        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget = FleetRetryBudget(0.2, 60.0, 10.0, random.Random(1))
         for _ in range(100):
             budget.deposit(1.0, HOST, 0.0)
         self.assertEqual(15.0, budget.credit)
 
     def test_capacity_follows_the_share_of_the_hosts_that_ask(self) -> None:
         """The capacities of all brokers must not add up to more than that of one."""
-        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget = FleetRetryBudget(0.2, 60.0, 10.0, random.Random(1))
         budget.set_fleet_size(10)
         for n in range(4):
             budget.deposit(15.0, f"10.0.0.{n}", 0.0)
@@ -97,14 +97,14 @@
         self.assertEqual(1.5, budget.credit)
 
     def test_broker_that_does_not_know_the_fleet_saves_up_one_retry(self) -> None:
-        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget = FleetRetryBudget(0.2, 60.0, 10.0, random.Random(1))
         budget.set_fleet_size(None)
         budget.deposit(15.0, HOST, 0.0)
         self.assertEqual(1.0, budget.credit)
 
     def test_stakes_keep_the_mean(self) -> None:
         """A host that decides alone asks often with credit below one retry."""
-        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget = FleetRetryBudget(0.2, 60.0, 10.0, random.Random(1))
         spent = 0
         for step in range(20_000):
             budget.deposit(0.05, HOST, step * 10.0)
@@ -115,7 +115,7 @@
         self.assertLess(abs(spent - 1000), 120)
 
     def test_retries_in_the_queue_keep_their_credit(self) -> None:
-        budget = FleetRetryBudget(60.0, random.Random(1))
+        budget = FleetRetryBudget(0.2, 60.0, 10.0, random.Random(1))
         budget.deposit(2.5, HOST, 0.0)
         self.assertTrue(budget.may_admit(1, 0.0))
         self.assertFalse(budget.may_admit(2, 0.0))
--- a/tests/test_retry_budget_fleet.py
+++ b/tests/test_retry_budget_fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import os
-from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
@@ -67,8 +66,8 @@
             fleet = self.play(scenario, shape, seed)
             excess = fleet.record.worst_excess(shape.bounds)
             self.assertLessEqual(excess, 0, f"seed {seed}: {excess:.0f} repeats too many")
-            arrivals = Counter(request_id for _, request_id in fleet.record.arrivals)
-            self.assertLessEqual(max(arrivals.values()), shape.max_attempts, f"seed {seed}")
+            targets = max(len(names) for names in fleet.record.targets.values())
+            self.assertLessEqual(targets, shape.max_attempts, f"seed {seed}")
 
     def test_budget_holds_while_brokers_are_slow_by_turns(self) -> None:
         """Hosts that skip a slow broker at different moments use several brokers at once."""
@@ -163,6 +162,22 @@
 
         self.check(free_slots, FleetShape(targets=3, slots=2, work_s=0.4, rate=30.0))
 
+    def test_budget_holds_when_a_broker_has_spent_its_savings_and_is_killed(self) -> None:
+        """The next broker is given credit anew in the same window."""
+
+        async def kill_after_spells(fleet: EmulatedFleet) -> None:
+            failing = fleet.shape
+            while True:
+                fleet.shape = dataclasses.replace(failing, shed_share=0.0, fail_share=0.0)
+                await asyncio.sleep(11.0)
+                fleet.shape = failing
+                await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
+                running = [ip for ip in fleet.ips if fleet.hosts[ip].is_running]
+                fleet.kill(rank_brokers(SERVICE, running)[0], 5.0)
+                await asyncio.sleep(6.0)
+
+        self.check(kill_after_spells, FleetShape(idempotent=False, rate=120.0, shed_share=0.7))
+
     def test_most_of_the_ratio_is_used_with_one_broker(self) -> None:
         """A bound that holds because nothing is retried serves no caller."""
 
