--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -9,19 +9,21 @@
 target is unhealthy, its utilization, its slowness, and surcharges for another failure domain, for
 warm-up and for an unconfirmed registration.  When no suitable slot is free, the request waits in a
 queue ordered by priority and arrival.  The broker refuses a request at once when the expected wait
-is longer than the request may wait.
+is longer than the request may wait.  While targets shed requests, retries are held back and sent
+as `sheddingcontrol` decides.
 """
 
 import random
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
 from toucanspindle_entry.broker.activetargetfloor import ActiveTargetFloor
 from toucanspindle_entry.broker.failuretimes import FailureTimes
 from toucanspindle_entry.broker.fleetretrybudget import FleetRetryBudget
 from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.sheddingcontrol import SheddingControl
+from toucanspindle_entry.broker.slotlease import LEASE_GRACE_S, Lease
 from toucanspindle_entry.broker.slotqueue import PendingRequest, SlotQueue
 from toucanspindle_entry.broker.slottypes import (
     AttemptReport,
@@ -32,7 +34,8 @@
     Refused,
     SlotRequest,
 )
-from toucanspindle_entry.broker.targetcandidates import TargetCandidates, cross_domain_cost
+from toucanspindle_entry.broker.targetcandidates import TargetCandidates
+from toucanspindle_entry.broker.targetchoice import TargetChoice, is_eligible
 from toucanspindle_entry.broker.targetlimits import TargetLimits
 from toucanspindle_entry.broker.targetrecord import TargetRecord
 from toucanspindle_entry.model import TargetEntry
@@ -51,28 +54,12 @@
 HARMLESS_OUTCOMES: Final = frozenset(
     {AttemptOutcome.ANSWERED, AttemptOutcome.SHED, AttemptOutcome.WITHDRAWN}
 )
-LEASE_GRACE_S: Final = 0.5  # A lease without a report expires this long after its deadline.
 INITIAL_WORK_S: Final = 0.3  # Assumed time of an attempt before the first answer.
 INITIAL_WORK_WEIGHT: Final = 4  # In answers; the first answers to arrive are the shortest ones.
 WORK_SMOOTHING: Final = 0.05  # Smoothing factor of the mean; averages about 20 answers.
 SLOWNESS_SMOOTHING: Final = 0.06  # Smoothing factor of a target's slowness.
 # Work times are long-tailed, so a single long one is weak evidence of a slow target.
 MAX_RELATIVE_WORK: Final = 5.0  # Multiples of the mean work time.
-# A request waits for a busy target instead of using a free one if the free target's unhealthy
-# probability exceeds AVOID_MIN_UNHEALTHY, the busy target's is lower by more than AVOID_MIN_GAIN,
-# and the request has more than AVOID_MIN_WORK_TIMES mean work times left to wait.
-AVOID_MIN_UNHEALTHY: Final = 0.4
-AVOID_MIN_GAIN: Final = 0.25
-AVOID_MIN_WORK_TIMES: Final = 1.5
-# An avoided target gets one probe request AVOIDED_PROBE_INTERVAL_S after its last request.  A
-# request that can't be retried is the probe only after it has waited for
-# PROBE_MIN_WAIT_WORK_TIMES mean work times.
-AVOIDED_PROBE_INTERVAL_S: Final = 1.5
-PROBE_MIN_WAIT_WORK_TIMES: Final = 0.5
-# A new target that has had no request gets one that can be retried after the first delay, or any
-# request after the second one.
-NEW_TARGET_DELAY_RETRYABLE_S: Final = 1.5
-NEW_TARGET_DELAY_S: Final = 3.5  # Operators investigate new targets that are idle after 8 s.
 OVERDUE_WORK_TIMES: Final = 5.0  # A longer attempt is evidence that the target is unhealthy.
 SHED_PAUSE_S: Final = 0.02  # The broker skips a target for this long after it shed a request.
 CONNECT_FAILED_PAUSE_S: Final = 1.0  # The same after a failed connect or a misdirected request.
@@ -87,25 +74,6 @@
 MAX_REJECTED_BEFORE: Final = 1000  # Rejected requests counted from one slot request.
 
 
-@dataclass
-class _Lease:
-    """A granted slot, held until its attempt is reported or the lease expires.
-
-    `retry_credit_at` is when the credit that a retry took was deposited, or None.  `is_settled` is
-    true once the attempt has outlived the failures of unhealthy targets.
-    """
-
-    host: str
-    target: str
-    granted_at: float
-    expires_at: float
-    fingerprint: str
-    can_retry: bool = False
-    retry_credit_at: float | None = None
-    is_overdue: bool = False
-    is_settled: bool = False
-
-
 class SlotBroker:
     """Grants, queues and refuses the slot requests for one service.
 
@@ -128,15 +96,19 @@
         self.service = service
         self._rng = rng
         self._targets: dict[str, TargetRecord] = {}
-        self._leases: dict[str, _Lease] = {}
+        self._leases: dict[str, Lease] = {}
         self._queue = SlotQueue()
-        self._retry_budget = FleetRetryBudget(bounds.retry_burst, rng)
+        self._retry_budget = FleetRetryBudget(
+            bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s, rng
+        )
+        self._shedding = SheddingControl(bounds.retry_window_s)
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
         self._mean_work_s = INITIAL_WORK_S
         self._answer_count = 0
         self._poison_tracker = poison_tracker or PoisonTracker()
         self._limits = TargetLimits(rng)
         self._candidates = TargetCandidates(self._limits, self._active_floor, rng)
+        self._choice = TargetChoice(self._candidates, self._active_floor)
         self._failure_times = FailureTimes()
         self._unsettled: deque[tuple[float, str]] = deque()  # Time of the grant, slot request id.
         self._ended_at: dict[str, float] = {}
@@ -154,8 +126,27 @@
 
     @property
     def queue_length(self) -> int:
-        """Number of queued slot requests."""
-        return len(self._queue)
+        """Number of queued slot requests, with the retries that are held back."""
+        return len(self._queue) + len(self._shedding)
+
+    @property
+    def is_shedding(self) -> bool:
+        """Whether the targets of the service shed requests, as of the last call."""
+        return self._shedding.is_shedding
+
+    @property
+    def shed_share(self) -> float:
+        """The smoothed share of the attempts that are shed."""
+        return self._shedding.shed_share
+
+    @property
+    def held_retries(self) -> int:
+        """Number of retries that are held back."""
+        return len(self._shedding)
+
+    def saved_retries(self, now: float) -> float:
+        """Return the number of retries that the budget's window allows."""
+        return self._retry_budget.window.balance(now)
 
     @property
     def has_limited_targets(self) -> bool:
@@ -167,6 +158,13 @@
         """Exponentially smoothed time of an answered attempt, in seconds."""
         return self._mean_work_s
 
+    def forget_saved_credit(self) -> None:
+        """Forget the retry credit that was saved up, at a takeover.
+
+        A host that was suspended reads credit that hosts created long before.
+        """
+        self._retry_budget.window.forget_deposits()
+
     def set_fleet_size(self, fleet_size: int | None) -> None:
         """Set the number of hosts that share the retry budget, or None while it isn't known."""
         self._retry_budget.set_fleet_size(fleet_size)
@@ -230,7 +228,7 @@
         lease = self._leases.get(slot_request.id)
         if lease is not None:
             return self._make_grant(slot_request, lease.target, now)
-        if slot_request.id in self._queue:
+        if slot_request.id in self._queue or slot_request.id in self._shedding:
             return Queued(slot_request.id, slot_request.host)
         if slot_request.id in self._ended_at:
             # This is a delayed duplicate; its host no longer waits for an answer.
@@ -255,9 +253,11 @@
         pending = PendingRequest(
             slot_request, now, now + slot_request.time_left_s, now + slot_request.goal_left_s
         )
+        if slot_request.is_retry and self._shedding.saves_credit(now):
+            return self._send_or_hold(pending, now)
         if not self._queue.count_ahead_of(slot_request.priority):
             self._candidates.refresh(now)
-            target = self._choose_target(pending, now)
+            target = self._choice.choose(pending, self._mean_work_s, now)
             if target is not None:
                 return self._grant(pending, target, now)
         return self._enqueue_or_refuse(pending, now)
@@ -274,11 +274,14 @@
         has_connect_failed = report.outcome is AttemptOutcome.CONNECT_FAILED
         if lease and lease.retry_credit_at is not None and has_connect_failed:
             # No target has seen this retry.
-            self._retry_budget.refund(lease.retry_credit_at, now)
+            self._retry_budget.refund(lease.retry_credit_at, lease.granted_at, now)
         self._queue.remove(report.slot_request_id)
+        self._shedding.remove(report.slot_request_id)
         record = self._targets.get(report.target)
         is_evidence = lease is not None or report.outcome is not AttemptOutcome.WITHDRAWN
         if record is not None and is_evidence:
+            utilization = len(record.leases) / max(1, record.entry.slots)
+            self._shedding.record_outcome(report, utilization, now)
             self._update_target(record, report, lease is not None and lease.is_settled, now)
             self._candidates.update(record, now)
         if report.notice is not None:
@@ -297,7 +300,7 @@
             if slot_request_id in self._leases:
                 continue
             expires_at = now + time_left_s + LEASE_GRACE_S
-            self._leases[slot_request_id] = _Lease(host, target, now, expires_at, fingerprint)
+            self._leases[slot_request_id] = Lease(host, target, now, expires_at, fingerprint)
             if target in self._targets:
                 self._targets[target].leases.add(slot_request_id)
         self._candidates.invalidate()
@@ -312,6 +315,10 @@
             record.health.observe(outcome, max(observed_at, record.health.updated_at))
             self._candidates.invalidate()
 
+    def adopt_retries(self, count: int, sent_at: float) -> None:
+        """Count retries that a host sent before this broker took over."""
+        self._retry_budget.window.adopt_spent(count, sent_at)
+
     def adopt_notice(self, notice: TargetNotice, now: float) -> None:
         """Heed what a target said of itself to any host; ignore another incarnation's notice."""
         self._limits.adopt(notice, now)
@@ -326,6 +333,7 @@
     def clear_leases(self, now: float) -> None:
         """Drop all leases, before they are adopted again from the hosts."""
         self._leases.clear()
+        self._retry_budget.window.forget_spent()
         self._limits.forget_savings(now)
         for record in self._targets.values():
             record.leases.clear()
@@ -340,6 +348,7 @@
             self._release_lease(slot_request_id, now)
             self._active_floor.record_request_end(True, now)
         self._queue.remove_host(host)
+        self._shedding.remove_host(host)
         return self.grant_queued(now)
 
     def tick(self, now: float) -> list[Decision]:
@@ -360,6 +369,7 @@
                 if record is not None:
                     record.health.apply_likelihood_ratio(OVERDUE_LIKELIHOOD_RATIO, now)
                     self._candidates.update(record, now)
+        self._shedding.update(now)
         self._queue.reorder(now, self._mean_work_s)
         decisions = self.grant_queued(now, len(self._queue))
         return decisions + self._refuse_unservable(now)
@@ -369,17 +379,21 @@
 
         The search ends after `max_passed_over` requests in a row that no free target suits.
         """
-        if not self._queue:
+        if not len(self._queue) and not len(self._shedding):
             return []
         self._candidates.refresh(now)
+        return self._grant_waiting(now, max_passed_over) + self._grant_held(now, max_passed_over)
+
+    def _grant_waiting(self, now: float, max_passed_over: int) -> list[Decision]:
+        """Grant free slots to the queue."""
         grants: list[tuple[PendingRequest, Grant]] = []
         passed_over = 0
         for pending in self._queue:
             if not self._candidates.has_free_target or passed_over > max_passed_over:
                 break
-            if pending.slot_request.is_retry and not self._retry_budget.has_credit(now):
+            if pending.slot_request.is_retry and not self._has_retry_credit(now):
                 continue
-            target = self._choose_target(pending, now)
+            target = self._choice.choose(pending, self._mean_work_s, now)
             if target is None:
                 passed_over += 1
                 continue
@@ -389,6 +403,60 @@
             self._queue.remove(pending.slot_request.id)
         return [grant for _, grant in grants]
 
+    def _send_or_hold(self, pending: PendingRequest, now: float) -> Decision:
+        """Send a retry at once if credit may be spent on it, or hold it back.
+
+        After the shedding, those that were held back go first.
+        """
+        is_next = self._shedding.is_shedding or not len(self._shedding)
+        if is_next and not len(self._queue) and self._may_send_retry(now, was_held=False):
+            self._candidates.refresh(now)
+            target = self._choice.choose(pending, self._mean_work_s, now)
+            if target is not None:
+                return self._grant(pending, target, now)
+        self._shedding.hold(pending)
+        return Queued(pending.slot_request.id, pending.slot_request.host)
+
+    def _grant_held(self, now: float, max_passed_over: int) -> list[Decision]:
+        """Send retries that are held back, as far as credit and free slots allow.
+
+        When all slots are in use, they join the queue, which shares the slots.
+        """
+        grants: list[tuple[PendingRequest, Grant]] = []
+        queued: list[PendingRequest] = []
+        passed_over = 0
+        for pending in self._shedding:
+            if passed_over > max_passed_over or not self._may_send_retry(
+                now, len(queued), was_held=True
+            ):
+                break
+            target = self._choice.choose(pending, self._mean_work_s, now)
+            if target is not None:
+                grants.append((pending, self._grant(pending, target, now)))
+                passed_over = 0
+            elif self._candidates.has_free_target or self._shedding.is_shedding:
+                passed_over += 1
+            else:
+                queued.append(pending)
+        for pending, _ in grants:
+            self._shedding.remove(pending.slot_request.id)
+        for pending in queued:
+            self._shedding.remove(pending.slot_request.id)
+            self._queue.add(pending, now, self._mean_work_s)
+        return [grant for _, grant in grants]
+
+    def _may_send_retry(self, now: float, also_waiting: int = 0, *, was_held: bool) -> bool:
+        """Return whether saved credit may be spent beside the retries that wait for a slot."""
+        window = self._retry_budget.window
+        balance = window.balance(now) - self._queue.retries - also_waiting
+        return self._shedding.may_send(balance, window.deposited(now), now, was_held=was_held)
+
+    def _has_retry_credit(self, now: float) -> bool:
+        """Return whether a retry in the queue may be granted."""
+        if self._shedding.saves_credit(now):
+            return self._retry_budget.window.balance(now) >= 1
+        return self._retry_budget.has_credit(now)
+
     def _check_admission(self, slot_request: SlotRequest, now: float) -> Refused | None:
         """Return a refusal if the request can't be served at all.
 
@@ -398,14 +466,18 @@
             return Refused(slot_request.id, slot_request.host, RefusalReason.POISON, 0.0)
         if slot_request.time_left_s <= 0:
             return Refused(slot_request.id, slot_request.host, RefusalReason.TOO_LATE, 0.0)
-        if not any(self._is_eligible(record, slot_request) for record in self._targets.values()):
+        if not any(is_eligible(record, slot_request) for record in self._targets.values()):
             return Refused(
                 slot_request.id,
                 slot_request.host,
                 RefusalReason.NO_TARGET,
                 self._retry_after_s(now),
             )
-        if slot_request.is_retry and not self._retry_budget.may_admit(self._queue.retries, now):
+        if (
+            slot_request.is_retry
+            and not self._shedding.saves_credit(now)
+            and not self._retry_budget.may_admit(self._queue.retries, now)
+        ):
             return Refused(
                 slot_request.id, slot_request.host, RefusalReason.RETRY_BUDGET_EXHAUSTED, 0.0
             )
@@ -438,7 +510,9 @@
     def _refuse_unservable(self, now: float) -> list[Decision]:
         """Remove and refuse queued requests that can't finish before their deadline."""
         decisions: list[Decision] = []
-        for pending in self._queue.remove_due_before(now + self._mean_work_s / 2):
+        unservable = self._queue.remove_due_before(now + self._mean_work_s / 2)
+        unservable += self._shedding.remove_unservable(self._mean_work_s, now)
+        for pending in unservable:
             slot_request = pending.slot_request
             refusal = Refused(
                 slot_request.id,
@@ -450,101 +524,13 @@
             decisions.append(refusal)
         return decisions
 
-    def _is_eligible(self, record: TargetRecord, slot_request: SlotRequest) -> bool:
-        return record.takes_requests and record.entry.name not in slot_request.excluded
-
-    def _choose_target(self, pending: PendingRequest, now: float) -> TargetRecord | None:
-        """Return the target for a request, or None if the request should wait.
-
-        Targets that the active-target floor requires come first, then new targets without any
-        request, then the free target of least cost.
-        """
-        slot_request = pending.slot_request
-        preferred = self._floor_target(slot_request, now) or (
-            self._unused_new_target(slot_request, now)
-        )
-        if preferred is not None:
-            return preferred
-        best = self._candidates.cheapest(slot_request.failure_domain, slot_request.excluded)
-        if best is None:
-            return None
-        should_avoid_best = (
-            best.unhealthy_probability > AVOID_MIN_UNHEALTHY
-            and self._candidates.least_unhealthy_busy(slot_request.excluded)
-            < best.unhealthy_probability - AVOID_MIN_GAIN
-        )
-        if (
-            should_avoid_best
-            and self._can_wait_for_healthier_target(pending, now)
-            and not self._may_probe(best.record, pending, now)
-        ):
-            return None
-        return best.record
-
-    def _can_wait_for_healthier_target(self, pending: PendingRequest, now: float) -> bool:
-        """Return whether a request has time to wait for a healthier target.
-
-        A first attempt waits only while it can still meet its latency goal.  A retry has usually
-        missed its goal, so it may wait until its deadline: a late answer is better than a failure,
-        and retries are too few to delay other requests.
-        """
-        wait_until = pending.deadline_at if pending.slot_request.is_retry else pending.goal_at
-        return wait_until - now > AVOID_MIN_WORK_TIMES * self._mean_work_s
-
-    def _may_probe(self, record: TargetRecord, pending: PendingRequest, now: float) -> bool:
-        """Return whether a request may probe an avoided target.
-
-        Without probes a recovered target stays unused while requests wait for other targets.
-        """
-        if (
-            record.leases
-            or now - self._active_floor.last_granted_at(record.entry.name)
-            < AVOIDED_PROBE_INTERVAL_S
-        ):
-            return False
-        has_waited = now - pending.arrived_at > PROBE_MIN_WAIT_WORK_TIMES * self._mean_work_s
-        return pending.slot_request.can_retry or has_waited
-
-    def _floor_target(self, slot_request: SlotRequest, now: float) -> TargetRecord | None:
-        """Return one of the free targets due for the floor.
-
-        It is the one most likely healthy, or the one idle for longest if the floor prefers that.
-        """
-        due = [
-            candidate
-            for candidate in self._candidates.floor_due
-            if candidate.record.entry.name not in slot_request.excluded
-        ]
-        if not due:
-            return None
-        self._active_floor.record_floor_request(now)
-        self._candidates.floor_request_granted()
-        if self._active_floor.prefers_longest_idle:
-            return min(
-                (candidate.record for candidate in due),
-                key=lambda record: self._active_floor.last_granted_at(record.entry.name),
-            )
-        return min(
-            due,
-            key=lambda candidate: candidate.unhealthy_probability
-            + cross_domain_cost(candidate.record.entry.failure_domain, slot_request.failure_domain),
-        ).record
-
-    def _unused_new_target(self, slot_request: SlotRequest, now: float) -> TargetRecord | None:
-        """Return a free target that joined a while ago and has had no request yet, or None."""
-        wait_s = NEW_TARGET_DELAY_RETRYABLE_S if slot_request.can_retry else NEW_TARGET_DELAY_S
-        for record in self._candidates.unused:
-            is_excluded = record.entry.name in slot_request.excluded
-            if not is_excluded and now - record.joined_at > wait_s:
-                return record
-        return None
-
     def _grant(self, pending: PendingRequest, record: TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
         # Retries are counted when they reach a target, which a queued one does later.
-        retry_credit_at = self._retry_budget.spend(now) if slot_request.is_retry else None
+        retry_credit_at = self._spend_retry_credit(now) if slot_request.is_retry else None
+        self._shedding.record_grant(slot_request.id, slot_request.is_retry, now)
         expires_at = pending.deadline_at + LEASE_GRACE_S
-        self._leases[slot_request.id] = _Lease(
+        self._leases[slot_request.id] = Lease(
             slot_request.host,
             record.entry.name,
             now,
@@ -561,6 +547,14 @@
         retry_wait_s = now - pending.arrived_at if slot_request.is_retry else None
         return self._make_grant(slot_request, record.entry.name, now, retry_wait_s)
 
+    def _spend_retry_credit(self, now: float) -> float:
+        """Take the credit of one retry; return when it was deposited, if it wasn't saved."""
+        if not self._shedding.saves_credit(now):
+            return self._retry_budget.spend(now)
+        self._retry_budget.spend_saved(now)
+        self._shedding.record_sent(now)
+        return now
+
     def _make_grant(
         self,
         slot_request: SlotRequest,
@@ -630,7 +624,7 @@
             incarnation = f"{report.target}@{record.entry.started_ms}"
             self._poison_tracker.record_crash(report.fingerprint, incarnation, now)
 
-    def _record_floor_result(self, report: AttemptReport, lease: _Lease | None, now: float) -> None:
+    def _record_floor_result(self, report: AttemptReport, lease: Lease | None, now: float) -> None:
         """Count the end of a request towards the service's failure rate.
 
         A failed attempt isn't the end of its request if the request can be retried.
@@ -655,7 +649,7 @@
         ):
             del self._refusals[oldest]
 
-    def _release_lease(self, slot_request_id: str, now: float) -> _Lease | None:
+    def _release_lease(self, slot_request_id: str, now: float) -> Lease | None:
         """Remove a lease and free its slot; return the lease, or None if it is unknown."""
         lease = self._leases.pop(slot_request_id, None)
         if lease is not None and lease.target in self._targets:
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -234,7 +234,12 @@
         self._metrics = EntryMetrics()
         self._freshness = PlanFreshness(settings.bounds.revoke_s)
         self._slots = SlotClient(
-            self._hosts, self._targets, settings.bounds, self._clock, self._rng
+            self._hosts,
+            self._targets,
+            settings.bounds,
+            self._clock,
+            self._rng,
+            metrics=self._metrics,
         )
         self._quotas = QuotaClient(
             self._hosts,
