Limit the connections of callers by the file descriptors of the process

Half of what MaxFds leaves after 200 for files is for callers, an eighth for the ports for status together. Above the limit the connection that does least is closed. A port accepts 16 connections in a turn of the event loop, so that the limit is exceeded by few. The ports for status take no bodies above 4,096 bytes.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -14,6 +14,8 @@
 A caller that closes while reading is paused is noticed by a poll.  A caller that doesn't read is no
 vanished one: only if it has taken nothing of what is to be sent for `caller_stall_s`, the
 connection is ended.
+
+The number of connections of a port is limited; see `connectiontable`.
 """
 
 import asyncio
@@ -31,6 +33,7 @@
 from toucanspindle_entry.bodybuffer import BLOCK_BYTES, BodyBuffer
 from toucanspindle_entry.callers import answers
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse, encode_head
+from toucanspindle_entry.callers.connectiontable import CallerPort, ConnectionPhase
 from toucanspindle_entry.callers.requestreader import RequestReader
 from toucanspindle_entry.callers.stallcheck import StallCheck
 from toucanspindle_entry.memoryaccount import MemoryAccount
@@ -129,10 +132,18 @@
     """Reads requests from one caller and writes their responses."""
 
     def __init__(
-        self, owner: ConnectionOwner, handle_request: RequestCallback, clock: Clock
+        self,
+        owner: ConnectionOwner,
+        handle_request: RequestCallback,
+        clock: Clock,
+        port: CallerPort | None = None,
     ) -> None:
-        """Create a connection; `handle_request` returns the response to each request."""
+        """Create a connection; `handle_request` returns the response to each request.
+
+        Without a port, the number of connections isn't limited.
+        """
         self._owner = owner
+        self._port = port or CallerPort()
         self._handle_request = handle_request
         self._clock = clock
         self._transport: asyncio.Transport | None = None
@@ -147,13 +158,14 @@
         self._stall_check: StallCheck | None = None
         self._reading_phase: _ReadingPhase | None = None
         self._is_closing = False
+        self._has_taken_request = False
 
     # RequestSink.
 
     @property
     def limits(self) -> CallerLimits:
         """Size limits and timeouts in force now."""
-        return self._owner.limits
+        return self._port.limits or self._owner.limits
 
     @property
     def can_take_request(self) -> bool:
@@ -163,8 +175,10 @@
     def take_request(self, request: CallerRequest, keep_alive: bool) -> None:
         """Queue a complete request and start those that may run now."""
         self._owes_continue = False
+        self._has_taken_request = True
         self._exchanges.append(_Exchange(request, keep_alive))
         self._start_exchanges()
+        self._update_phase()
 
     def reject(self, status: int) -> None:
         """Queue an error response after the pending ones; the connection closes after it."""
@@ -239,7 +253,8 @@
         # No limit for unacknowledged data: Linux applies it to callers that read nothing, too.
         tune_socket(transport.get_extra_info("socket"), unacked_timeout_ms=0)
         self._owner.connection_opened(self)
-        self._restart_timer(self._owner.limits.idle_timeout_s)
+        self._port.table.add(self)
+        self._restart_timer(self.limits.idle_timeout_s)
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
         """Return the buffer for the next read."""
@@ -256,6 +271,7 @@
     def pause_writing(self) -> None:
         """Write no more until the caller has read some."""
         self._is_write_paused = True
+        self._update_phase()
 
     def resume_writing(self) -> None:
         """Write on."""
@@ -277,6 +293,21 @@
         self._exchanges.clear()
         self._unsent = None
         self._owner.connection_closed(self)
+        self._port.table.remove(self)
+
+    def _update_phase(self) -> None:
+        """Tell the table of connections what this one does now."""
+        if self._is_closing:
+            phase = ConnectionPhase.CLOSING
+        elif self._is_write_paused:
+            phase = ConnectionPhase.BLOCKED
+        elif self._exchanges or self._unsent is not None:
+            phase = ConnectionPhase.BUSY
+        elif self._reader.began_at is not None or not self._has_taken_request:
+            phase = ConnectionPhase.READING
+        else:
+            phase = ConnectionPhase.IDLE
+        self._port.table.set_phase(self, phase)
 
     # Reading.
 
@@ -286,6 +317,7 @@
             return
         self._reader.feed(data)
         self._update_reading()
+        self._update_phase()
 
     def _update_reading(self) -> None:
         """Read from the socket only what can be taken, and limit the time of the request."""
@@ -303,7 +335,7 @@
 
     def _limit_reading_time(self, is_paused: bool) -> None:
         """Restart the timer if the request being read is in another phase or has made progress."""
-        limits = self._owner.limits
+        limits = self.limits
         began_at = self._reader.began_at
         phase: _ReadingPhase | None = None
         if began_at is None:
@@ -392,7 +424,7 @@
         self._start_exchanges()
         self._read_more(b"")
         if self.is_idle:
-            self._restart_timer(self._owner.limits.idle_timeout_s)
+            self._restart_timer(self.limits.idle_timeout_s)
 
     def _write_next(self, transport: asyncio.Transport) -> bool:
         """Write a block, or the next response; return False if there is none."""
@@ -445,6 +477,7 @@
     def _close_gracefully(self) -> None:
         """Send what was written, end the stream, and close after CLOSE_LINGER_S."""
         self._is_closing = True
+        self._update_phase()
         self._cancel_timer()
         self._reader.stop()
         transport = self._transport
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -23,6 +23,7 @@
         self._disconnected_callers: Counter[str] = Counter()
         self._unrouted: Counter[int] = Counter()
         self._rejected: Counter[int] = Counter()
+        self._shed_connections: Counter[tuple[str, str]] = Counter()
         self._stalled_callers = 0
         self._handler_failures = 0
         self._buckets: dict[str, list[int]] = {}
@@ -67,6 +68,10 @@
         """Count a caller whose connection was ended because it took nothing of a response."""
         self._stalled_callers += 1
 
+    def count_shed_connection(self, ports: str, phase: str) -> None:
+        """Count a connection that was closed because its ports had too many."""
+        self._shed_connections[ports, phase] += 1
+
     def render(self, held_bytes: int) -> bytes:
         """Return all metrics in the Prometheus text format; `held_bytes` is what peers hold."""
         prefix = "toucanspindle_entry"
@@ -97,6 +102,10 @@
         ):
             lines.append(f"# TYPE {prefix}_{name}_total counter")
             lines.append(f"{prefix}_{name}_total {count}")
+        lines.append(f"# TYPE {prefix}_connections_shed_total counter")
+        for (ports, phase), count in sorted(self._shed_connections.items()):
+            labels = f'ports="{ports}",phase="{phase}"'
+            lines.append(f"{prefix}_connections_shed_total{{{labels}}} {count}")
         for name, statuses in (("unrouted", self._unrouted), ("rejected", self._rejected)):
             lines.append(f"# TYPE {prefix}_{name}_total counter")
             for status, count in sorted(statuses.items()):
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -14,6 +14,7 @@
 import gc
 import random
 import secrets
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import Final, Protocol
@@ -26,6 +27,7 @@
 from toucanspindle_entry.broker.slotclient import SlotClient
 from toucanspindle_entry.callers.callerconnection import CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.connectiontable import CallerPort, ConnectionTable
 from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
 from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
@@ -74,6 +76,11 @@
 # The host counts as suspended if CLOCK_BOOTTIME gains this on the monotonic clock in one interval.
 MIN_SUSPENSION_S: Final = 0.5
 LISTEN_BACKLOG: Final = 512
+# Connections that a port accepts in one turn of the event loop.  The limit for connections takes
+# effect in the turn after, so this also bounds how far it is exceeded.
+ACCEPTED_PER_TURN: Final = 16
+# Requests to the ports for readiness, directory, control and metrics need no body.
+STATUS_LIMITS: Final = CallerLimits(body_bytes=4096)
 
 log = Logger("node")
 
@@ -223,6 +230,10 @@
         self._announced_ready = False
         self._stopping = False
         self._connections: set[CallerConnection] = set()
+        self._caller_port = self._create_port("callers", settings.max_caller_connections, None)
+        self._status_port = self._create_port(
+            "status", settings.max_status_connections, STATUS_LIMITS
+        )
         self._servers: dict[str, asyncio.Server] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -532,14 +543,21 @@
     ) -> StoreWatch:
         return StoreWatch(self._store, kind, listener, self._clock, self._rng, exchange=self._relay)
 
+    def _create_port(self, name: str, limit: int, limits: CallerLimits | None) -> CallerPort:
+        count_shed = self._metrics.count_shed_connection
+        return CallerPort(ConnectionTable(name, limit, self._clock.now, count_shed), limits)
+
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
-        loop = asyncio.get_running_loop()
-        self._servers[name] = await loop.create_server(
-            lambda: CallerConnection(self, handler, self._clock),
-            address.ip,
-            address.port,
-            backlog=LISTEN_BACKLOG,
+        port = self._caller_port if name == "callers" else self._status_port
+        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+        sock = socket.create_server((address.ip, address.port), family=family)
+        self._servers[name] = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self, handler, self._clock, port),
+            sock=sock,
+            backlog=ACCEPTED_PER_TURN,
         )
+        # For the event loop the backlog is also the number of connections accepted in one turn.
+        sock.listen(LISTEN_BACKLOG)
 
     async def _serve_metrics(self, request: CallerRequest) -> CallerResponse:  # noqa: ARG002
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -9,6 +9,12 @@
 # connections and the allocator.
 PEER_MEMORY_SHARE: Final = 0.5
 BYTES_PER_MB: Final = 1_048_576
+FILE_DESCRIPTORS: Final = 200  # Of the limit for descriptors, those that are kept for files.
+# Of the other descriptors, those for connections of callers, and for the ports for readiness,
+# directory, control and metrics together.  A request in progress needs a connection to a target
+# besides that of its caller; the rest is for these, the store and what is being accepted.
+CALLER_DESCRIPTOR_SHARE: Final = 0.5
+STATUS_DESCRIPTOR_SHARE: Final = 0.125
 
 
 @dataclass(frozen=True)
@@ -48,6 +54,7 @@
     process has, in cores, and `link_mbps` the bandwidth of the host's link; both decide how likely
     the host becomes a broker.  `memory_mb` is the memory that the process has, in MB (2**20 bytes).
     The connection of a caller that takes nothing of a response for `caller_stall_s` is ended.
+    `max_fds` is the number of file descriptors that the process may open.
     """
 
     node: str
@@ -65,8 +72,22 @@
     link_mbps: float = 100.0
     memory_mb: float = 200.0
     caller_stall_s: float = 15.0
+    max_fds: int = 4096
 
     @property
     def peer_memory_bytes(self) -> int:
         """The memory that peers may hold in the process, in bytes."""
         return int(self.memory_mb * BYTES_PER_MB * PEER_MEMORY_SHARE)
+
+    @property
+    def max_caller_connections(self) -> int:
+        """The connections that callers may have open together."""
+        return self._connections_for(CALLER_DESCRIPTOR_SHARE)
+
+    @property
+    def max_status_connections(self) -> int:
+        """The connections that the other ports may have open together."""
+        return self._connections_for(STATUS_DESCRIPTOR_SHARE)
+
+    def _connections_for(self, share: float) -> int:
+        return max(1, int((self.max_fds - FILE_DESCRIPTORS) * share))
