Bound the work for one caller connection in a turn of the event loop

The event loop parsed 16 KiB of each connection and started all requests in it in one turn, which took 1.5 to 2 s for 300 connections; attempts at targets then took 707 ms on average, and the broker refused requests as overloaded.

Parsing a slice and starting a request are now steps, of which one connection gets 4 in a turn and all together 32; callers that sent nothing lately go first. No request is taken from a connection whose responses aren't read, and the system holds at most 32 KiB of unsent responses for it. Bytes that wait for their turn are charged to the memory account.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -15,7 +15,9 @@
 vanished one: only if it has taken nothing of what is to be sent for `caller_stall_s`, the
 connection is ended.
 
-The number of connections of a port is limited; see `connectiontable`.
+The number of connections of a port is limited; see `connectiontable`.  The work for one connection
+in a turn of the event loop is limited; see `workturns`.  While a caller doesn't read its responses,
+no further requests of its connection are taken.
 """
 
 import asyncio
@@ -49,7 +51,10 @@
 MAX_REQUEST_READ_S: Final = 60.0
 MEMORY_WAIT_S: Final = 1.0
 MEMORY_RETRY_AFTER_S: Final = 1.0
-WRITE_BUFFER_BYTES: Final = 32_768  # What may wait to be sent; writing pauses above.
+# What may wait to be sent, in the process and besides in the system; writing pauses above.  The
+# system takes megabytes otherwise: thousands of responses that nobody reads.
+WRITE_BUFFER_BYTES: Final = 8192
+UNSENT_BYTES: Final = 32_768
 CLOSE_POLL_INTERVAL_S: Final = 0.2  # While reading is paused.
 
 log = Logger("callers")
@@ -159,6 +164,7 @@
         self._reading_phase: _ReadingPhase | None = None
         self._is_closing = False
         self._has_taken_request = False
+        self._is_working = False
 
     # RequestSink.
 
@@ -169,16 +175,15 @@
 
     @property
     def can_take_request(self) -> bool:
-        """Whether another request may be read now."""
-        return len(self._exchanges) < MAX_PIPELINED
+        """Whether another request may be read now: few are unanswered, and answers are read."""
+        reads_answers = not self._is_write_paused or self._reader.is_reading_body
+        return len(self._exchanges) < MAX_PIPELINED and reads_answers
 
     def take_request(self, request: CallerRequest, keep_alive: bool) -> None:
         """Queue a complete request and start those that may run now."""
         self._owes_continue = False
         self._has_taken_request = True
         self._exchanges.append(_Exchange(request, keep_alive))
-        self._start_exchanges()
-        self._update_phase()
 
     def reject(self, status: int) -> None:
         """Queue an error response after the pending ones; the connection closes after it."""
@@ -206,7 +211,7 @@
 
     def resume(self) -> None:
         """Read on: there is memory for the body now."""
-        self._read_more(b"")
+        self._go_on()
 
     def send_continue(self) -> None:
         """Tell the caller to send the body of its request, behind the responses before it."""
@@ -250,19 +255,24 @@
         self._transport = transport
         self._stall_check = StallCheck(transport, self._end_stalled)
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
         # No limit for unacknowledged data: Linux applies it to callers that read nothing, too.
-        tune_socket(transport.get_extra_info("socket"), unacked_timeout_ms=0)
+        tune_socket(sock, unacked_timeout_ms=0)
         self._owner.connection_opened(self)
         self._port.table.add(self)
         self._restart_timer(self.limits.idle_timeout_s)
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
         """Return the buffer for the next read."""
-        return self._owner.memory.buffer_for(self._reader.pieces_read)
+        return self._owner.memory.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Parse bytes from the caller."""
-        self._read_more(self._owner.memory.read_buffer[:nbytes])
+        """Parse bytes from the caller when it is the turn of this connection."""
+        if self._is_closing or self._reader.is_stopped:
+            return
+        self._reader.receive(self._owner.memory.read_buffer[:nbytes])
+        self._go_on()
 
     def eof_received(self) -> bool:
         """Close the connection: a caller that ends its stream is taken to be gone."""
@@ -294,6 +304,8 @@
         self._unsent = None
         self._owner.connection_closed(self)
         self._port.table.remove(self)
+        if self._port.turns is not None:
+            self._port.turns.forget(self)
 
     def _update_phase(self) -> None:
         """Tell the table of connections what this one does now."""
@@ -311,11 +323,40 @@
 
     # Reading.
 
-    def _read_more(self, data: bytes | memoryview) -> None:
-        """Parse as much as can be taken now; pause if that isn't all."""
-        if self._is_closing or self._reader.is_stopped:
+    @property
+    def has_work(self) -> bool:
+        """Whether a request can be started, or bytes can be parsed now."""
+        if self._is_closing:
+            return False
+        return self._next_unstarted() is not None or self._reader.can_parse
+
+    def work(self, max_steps: int) -> int:
+        """Start requests and parse slices in some steps; return how many were done."""
+        steps = 0
+        self._is_working = True
+        try:
+            while steps < max_steps and self.has_work:
+                steps += 1
+                exchange = self._next_unstarted()
+                if exchange is not None:
+                    self._start_exchange(exchange)
+                else:
+                    self._reader.parse_slice()
+        finally:
+            self._is_working = False
+        self._update_reading()
+        self._update_phase()
+        return steps
+
+    def _go_on(self) -> None:
+        """Work, now or in a later turn; read from the socket only what can be taken."""
+        if self._is_working:
             return
-        self._reader.feed(data)
+        if self._port.turns is None:
+            while self.has_work:
+                self.work(1)
+        elif self.has_work:
+            self._port.turns.request(self)
         self._update_reading()
         self._update_phase()
 
@@ -324,6 +365,7 @@
         transport = self._transport
         if transport is None or self._is_closing or transport.is_closing():
             return
+        self._reader.charge_unparsed()
         lacks_memory = self._reader.lacks_memory
         is_paused = lacks_memory or self._reader.has_unparsed or not self.can_take_request
         if is_paused:
@@ -331,7 +373,8 @@
             self._poll_for_close()
         else:
             transport.resume_reading()
-        self._limit_reading_time(is_paused)
+        if not self._reader.can_parse:  # Else this is called again after the next turn.
+            self._limit_reading_time(is_paused)
 
     def _limit_reading_time(self, is_paused: bool) -> None:
         """Restart the timer if the request being read is in another phase or has made progress."""
@@ -377,18 +420,23 @@
 
     # Responses.
 
-    def _start_exchanges(self) -> None:
-        """Start queued requests in order; one that must run alone waits for those before it."""
+    def _next_unstarted(self) -> _Exchange | None:
+        """Return the request to start next; one that must run alone waits for those before it."""
         for index, exchange in enumerate(self._exchanges):
             is_parallel = exchange.method in PARALLEL_METHODS
             if index >= MAX_PIPELINED or (not is_parallel and index > 0):
-                return
+                return None
             if exchange.request is not None and exchange.task is None:
-                exchange.task = asyncio.get_running_loop().create_task(
-                    self._run_exchange(exchange, exchange.request)
-                )
+                return exchange
             if not is_parallel:
-                return
+                return None
+        return None
+
+    def _start_exchange(self, exchange: _Exchange) -> None:
+        assert exchange.request is not None
+        exchange.task = asyncio.get_running_loop().create_task(
+            self._run_exchange(exchange, exchange.request)
+        )
 
     async def _run_exchange(self, exchange: _Exchange, request: CallerRequest) -> None:
         try:
@@ -421,8 +469,7 @@
         self._send_owed_continue()
         if self._stall_check is not None:
             self._stall_check.start(self._owner.caller_stall_s)
-        self._start_exchanges()
-        self._read_more(b"")
+        self._go_on()
         if self.is_idle:
             self._restart_timer(self.limits.idle_timeout_s)
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/connectiontable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/connectiontable.py
@@ -15,6 +15,7 @@
 
 from logbook import Logger
 
+from toucanspindle_entry.callers.workturns import WorkTurns
 from toucanspindle_entry.model import CallerLimits
 
 LOG_PERIOD_S: Final = 10.0
@@ -114,10 +115,12 @@
 class CallerPort:
     """What the connections of a port have in common.
 
-    `limits` are those of its requests, or None for those of the plan in force.
+    `limits` are those of its requests, or None for those of the plan in force.  Without `turns`,
+    the work for one connection in a turn of the event loop isn't limited.
     """
 
     table: ConnectionTable = field(
         default_factory=lambda: ConnectionTable("unlimited", None, lambda: 0.0)
     )
     limits: CallerLimits | None = None
+    turns: WorkTurns | None = None
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
@@ -65,6 +65,8 @@
         self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
         self._unparsed = b""
+        self._parsed_bytes = 0  # Of the bytes above.
+        self._unparsed_lease = memory.lease()
         self._is_stopped = False
         self._lacks_memory = False
         self._heads_begun = 0
@@ -73,7 +75,6 @@
         self._framing_bytes = 0
         self._has_read_body = False
         self._is_body_outstanding = False
-        self._pieces_read = 0
         self._unread_body_bytes = 0
         self._began_at: float | None = None
         self._begin_request(memory.lease())
@@ -98,21 +99,21 @@
         """Whether nothing more is parsed."""
         return self._is_stopped
 
+    @property
+    def is_reading_body(self) -> bool:
+        """Whether the head of a request is complete, and its body isn't."""
+        return self._began_at is not None and self._is_head_complete
+
     @property
     def has_unparsed(self) -> bool:
         """Whether bytes that were read are still to be parsed."""
-        return bool(self._unparsed)
+        return self._parsed_bytes < len(self._unparsed)
 
     @property
     def body_bytes(self) -> int:
         """The length of what was read of the body."""
         return len(self._body)
 
-    @property
-    def pieces_read(self) -> int:
-        """The parts of bodies in the bytes that were fed last."""
-        return self._pieces_read
-
     @property
     def progress(self) -> str:
         """What was read of the request being read, for logs."""
@@ -121,22 +122,38 @@
             f" body_bytes={len(self._body)}"
         )
 
-    def feed(self, data: bytes | memoryview) -> None:
-        """Parse bytes, after those that are left from before, as far as they can be taken now."""
-        if self._unparsed:
-            data = self._unparsed + bytes(data)
-        begin = 0
-        self._pieces_read = 0
-        while begin < len(data) and self._can_parse:
-            size = max(SLICE_BYTES, self._unread_body_bytes)
-            self._parse(data[begin : begin + size])
-            begin += size
-        self._unparsed = b"" if self._is_stopped else bytes(data[begin:])
+    def receive(self, data: bytes | memoryview) -> None:
+        """Keep bytes until they are parsed."""
+        self._unparsed = self._unparsed[self._parsed_bytes :] + bytes(data)
+        self._parsed_bytes = 0
+
+    @property
+    def can_parse(self) -> bool:
+        """Whether there are bytes that can be parsed now."""
+        return (
+            self.has_unparsed
+            and not self._is_stopped
+            and not self._lacks_memory
+            and self._sink.can_take_request
+        )
+
+    def parse_slice(self) -> None:
+        """Parse the next bytes: SLICE_BYTES, or more of a body of a declared length."""
+        begin = self._parsed_bytes
+        end = min(len(self._unparsed), begin + max(SLICE_BYTES, self._unread_body_bytes))
+        self._parsed_bytes = end
+        self._parse(memoryview(self._unparsed)[begin:end])
+        if self._parsed_bytes == len(self._unparsed):
+            self._unparsed, self._parsed_bytes = b"", 0
+
+    def charge_unparsed(self) -> None:
+        """Charge the bytes that wait for their turn to the account of the process."""
+        self._unparsed_lease.charge(len(self._unparsed) - self._unparsed_lease.held_bytes)
 
     def stop(self) -> None:
         """Parse nothing more, and drop the request being read."""
         self._is_stopped = True
-        self._unparsed = b""
+        self._unparsed, self._parsed_bytes = b"", 0
         self._began_at = None
         self._lacks_memory = False
         self._lease.stop_waiting()
@@ -144,10 +161,6 @@
 
     # Private.
 
-    @property
-    def _can_parse(self) -> bool:
-        return not self._is_stopped and not self._lacks_memory and self._sink.can_take_request
-
     def _parse(self, data: bytes | memoryview) -> None:
         """Parse a slice; count the bytes of an incomplete head, which the parser doesn't report."""
         heads_begun = self._heads_begun
@@ -316,7 +329,6 @@
         self._unread_body_bytes = max(0, self._unread_body_bytes - len(piece))
         self._body.append(piece)
         self._has_read_body = True
-        self._pieces_read += 1
         uncharged = self._body.uncharged_bytes
         if not uncharged:
             return
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -72,8 +72,12 @@
         """Count a connection that was closed because its ports had too many."""
         self._shed_connections[ports, phase] += 1
 
-    def render(self, held_bytes: int) -> bytes:
-        """Return all metrics in the Prometheus text format; `held_bytes` is what peers hold."""
+    def render(self, held_bytes: int, deferred_turns: int) -> bytes:
+        """Return all metrics in the Prometheus text format.
+
+        `held_bytes` is what peers hold; `deferred_turns` is how often a connection had to wait for
+        a later turn of the event loop.
+        """
         prefix = "toucanspindle_entry"
         lines = [f"# TYPE {prefix}_in_flight gauge", f"{prefix}_in_flight {self.in_flight}"]
         lines.append(f"# TYPE {prefix}_held_bytes gauge")
@@ -98,6 +102,7 @@
             lines.append(f'{prefix}_callers_left_total{{service="{service}"}} {count}')
         for name, count in (
             ("callers_stalled", self._stalled_callers),
+            ("turns_deferred", deferred_turns),
             ("handler_failures", self._handler_failures),
         ):
             lines.append(f"# TYPE {prefix}_{name}_total counter")
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -30,6 +30,7 @@
 from toucanspindle_entry.callers.connectiontable import CallerPort, ConnectionTable
 from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
 from toucanspindle_entry.callers.routeindex import RouteIndex
+from toucanspindle_entry.callers.workturns import WorkTurns
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
 from toucanspindle_entry.hosts.brokerchoice import broker_capacity
@@ -230,6 +231,7 @@
         self._announced_ready = False
         self._stopping = False
         self._connections: set[CallerConnection] = set()
+        self._turns = WorkTurns(self._clock)
         self._caller_port = self._create_port("callers", settings.max_caller_connections, None)
         self._status_port = self._create_port(
             "status", settings.max_status_connections, STATUS_LIMITS
@@ -545,7 +547,8 @@
 
     def _create_port(self, name: str, limit: int, limits: CallerLimits | None) -> CallerPort:
         count_shed = self._metrics.count_shed_connection
-        return CallerPort(ConnectionTable(name, limit, self._clock.now, count_shed), limits)
+        table = ConnectionTable(name, limit, self._clock.now, count_shed)
+        return CallerPort(table, limits, self._turns)
 
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
         port = self._caller_port if name == "callers" else self._status_port
@@ -561,7 +564,9 @@
 
     async def _serve_metrics(self, request: CallerRequest) -> CallerResponse:  # noqa: ARG002
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        return CallerResponse(200, headers, self._metrics.render(self._memory.held_bytes))
+        return CallerResponse(
+            200, headers, self._metrics.render(self._memory.held_bytes, self._turns.deferred)
+        )
 
 
 def _log_task_failure(task: asyncio.Task[None]) -> None:
