--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -355,8 +355,8 @@
         if self._port.turns is None:
             while self.has_work:
                 self.work(1)
-        elif self.has_work:
-            self._port.turns.request(self)
+        elif self.has_work and self._port.turns.request(self):
+            return  # `work` has updated both.
         self._update_reading()
         self._update_phase()
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
@@ -148,7 +148,9 @@
 
     def charge_unparsed(self) -> None:
         """Charge the bytes that wait for their turn to the account of the process."""
-        self._unparsed_lease.charge(len(self._unparsed) - self._unparsed_lease.held_bytes)
+        change = len(self._unparsed) - self._unparsed_lease.held_bytes
+        if change:
+            self._unparsed_lease.charge(change)
 
     def stop(self) -> None:
         """Parse nothing more, and drop the request being read."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/workturns.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/workturns.py
@@ -47,21 +47,25 @@
         self._steps_left = STEPS_PER_TURN
         self._is_scheduled = False
 
-    def request(self, worker: Worker) -> None:
-        """Let a connection work, now if nobody waits before it, or in a later turn."""
+    def request(self, worker: Worker) -> bool:
+        """Let a connection work, now if nobody waits before it, or else in a later turn.
+
+        Returns whether it has worked.
+        """
         if worker in self._waiting:
-            return
+            return False
         is_rested = self._clock.now() - self._worked_at.get(worker, -RECENT_S) >= RECENT_S
         has_turn = self._steps_left > 0 and not self._rested and (is_rested or not self._busy)
         if has_turn:
             self._let_work(worker)
             if not worker.has_work:
-                return
+                return True
             is_rested = False
         self.deferred += 1
         self._waiting.add(worker)
         (self._rested if is_rested else self._busy).append(worker)
         self._schedule()
+        return has_turn
 
     def forget(self, worker: Worker) -> None:
         """Remove a connection that has ended."""
