Let a poison verdict expire though hosts forward it to each other

A verdict that another host forwarded restarted the 120 s of the tracker that knew it already (PoisonTests.test_verdict_that_hosts_tell_each_other_expires fails before). Crashes that a tracker knows don't extend its memory now.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/poisontracker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/poisontracker.py
@@ -46,11 +46,16 @@
         _evict_oldest(self._crashed_targets)
 
     def adopt(self, fingerprint: str, targets: Iterable[str], now: float) -> None:
-        """Count the crashes that another host knows; no targets mean that one has answered."""
+        """Count the crashes that another host knows; no targets mean that one has answered.
+
+        Crashes that this tracker has counted already don't extend its memory of them, even if that
+        has expired: otherwise hosts that tell each other would never forget a request.
+        """
         targets = list(targets)
         if not targets:
             self.record_answer(fingerprint, now)
-        for target in targets:
+        known, _ = self._crashed_targets.get(fingerprint, (set(), 0.0))
+        for target in [target for target in targets if target not in known]:
             self.record_crash(fingerprint, target, now)
 
     def crashed_targets(self, fingerprint: str) -> list[str]:
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -498,6 +498,17 @@
             tracker.record_crash("f", f"t{n}", ANSWER_EXEMPTION_S + 1.0 + n)
         self.assertTrue(tracker.is_poison("f", ANSWER_EXEMPTION_S + 4.0))
 
+    def test_verdict_that_hosts_tell_each_other_expires(self) -> None:
+        """Guards against hosts that keep a request blocked for ever by forwarding its verdict."""
+        trackers = [PoisonTracker(), PoisonTracker()]
+        for n in range(3):
+            trackers[0].record_crash("f", f"t{n}", float(n))
+        for second in range(0, 300, 20):
+            for sender, receiver in (trackers, trackers[::-1]):
+                for fingerprint, targets in sender.poison_messages(second):
+                    receiver.adopt(fingerprint, targets, second)
+        self.assertEqual([False, False], [tracker.is_poison("f", 300.0) for tracker in trackers])
+
 
 class FloorTests(TestCase):
     def test_floor_is_kept_at_a_high_failure_rate(self) -> None:
