Rank the keepers of requests once for each change of the hosts

Each lost connection hashed every host to find the keepers of its request, so a crashed target with 100 requests in progress cost 69,000 hashes at 690 hosts. Requests whose fingerprints begin with the same two digits share their keepers now, whose ranking is cached (KeeperTests fails before). Hosts of the version before rank by the whole fingerprint: while both run, a request may have more keepers, and its crashes add up later.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/poisonsharing.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/poisonsharing.py
@@ -4,10 +4,10 @@
 
 A broker sends this for a request that crashed targets, or without targets once one has answered it.
 It goes to the hosts next in rank for the service, and to the keepers of the request: the first
-KEEPERS live hosts by rank for its fingerprint.  Brokers of different services so tell the same
-keepers.  A host that finds that a request is poison tells all live hosts.  A host that is told of a
-crash by another broker that doesn't know this answers with what it knows, as its message may have
-been lost.
+KEEPERS live hosts by rank for the first digits of its fingerprint.  Brokers of different services
+so tell the same keepers.  A host that finds that a request is poison tells all live hosts.  A host
+that is told of a crash by another broker that doesn't know this answers with what it knows, as its
+message may have been lost.
 """
 
 from typing import Final
@@ -15,12 +15,15 @@
 from toucanspindle_core.clock import Clock
 
 from toucanspindle_entry.broker.poisontracker import MIN_CRASHED_TARGETS, PoisonTracker
-from toucanspindle_entry.hosts.brokerchoice import BrokerRanking, rank_brokers
+from toucanspindle_entry.hosts.brokerchoice import BrokerRanking
 from toucanspindle_entry.hosts.datagrams import Message
 from toucanspindle_entry.hosts.hostannouncer import SendMessage
 from toucanspindle_entry.hosts.livehosts import LiveHosts
 
 KEEPERS: Final = 2
+# Requests whose fingerprints begin with the same digits have the same keepers, so that the hosts
+# are ranked 256 times at most for each change of the hosts, and not for each lost connection.
+KEEPER_DIGITS: Final = 2
 MAX_BROKERS_TOLD: Final = 3  # Hosts in order of rank that may be asked for slots of the service.
 
 
@@ -66,8 +69,7 @@
             self._tell_all(service, fingerprint)
 
     def _keepers(self, fingerprint: str) -> list[str]:
-        candidates = [*self._hosts.alive_ips(), self._hosts.own.ip]
-        return rank_brokers(fingerprint, candidates, self._hosts.capacities())[:KEEPERS]
+        return self._ranking.live(f"poison {fingerprint[:KEEPER_DIGITS]}")[:KEEPERS]
 
     def _tell_all(self, service: str, fingerprint: str) -> None:
         for ip in self._hosts.alive_ips():
