Find a lease that waits for memory without a scan

Each completed request looked through all leases that wait for memory (MemoryAccount.stop_waiting). They are kept in an ordered dict now. The table of connections uses the same, since a plain dict scans entries that have left it.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/connectiontable.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/connectiontable.py
@@ -8,6 +8,7 @@
 being sent.  Each operation takes constant time, also while connections come at a high rate.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -56,7 +57,10 @@
         self._limit = limit
         self._now = now
         self._on_shed = on_shed
-        self._by_phase: list[dict[Sheddable, None]] = [{} for _ in ConnectionPhase]
+        # A plain dict would scan the entries that have left it to find the first one.
+        self._by_phase: list[OrderedDict[Sheddable, None]] = [
+            OrderedDict() for _ in ConnectionPhase
+        ]
         self._phases: dict[Sheddable, ConnectionPhase] = {}
         self._logged_at = float("-inf")
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/memoryaccount.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/memoryaccount.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections import deque
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Final
 
@@ -32,7 +32,8 @@
         self._limit_bytes = limit_bytes
         self._large_limit_bytes = int(limit_bytes * LARGE_SHARE)
         self._held_bytes = 0
-        self._waiting: deque[tuple[MemoryLease, int, Callable[[], None]]] = deque()
+        # By lease, in the order in which they wait; a lease waits for one amount at a time.
+        self._waiting: OrderedDict[MemoryLease, tuple[int, Callable[[], None]]] = OrderedDict()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
 
     @property
@@ -80,21 +81,20 @@
 
     def wait(self, lease: "MemoryLease", amount: int, on_granted: Callable[[], None]) -> None:
         """Let a lease wait for its turn."""
-        self._waiting.append((lease, amount, on_granted))
+        self._waiting[lease] = (amount, on_granted)
 
     def stop_waiting(self, lease: "MemoryLease") -> None:
         """Remove a lease from those that wait."""
-        if any(waiting is lease for waiting, _, _ in self._waiting):
-            self._waiting = deque(entry for entry in self._waiting if entry[0] is not lease)
+        if self._waiting.pop(lease, None) is not None:
             self._grant_waiting()
 
     def _grant_waiting(self) -> None:
         """Let leases grow in the order in which they wait, as far as there is room."""
         while self._waiting:
-            lease, wanted, on_granted = self._waiting[0]
+            lease, (wanted, on_granted) = next(iter(self._waiting.items()))
             if not self.has_room(lease.held_bytes, wanted):
                 return
-            self._waiting.popleft()
+            del self._waiting[lease]
             lease.charge(wanted)
             # Memory may be released anywhere, even within the parser of another connection.
             asyncio.get_running_loop().call_soon(on_granted)
