--- a/packages/toucanspindle-entry/toucanspindle_entry/bodybuffer.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/bodybuffer.py
@@ -36,17 +36,15 @@
         """The lease to which the body is charged."""
         return self._lease
 
-    @property
-    def uncharged_bytes(self) -> int:
-        """The memory of the body that hasn't been charged yet."""
-        return max(0, body_cost(self._length) - self._charged_bytes)
-
     def record_charge(self, amount: int) -> None:
         """Record that the lease has grown by an amount for this body."""
         self._charged_bytes += amount
 
-    def append(self, piece: bytes) -> None:
-        """Add the next piece; the caller charges `uncharged_bytes`."""
+    def append(self, piece: bytes) -> bool:
+        """Add the next piece and charge it; return whether there was memory for it.
+
+        A piece is kept and charged even without memory, since it has been received.
+        """
         self._length += len(piece)
         begin = 0
         while begin < len(piece):
@@ -56,6 +54,14 @@
             end = begin + BLOCK_BYTES - len(block)
             block += piece[begin:end]
             begin = end
+        uncharged = body_cost(self._length) - self._charged_bytes
+        if uncharged <= 0:
+            return True
+        has_memory = self._lease.try_grow(uncharged)
+        if not has_memory:
+            self._lease.charge(uncharged)
+        self._charged_bytes += uncharged
+        return has_memory
 
     def blocks(self) -> Iterator[bytearray]:
         """Return the blocks and keep them."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
@@ -329,15 +329,8 @@
             self._reject(413)
             return
         self._unread_body_bytes = max(0, self._unread_body_bytes - len(piece))
-        self._body.append(piece)
+        has_memory = self._body.append(piece)
         self._has_read_body = True
-        uncharged = self._body.uncharged_bytes
-        if not uncharged:
-            return
-        has_memory = self._lease.try_grow(uncharged)
-        if not has_memory:
-            self._lease.charge(uncharged)  # It is here already.
-        self._body.record_charge(uncharged)
         if not has_memory and not self._lacks_memory:
             self._wait_for_memory(body_cost(BLOCK_BYTES))
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
@@ -348,14 +348,7 @@
         if self._body_bytes > self._max_response_bytes:
             self._fail_oversized()
             return
-        self._content.append(body)
-        uncharged = self._content.uncharged_bytes
-        if not uncharged:
-            return
-        has_memory = self._lease.try_grow(uncharged)
-        if not has_memory:
-            self._lease.charge(uncharged)  # It is here already.
-        self._content.record_charge(uncharged)
+        has_memory = self._content.append(body)
         if not has_memory and not self._lacks_memory:
             self._wait_for_memory(body_cost(BLOCK_BYTES))
             self._memory_timer = asyncio.get_running_loop().call_later(
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -76,8 +76,6 @@
         if request.path == "/large":
             body = BodyBuffer(self.owner.memory.lease())
             body.append(b"x" * LARGE_RESPONSE_BYTES)
-            body.lease.charge(body.uncharged_bytes)
-            body.record_charge(body.uncharged_bytes)
             return CallerResponse(200, [], body)
         return CallerResponse(200, [(b"x-kept", b"1")], request.path.encode())
 
--- a/tests/test_entry_memory.py
+++ b/tests/test_entry_memory.py
@@ -141,8 +141,6 @@
         account = MemoryAccount(LIMIT_BYTES)
         body = BodyBuffer(account.lease())
         body.append(b"x" * 100_000)
-        body.lease.charge(body.uncharged_bytes)
-        body.record_charge(body.uncharged_bytes)
         self.assertEqual(body_cost(100_000), account.held_bytes)
         held = [account.held_bytes for _ in body.take_blocks()]
         self.assertEqual(sorted(held, reverse=True), held)
