Answer a request whose reading fails by a fault of the program

An exception within a callback of the parser ended the connection without a response, and without those to the requests before (FailedHandlerTests/test_fault_of_the_program_while_reading_is_answered). The request gets 500, since nothing of it has run, after the responses before it.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -209,6 +209,12 @@
         self._exchanges.append(_Exchange(None, keep_alive=False, response=response))
         self._write_responses()
 
+    def fail_reading(self, error: BaseException) -> None:
+        """Log a fault of the program, and reject the request, which has not run."""
+        log.exception("event=handler_failed method='' error={!r}", error)
+        self._owner.count_handler_failure()
+        self.reject(500)
+
     def resume(self) -> None:
         """Read on: there is memory for the body now."""
         self._go_on()
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callermessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callermessages.py
@@ -28,6 +28,7 @@
     413: b"Content Too Large",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestreader.py
@@ -46,6 +46,10 @@
         """Respond to a request that isn't read to its end; no more is read."""
         ...
 
+    def fail_reading(self, error: BaseException) -> None:
+        """Respond to a request that the reader failed to read, by a fault of the program."""
+        ...
+
     def resume(self) -> None:
         """Read on: there is memory for the body now."""
         ...
@@ -175,9 +179,10 @@
             if not self._is_stopped:
                 self._parse(data[upgrade.args[0] :])
             return
-        except httptools.HttpParserCallbackError:
+        except httptools.HttpParserCallbackError as error:
             if not self._is_stopped:
-                raise
+                self._is_stopped = True
+                self._sink.fail_reading(error.__context__ or error)
         except httptools.HttpParserError:
             if not self._is_stopped:
                 self._reject(400)
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -5,12 +5,14 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_entry.bodybuffer import BodyBuffer
 from toucanspindle_entry.callers.callerconnection import MAX_PIPELINED, CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.requestreader import RequestReader
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import CallerLimits
 
@@ -391,6 +393,21 @@
             self.owner.rejected.clear()
         self.assertEqual([], self.handled)
 
+    def test_fault_of_the_program_while_reading_is_answered(self) -> None:
+        """Guards against a connection that ends without a response, and without those before."""
+        original = RequestReader.on_headers_complete
+
+        def fail_for_b(reader: RequestReader) -> None:
+            if reader._url == b"/b":
+                raise ValueError("a fault of the program")
+            original(reader)
+
+        with mock.patch.object(RequestReader, "on_headers_complete", fail_for_b):
+            received = self.send_and_read(get_request("/slow") + get_request("/b"))
+        statuses = [part[:3] for part in received.split(b"HTTP/1.1 ")[1:]]
+        self.assertEqual(([b"200", b"500"], 1), (statuses, self.owner.handler_failures))
+        self.assertEqual(["/slow"], [request.path for request in self.handled])
+
     def test_pipelined_heads_are_limited_one_by_one(self) -> None:
         """Guards against adding up the heads of pipelined requests that arrive in pieces."""
         head = b"GET /%d HTTP/1.1\r\nHost: a\r\nX-Long: " + b"x" * 200 + b"\r\n\r\n"
