Play crowds that exceed limits in the fuzz of raw bytes

Connections of one process share its turns, memory and connection limit; each seed is another mix of pipelined requests, short fields, tiny chunks and requests that stop anywhere. An ordinary caller is answered beside them, and nothing is held afterwards.

--- a/tests/test_entry_rawbytes.py
+++ b/tests/test_entry_rawbytes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import os
 import random
 from typing import Final
@@ -13,12 +14,18 @@
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_entry.callers.callerconnection import CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.connectiontable import CallerPort, ConnectionTable
+from toucanspindle_entry.callers.workturns import WorkTurns
 from toucanspindle_entry.model import CallerLimits
 
 from tests.test_entry_callers import FakeOwner
 
 SEEDS: Final = int(os.environ.get("TOUCANSPINDLE_RAW_SEEDS", "200"))
 FIRST_SEED: Final = int(os.environ.get("TOUCANSPINDLE_RAW_FIRST_SEED", "1"))
+CROWD_SEEDS: Final = max(1, SEEDS // 33)
+CROWD_CONNECTIONS: Final = 60
+CROWD_LIMIT: Final = 25
+ORDINARY_REQUESTS: Final = 10
 AT_ONCE: Final = 20
 MAX_REQUESTS: Final = 40
 LIMITS: Final = CallerLimits(2000, 50_000, header_timeout_s=0.5, idle_timeout_s=0.5)
@@ -85,9 +92,10 @@
         """Send pieces to a new connection; return what is received until its end."""
         owner = FakeOwner()
         owner.limits = LIMITS
+        port = CallerPort(turns=WorkTurns(MonotonicClock()))
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: CallerConnection(owner, self.answer, MonotonicClock()), "127.0.0.1", 0
+            lambda: CallerConnection(owner, self.answer, MonotonicClock(), port), "127.0.0.1", 0
         )
         reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
 
@@ -180,3 +188,97 @@
             # A mutated number may stand anywhere; the others are in order.
             out_of_order = sum(a >= b for a, b in zip(numbers, numbers[1:], strict=False))
             self.assertLessEqual(out_of_order, 1, f"seed {seed}: {numbers}")
+
+
+def make_excess(rng: random.Random) -> bytes:
+    """Return the bytes of a caller that exceeds limits: it may stop anywhere."""
+    chunked = b"POST /8 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = rng.choice(
+        (
+            b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" * rng.choice((100, 3000)),
+            b"GET /2 HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * rng.choice((400, 490, 5000)) + b"\r\n",
+            b"POST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: 50000\r\n\r\n" + bytes(50_000),
+            b"POST /4 HTTP/1.1\r\nHost: a\r\nContent-Length: 999999\r\n\r\n" + bytes(60_000),
+            chunked + b"1\r\nx\r\n" * rng.choice((2000, 20_000)) + b"0\r\n\r\n",
+            chunked + b"0\r\n" + b"t:\r\n" * 2000 + b"\r\n",
+            chunked + b"1;e=" + b"x" * 5000,
+        )
+    )
+    return data[: rng.choice((len(data), len(data) - 1, rng.randrange(1, len(data))))]
+
+
+class CrowdTests(RawBytesCase):
+    """Connections of one process that share its turns, its memory and its limit for connections."""
+
+    async def visit(self, address: tuple[str, int], rng: random.Random) -> None:
+        """Send what exceeds limits, read all, little or nothing, and stay or leave."""
+        try:
+            reader, writer = await asyncio.open_connection(*address, limit=2**10)
+            reads = rng.choice((0, 1, 10**9))
+            for piece in split(rng, make_excess(rng)):
+                writer.write(piece)
+                if rng.random() < 0.1:
+                    await asyncio.sleep(0.01)
+                async with asyncio.timeout(0.2):
+                    await writer.drain()
+            for _ in range(reads):
+                if not await reader.read(100):
+                    break
+            await asyncio.sleep(rng.choice((0, 0, 1)))
+        except (OSError, TimeoutError):
+            pass
+        else:
+            writer.close()
+
+    async def play(self, seed: int) -> None:
+        rng = random.Random(seed)
+        owner = FakeOwner()
+        owner.limits = LIMITS
+        owner.caller_stall_s = 0.5
+        clock = MonotonicClock()
+        table = ConnectionTable("crowd", CROWD_LIMIT, clock.now)
+        port = CallerPort(table, turns=WorkTurns(clock))
+        server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(owner, self.answer, clock, port), "127.0.0.1", 0
+        )
+        address = server.sockets[0].getsockname()
+        crowd = [
+            asyncio.create_task(self.visit(address, random.Random(rng.random())))
+            for _ in range(CROWD_CONNECTIONS)
+        ]
+        for number in range(1, ORDINARY_REQUESTS + 1):
+            await self.send_ordinary(address, number)
+            self.assertLessEqual(len(table), CROWD_LIMIT)
+        await asyncio.gather(*crowd)
+        while owner.connections:
+            await asyncio.sleep(0.01)
+        server.close()
+        gc.collect()
+        self.assertEqual((0, 0, 0), (len(table), owner.memory.held_bytes, owner.handler_failures))
+
+    async def send_ordinary(self, address: tuple[str, int], number: int) -> None:
+        """Send a request until it is answered."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(make_request(random.Random(number), number, True))
+                received = await reader.read()
+                writer.close()
+            except OSError:
+                continue
+            if b" /%d " % number in b"".join(told_answers(received)):
+                return
+            await asyncio.sleep(0.01)
+
+    def test_ordinary_requests_are_answered_beside_any_crowd(self) -> None:
+        """Guards against crowds that hold memory, connections or turns for ever."""
+
+        async def run(seed: int) -> None:
+            async with asyncio.timeout(3 * BOUND_S):
+                await self.play(seed)
+
+        for seed in range(FIRST_SEED, FIRST_SEED + CROWD_SEEDS):
+            try:
+                asyncio.run(run(seed))
+            except TimeoutError as error:
+                raise AssertionError(f"seed {seed}: not at its end") from error
