--- a/tests/memoryworld.py
+++ b/tests/memoryworld.py
@@ -76,6 +76,11 @@
             peer.close()
         self._fleet.close()
 
+    @property
+    def caller_address(self) -> HostPort:
+        """The address at which the process serves callers."""
+        return self._fleet.caller_address(0)
+
     def play(self, scenario: str, connections: int, duration_s: float) -> MemoryReport:
         """Run the peers of a scenario beside another caller."""
         kind, _, name = scenario.partition("-")
--- a/tests/test_entry_crowds.py
+++ b/tests/test_entry_crowds.py
@@ -9,8 +9,11 @@
 
 import pytest
 from testtools import TestCase
+from toucanspindle_standins.httpcall import http_call
 
+from deployedfleet import HOST_NAME
 from tests.crowdworld import play
+from tests.memoryworld import MAX_BODY_BYTES, MemoryWorld
 from tests.tempfolder import temporary_folder
 
 DURATION_S: Final = 1.2
@@ -58,3 +61,19 @@
 
     def test_more_connections_than_descriptors(self) -> None:
         self.assert_held("idle_connections")
+
+
+class CalmTests(TestCase):
+    """Each guards against limits that cut off a single caller inside the limits of the plan."""
+
+    def test_single_requests_at_the_limits_are_served(self) -> None:
+        world = MemoryWorld(temporary_folder(self))
+        self.addCleanup(world.close)
+        world.start()
+        headers = {"Host": HOST_NAME, "X-Attempt-Id": "0123456789abcdef"}
+        body = bytes(MAX_BODY_BYTES)
+        result = http_call(world.caller_address, "POST", "/reserve/1", headers, body)
+        self.assertEqual(200, result.status, result.body[:200])
+        many = headers | {f"x{n}": "" for n in range(1900)}
+        result = http_call(world.caller_address, "GET", "/lookup/1", many)
+        self.assertEqual(200, result.status, result.body[:200])
