Limit the connections to targets by the file descriptors of the process

Pipelined requests need up to 16 connections to targets for one of a caller, so that requests in progress could take the descriptors of the store and of other callers (ConnectionLimitTests). At the limit an idle connection is closed for a new one; if all are in use, the request is refused with 503 and has not run, without a mark against the target. Not seen in a crowd: the slots of the test's targets bound their connections before.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -41,7 +41,10 @@
     MalformedResponseError,
     ResponseMemoryError,
 )
-from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targetconnectionpool import (
+    ConnectionLimitError,
+    TargetConnectionPool,
+)
 from toucanspindle_entry.targets.targethealth import AttemptOutcome
 from toucanspindle_entry.targets.targetnotices import TargetNotice, read_notice, read_pause_s
 from toucanspindle_entry.targets.targettable import TargetTable
@@ -77,8 +80,9 @@
     `excluded_targets` lists targets that already failed the request or have left, which the broker
     may not know.  `unused_grants` counts grants without a sent request.  `last_response` is the
     last error response that may be relayed.  `lacks_memory` tells that the process had no memory
-    for a response.  `account` is None if the request needs no client account, and
-    `plan_has_accounts` tells whether the plan that routed the request has accounts at all.
+    for a response, and `lacks_connection` that it may open no more connections to targets.
+    `account` is None if the request needs no client account, and `plan_has_accounts` tells whether
+    the plan that routed the request has accounts at all.
     """
 
     request: CallerRequest
@@ -95,6 +99,7 @@
     unused_grants: int = 0
     may_have_run: bool = False
     lacks_memory: bool = False
+    lacks_connection: bool = False
     last_response: CallerResponse | None = None
 
 
@@ -344,6 +349,10 @@
             )
         except ConnectError as error:
             return _AttemptResult(AttemptOutcome.CONNECT_FAILED, None, str(error))
+        except ConnectionLimitError as error:
+            # No evidence against the target.  Another one would need a connection, too.
+            progress.lacks_connection = True
+            return _AttemptResult(AttemptOutcome.WITHDRAWN, None, str(error))
         progress.attempts_sent += 1
         if progress.attempts_sent > 1:
             self._record_retry(progress, grant)
@@ -435,7 +444,9 @@
 
     def _may_retry(self, progress: _RequestProgress, attempt: _AttemptResult) -> bool:
         """Return whether a failed attempt may be followed by another; count unused grants."""
-        if progress.lacks_memory or progress.deadline_at - self._clock.now() < MIN_ATTEMPT_S:
+        if progress.lacks_connection or progress.lacks_memory:
+            return False
+        if progress.deadline_at - self._clock.now() < MIN_ATTEMPT_S:
             return False
         if attempt.outcome in OUTCOMES_WITHOUT_SEND:
             progress.unused_grants += 1
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -24,6 +24,7 @@
         self._unrouted: Counter[int] = Counter()
         self._rejected: Counter[int] = Counter()
         self._shed_connections: Counter[tuple[str, str]] = Counter()
+        self._refused_target_connections = 0
         self._stalled_callers = 0
         self._handler_failures = 0
         self._buckets: dict[str, list[int]] = {}
@@ -72,6 +73,10 @@
         """Count a connection that was closed because its ports had too many."""
         self._shed_connections[ports, phase] += 1
 
+    def count_refused_target_connection(self) -> None:
+        """Count a connection to a target that wasn't opened because there were too many."""
+        self._refused_target_connections += 1
+
     def render(self, held_bytes: int, deferred_turns: int) -> bytes:
         """Return all metrics in the Prometheus text format.
 
@@ -102,6 +107,7 @@
             lines.append(f'{prefix}_callers_left_total{{service="{service}"}} {count}')
         for name, count in (
             ("callers_stalled", self._stalled_callers),
+            ("target_connections_refused", self._refused_target_connections),
             ("turns_deferred", deferred_turns),
             ("handler_failures", self._handler_failures),
         ):
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -198,8 +198,13 @@
         capacity = broker_capacity(settings.cores, settings.link_mbps)
         self._hosts = LiveHosts(self._own_entry, self._rng, capacity)
         self._targets = TargetTable(self._clock)
-        self._connection_pool = TargetConnectionPool(self._clock, memory)
         self._metrics = EntryMetrics()
+        self._connection_pool = TargetConnectionPool(
+            self._clock,
+            memory,
+            settings.max_target_connections,
+            self._metrics.count_refused_target_connection,
+        )
         self._slots = SlotClient(
             self._hosts, self._targets, settings.bounds, self._clock, self._rng
         )
--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -15,6 +15,9 @@
 # besides that of its caller; the rest is for these, the store and what is being accepted.
 CALLER_DESCRIPTOR_SHARE: Final = 0.5
 STATUS_DESCRIPTOR_SHARE: Final = 0.125
+# The fleet's own, for the store, the ports and the event loop, and for connections that have been
+# accepted and not yet counted: two turns of 16 for each of five ports.
+RESERVED_DESCRIPTORS: Final = 192
 
 
 @dataclass(frozen=True)
@@ -89,5 +92,12 @@
         """The connections that the other ports may have open together."""
         return self._connections_for(STATUS_DESCRIPTOR_SHARE)
 
+    @property
+    def max_target_connections(self) -> int:
+        """The connections to targets that the process may have open together."""
+        sockets = self.max_fds - FILE_DESCRIPTORS
+        others = self.max_caller_connections + self.max_status_connections + RESERVED_DESCRIPTORS
+        return max(1, sockets - others)
+
     def _connections_for(self, share: float) -> int:
         return max(1, int((self.max_fds - FILE_DESCRIPTORS) * share))
--- a/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
@@ -102,9 +102,12 @@
 class HttpConnection(asyncio.BufferedProtocol):
     """A client connection that runs one exchange at a time."""
 
-    def __init__(self, memory: MemoryAccount, max_response_bytes: int) -> None:
+    def __init__(
+        self, memory: MemoryAccount, max_response_bytes: int, on_lost: Callable[[], None]
+    ) -> None:
         """Create an unconnected connection; use `connect`."""
         self._memory = memory
+        self._on_lost = on_lost
         self._max_response_bytes = max_response_bytes
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -136,16 +139,18 @@
         timeout_s: float,
         memory: MemoryAccount,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
+        on_lost: Callable[[], None] = lambda: None,
     ) -> "HttpConnection":
         """Return an open connection; raise ConnectError after `timeout_s` or on failure.
 
         Responses are charged to `memory`, and their bodies are limited to `max_response_bytes`.
+        `on_lost` is called when a connection that was established has ended.
         """
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: cls(memory, max_response_bytes), address.ip, address.port
+                    lambda: cls(memory, max_response_bytes, on_lost), address.ip, address.port
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"{address}: {error or 'connection attempt timed out'}") from error
@@ -277,6 +282,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
+        self._on_lost()
         self._closed = True
         self._fail_exchange(
             ConnectionLostError(str(exc) if exc else "the peer closed the connection")
