--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -47,7 +47,10 @@
     MalformedResponseError,
     ResponseMemoryError,
 )
-from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targetconnectionpool import (
+    ConnectionLimitError,
+    TargetConnectionPool,
+)
 from toucanspindle_entry.targets.targethealth import AttemptOutcome
 from toucanspindle_entry.targets.targetnotices import TargetNotice, read_notice, read_pause_s
 from toucanspindle_entry.targets.targettable import TargetTable
@@ -87,8 +90,9 @@
     `asks_shedders` is true, only targets that shed it may get it.  `unshed_attempts` counts the
     attempts that weren't shed, and `unused_grants` the grants without a sent request.
     `last_response` is the last error response that may be relayed.  `lacks_memory` tells that the
-    process had no memory for a response.  `account` is None if the request needs no client account,
-    and `plan_has_accounts` tells whether the plan that routed the request has accounts at all.
+    process had no memory for a response, and `lacks_connection` that it may open no more
+    connections to targets.  `account` is None if the request needs no client account, and
+    `plan_has_accounts` tells whether the plan that routed the request has accounts at all.
     """
 
     request: CallerRequest
@@ -109,6 +113,7 @@
     unused_grants: int = 0
     may_have_run: bool = False
     lacks_memory: bool = False
+    lacks_connection: bool = False
     last_response: CallerResponse | None = None
 
 
@@ -409,6 +414,10 @@
             )
         except ConnectError as error:
             return _AttemptResult(AttemptOutcome.CONNECT_FAILED, None, str(error))
+        except ConnectionLimitError as error:
+            # No evidence against the target.  Another one would need a connection, too.
+            progress.lacks_connection = True
+            return _AttemptResult(AttemptOutcome.WITHDRAWN, None, str(error))
         progress.attempts_sent += 1
         progress.targets_sent.add(grant.target)
         if progress.attempts_sent > 1:
@@ -506,7 +515,9 @@
 
     def _may_retry(self, progress: _RequestProgress, attempt: _AttemptResult) -> bool:
         """Return whether a failed attempt may be followed by another; count unused grants."""
-        if progress.lacks_memory or progress.deadline_at - self._clock.now() < MIN_ATTEMPT_S:
+        if progress.lacks_connection or progress.lacks_memory:
+            return False
+        if progress.deadline_at - self._clock.now() < MIN_ATTEMPT_S:
             return False
         if attempt.outcome in OUTCOMES_WITHOUT_SEND:
             progress.unused_grants += 1
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrymetrics.py
@@ -7,8 +7,9 @@
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Mapping
-from typing import Final
+from typing import Any, Final
 
+PREFIX: Final = "toucanspindle_entry"
 LATENCY_BUCKETS_S: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 
 
@@ -28,6 +29,8 @@
         self._disconnected_callers: Counter[str] = Counter()
         self._unrouted: Counter[int] = Counter()
         self._rejected: Counter[int] = Counter()
+        self._shed_connections: Counter[tuple[str, str]] = Counter()
+        self._refused_target_connections = 0
         self._stalled_callers = 0
         self._unconfirmed_keys = 0
         self._handler_failures = 0
@@ -87,70 +90,80 @@
         """Count a caller whose connection was ended because it took nothing of a response."""
         self._stalled_callers += 1
 
+    def count_shed_connection(self, ports: str, phase: str) -> None:
+        """Count a connection that was closed because its ports had too many."""
+        self._shed_connections[ports, phase] += 1
+
+    def count_refused_target_connection(self) -> None:
+        """Count a connection to a target that wasn't opened because there were too many."""
+        self._refused_target_connections += 1
+
     def render(
         self,
         held_bytes: int,
+        deferred_turns: int = 0,
         plan_age_s: float | None = None,
         gauges: Mapping[str, int] | None = None,
     ) -> bytes:
-        """Return all metrics in the Prometheus text format; `held_bytes` is what peers hold.
+        """Return all metrics in the Prometheus text format.
 
-        `plan_age_s` is how long ago the plan was certainly the newest one, or None in fleets
-        without a time limit for revoked keys.  `gauges` are further values by name.
+        `held_bytes` is what peers hold; `deferred_turns` is how often a connection had to wait for
+        a later turn of the event loop.  `plan_age_s` is how long ago the plan was certainly the
+        newest one, or None in fleets without a time limit for revoked keys.  `gauges` are further
+        values by name.
         """
-        prefix = "toucanspindle_entry"
-        lines = [f"# TYPE {prefix}_in_flight gauge", f"{prefix}_in_flight {self.in_flight}"]
-        lines.append(f"# TYPE {prefix}_held_bytes gauge")
-        lines.append(f"{prefix}_held_bytes {held_bytes}")
+        lines = self._gauge_lines(held_bytes, plan_age_s, gauges or {})
+        lines += self._counter_lines(deferred_turns, plan_age_s is not None)
+        lines += self._histogram_lines(f"{PREFIX}_latency_seconds")
+        return ("\n".join(lines) + "\n").encode()
+
+    def _gauge_lines(
+        self, held_bytes: int, plan_age_s: float | None, gauges: Mapping[str, int]
+    ) -> list[str]:
+        values = {"in_flight": str(self.in_flight), "held_bytes": str(held_bytes)}
         if plan_age_s is not None:
-            age = f"{plan_age_s:.3f}" if plan_age_s < math.inf else "+Inf"
-            lines.append(f"# TYPE {prefix}_plan_age_seconds gauge")
-            lines.append(f"{prefix}_plan_age_seconds {age}")
-            lines.append(f"# TYPE {prefix}_keys_unconfirmed_total counter")
-            lines.append(f"{prefix}_keys_unconfirmed_total {self._unconfirmed_keys}")
-        for gauge, number in sorted((gauges or {}).items()):
-            lines += [f"# TYPE {prefix}_{gauge} gauge", f"{prefix}_{gauge} {number}"]
-        lines.append(f"# TYPE {prefix}_quota_events_total counter")
-        for event, count in sorted(self.quota_counts.items()):
-            lines.append(f'{prefix}_quota_events_total{{event="{event}"}} {count}')
-        lines.append(f"# TYPE {prefix}_requests_total counter")
-        for (service, status), count in sorted(self._requests.items()):
-            labels = f'service="{service}",status="{status}"'
-            lines.append(f"{prefix}_requests_total{{{labels}}} {count}")
-        for name, label, counts in (
-            ("attempts", "end", self._attempts),
-            ("failures", "reason", self._failures),
-        ):
-            lines.append(f"# TYPE {prefix}_{name}_total counter")
-            for (service, value), count in sorted(counts.items()):
-                labels = f'service="{service}",{label}="{value}"'
-                lines.append(f"{prefix}_{name}_total{{{labels}}} {count}")
-        for name, by_service in (
-            ("retries", self._retries),
-            ("held_retries", self._held_retries),
-            ("shedding_spells", self._shedding_spells),
-        ):
-            lines.append(f"# TYPE {prefix}_{name}_total counter")
-            for service, count in sorted(by_service.items()):
-                lines.append(f'{prefix}_{name}_total{{service="{service}"}} {count}')
-        lines.append(f"# TYPE {prefix}_shedding gauge")
+            values["plan_age_seconds"] = f"{plan_age_s:.3f}" if plan_age_s < math.inf else "+Inf"
+        values |= {name: str(value) for name, value in sorted(gauges.items())}
+        lines: list[str] = []
+        for name, value in values.items():
+            lines += [f"# TYPE {PREFIX}_{name} gauge", f"{PREFIX}_{name} {value}"]
+        lines.append(f"# TYPE {PREFIX}_shedding gauge")
         for service, is_shedding in sorted(self._shedding.items()):
-            lines.append(f'{prefix}_shedding{{service="{service}"}} {int(is_shedding)}')
-        lines.append(f"# TYPE {prefix}_callers_left_total counter")
-        for service, count in sorted(self._disconnected_callers.items()):
-            lines.append(f'{prefix}_callers_left_total{{service="{service}"}} {count}')
-        for name, count in (
-            ("callers_stalled", self._stalled_callers),
-            ("handler_failures", self._handler_failures),
-        ):
-            lines.append(f"# TYPE {prefix}_{name}_total counter")
-            lines.append(f"{prefix}_{name}_total {count}")
-        for name, statuses in (("unrouted", self._unrouted), ("rejected", self._rejected)):
-            lines.append(f"# TYPE {prefix}_{name}_total counter")
-            for status, count in sorted(statuses.items()):
-                lines.append(f'{prefix}_{name}_total{{status="{status}"}} {count}')
-        lines += self._histogram_lines(f"{prefix}_latency_seconds")
-        return ("\n".join(lines) + "\n").encode()
+            lines.append(f'{PREFIX}_shedding{{service="{service}"}} {int(is_shedding)}')
+        return lines
+
+    def _counter_lines(self, deferred_turns: int, has_revocation_bound: bool) -> list[str]:
+        plain = {
+            "callers_stalled": self._stalled_callers,
+            "handler_failures": self._handler_failures,
+            "target_connections_refused": self._refused_target_connections,
+            "turns_deferred": deferred_turns,
+        }
+        if has_revocation_bound:
+            plain["keys_unconfirmed"] = self._unconfirmed_keys
+        lines: list[str] = []
+        for name, count in plain.items():
+            lines += [f"# TYPE {PREFIX}_{name}_total counter", f"{PREFIX}_{name}_total {count}"]
+        labelled: tuple[tuple[str, tuple[str, ...], Mapping[Any, int]], ...] = (
+            ("requests", ("service", "status"), self._requests),
+            ("attempts", ("service", "end"), self._attempts),
+            ("failures", ("service", "reason"), self._failures),
+            ("retries", ("service",), self._retries),
+            ("held_retries", ("service",), self._held_retries),
+            ("shedding_spells", ("service",), self._shedding_spells),
+            ("callers_left", ("service",), self._disconnected_callers),
+            ("unrouted", ("status",), self._unrouted),
+            ("rejected", ("status",), self._rejected),
+            ("quota_events", ("event",), self.quota_counts),
+            ("connections_shed", ("ports", "phase"), self._shed_connections),
+        )
+        for name, label_names, counts in labelled:
+            lines.append(f"# TYPE {PREFIX}_{name}_total counter")
+            for values, count in sorted(counts.items()):
+                names = zip(label_names, values if len(label_names) > 1 else (values,), strict=True)
+                labels = ",".join(f'{label}="{value}"' for label, value in names)
+                lines.append(f"{PREFIX}_{name}_total{{{labels}}} {count}")
+        return lines
 
     def _histogram_lines(self, name: str) -> list[str]:
         lines = [f"# TYPE {name} histogram"]
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -15,6 +15,7 @@
 import math
 import random
 import secrets
+import socket
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final, Protocol
@@ -30,8 +31,10 @@
 from toucanspindle_entry.broker.slotclient import SlotClient
 from toucanspindle_entry.callers.callerconnection import CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.connectiontable import CallerPort, ConnectionTable
 from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
 from toucanspindle_entry.callers.routeindex import RouteIndex
+from toucanspindle_entry.callers.workturns import WorkTurns
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
 from toucanspindle_entry.hosts.brokerchoice import broker_capacity
@@ -92,6 +95,11 @@
 # A plan of more keys is too large: 500 keys are about 35 KB, each 1.2 s.
 MAX_LISTED_KEYS: Final = 500
 PROBE_SEQ_BITS: Final = 32
+# Connections that a port accepts in one turn of the event loop.  The limit for connections takes
+# effect in the turn after, so this also bounds how far it is exceeded.
+ACCEPTED_PER_TURN: Final = 16
+# Requests to the ports for readiness, directory, control and metrics need no body.
+STATUS_LIMITS: Final = CallerLimits(body_bytes=4096)
 
 log = Logger("node")
 
@@ -230,9 +238,14 @@
         capacity = broker_capacity(settings.cores, settings.link_mbps)
         self._hosts = LiveHosts(self._own_entry, self._rng, capacity)
         self._targets = TargetTable(self._clock)
-        self._connection_pool = TargetConnectionPool(self._clock, memory)
         self._metrics = EntryMetrics()
         self._freshness = PlanFreshness(settings.bounds.revoke_s)
+        self._connection_pool = TargetConnectionPool(
+            self._clock,
+            memory,
+            settings.max_target_connections,
+            self._metrics.count_refused_target_connection,
+        )
         self._slots = SlotClient(
             self._hosts,
             self._targets,
@@ -309,6 +322,11 @@
         self._announced_ready = False
         self._stopping = False
         self._connections: set[CallerConnection] = set()
+        self._turns = WorkTurns(self._clock)
+        self._caller_port = self._create_port("callers", settings.max_caller_connections, None)
+        self._status_port = self._create_port(
+            "status", settings.max_status_connections, STATUS_LIMITS
+        )
         self._servers: dict[str, asyncio.Server] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -745,21 +763,31 @@
             return None
         return [(entry.name, entry) for entry in self._targets.all_entries()]
 
+    def _create_port(self, name: str, limit: int, limits: CallerLimits | None) -> CallerPort:
+        count_shed = self._metrics.count_shed_connection
+        table = ConnectionTable(name, limit, self._clock.now, count_shed)
+        return CallerPort(table, limits, self._turns)
+
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
-        loop = asyncio.get_running_loop()
-        self._servers[name] = await loop.create_server(
-            lambda: CallerConnection(self, handler, self._clock),
-            address.ip,
-            address.port,
-            backlog=LISTEN_BACKLOG,
+        port = self._caller_port if name == "callers" else self._status_port
+        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+        sock = socket.create_server((address.ip, address.port), family=family)
+        self._servers[name] = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self, handler, self._clock, port),
+            sock=sock,
+            backlog=ACCEPTED_PER_TURN,
         )
+        # For the event loop the backlog is also the number of connections accepted in one turn.
+        sock.listen(LISTEN_BACKLOG)
 
     async def _serve_metrics(self, request: CallerRequest) -> CallerResponse:  # noqa: ARG002
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         plan_age_s = None
         if self._freshness.is_bounded:
             plan_age_s = self._freshness.age_s(self._clock.now())
-        body = self._metrics.render(self._memory.held_bytes, plan_age_s, self._quotas.gauges)
+        body = self._metrics.render(
+            self._memory.held_bytes, self._turns.deferred, plan_age_s, self._quotas.gauges
+        )
         return CallerResponse(200, headers, body)
 
 
