Describe the calls of a large fleet to the store, and test three more cases of eras

Taking out the reset of the awaited revision, the longer grace of a second restoration, or the registration in a new era failed no test of these files; now each fails one.

--- a/tests/test_entry_storecalls.py
+++ b/tests/test_entry_storecalls.py
@@ -184,6 +184,7 @@
     def test_host_that_starts_after_a_restoration_follows_the_new_era(self) -> None:
         async def restore(fleet: NodeFleet) -> None:
             store = fleet.store
+            store.put(ObjectKind.HOSTS, "h3", None)  # It registers after the copy was made.
             store.take_copy()
             store.put(ObjectKind.TARGETS, "lost", target("lost"))
             store.put(ObjectKind.PLAN, "main", plan(2))
--- a/tests/test_entry_storeera.py
+++ b/tests/test_entry_storeera.py
@@ -19,6 +19,7 @@
 from toucanspindle_entry.store.storewatch import (
     CHANGE_INTERVAL_S,
     REGISTRATION_GRACE_S,
+    StoreProgress,
     StoreWatch,
 )
 from toucanspindle_entry.targets.targettable import TargetTable
@@ -245,6 +246,20 @@
 
         self.play(cut_off)
 
+    # Guards against a host that never follows the watchers again, since a revision that it had to
+    # reach in the old era is far off in the new one.
+    def test_host_that_was_behind_follows_again(self) -> None:
+        async def restore(fleet: RelayFleet) -> None:
+            host = next(host for host in fleet.hosts.values() if not host.relay.is_watcher)
+            host.watch.receive(StoreProgress(100, 100, 0.0, 0.0, None))
+            await asyncio.sleep(5.0)
+            self.assertEqual(1, host.watch.era)
+            fleet.store.calls.clear()
+            await asyncio.sleep(5.0)
+            self.assertEqual(0, fleet.store.calls[host.ip])
+
+        self.play(restore, size=100)
+
     def test_store_that_goes_back_twice_within_a_second(self) -> None:
         async def again(fleet: RelayFleet) -> None:
             await asyncio.sleep(0.5)
@@ -295,6 +310,19 @@
 
         self.play(use)
 
+    # Guards against a grace that ends too soon since the store goes back once more within it.
+    def test_entry_that_is_missing_in_two_eras_has_the_grace_of_the_later_one(self) -> None:
+        async def use(table: TargetTable) -> None:
+            table.mark_unconfirmed("a", REGISTRATION_GRACE_S)
+            table.begin_era(2, REGISTRATION_GRACE_S + 1.0)
+            await asyncio.sleep(REGISTRATION_GRACE_S)
+            self.assertFalse(table.has_left("a", 1, 5, 1))
+            self.assertFalse(table.expire_unconfirmed())
+            await asyncio.sleep(1.0)
+            self.assertTrue(table.expire_unconfirmed())
+
+        self.play(use)
+
     # Guards against requests to a draining target whose drain the copy lacks.
     def test_drain_that_the_copy_lacks_holds_until_the_grace_ends(self) -> None:
         async def use(table: TargetTable) -> None:
