--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
@@ -52,7 +52,9 @@
 # What was sent to this host while it was suspended is read within this time after it woke up.
 STALE_MESSAGES_S: Final = 0.1
 SUBSTITUTE_MEMORY_S: Final = 2.0  # How long a host counts that asked this one instead of another.
-DEBIT_PEER_MEMORY_S: Final = 10.0  # Hosts dead for longer get no debits.
+DEBIT_PEER_MEMORY_S: Final = 120.0  # Hosts dead for longer get no debits.
+DEBIT_REPEAT_S: Final = 0.3
+DEBIT_MEMORY_S: Final = 5.0  # A total ends this long after the last grant.
 MAX_DEBIT_PEERS: Final = 3
 STATE_MEMORY_S: Final = 30.0  # Requests that may give credit back take at most this long.
 
@@ -67,6 +69,17 @@
     granted_at: float
 
 
+@dataclass
+class _DebitTotal:
+    """Credits of an account that another keeper may have granted as well, and when."""
+
+    first_at: float
+    last_at: float
+    total: int = 0
+    sent_total: int = 0
+    sent_at: float = float("-inf")
+
+
 @dataclass
 class _AccountState:
     """What this host knows of an account's credit.
@@ -141,7 +154,9 @@
         self._answers: dict[tuple[str, str], tuple[QuotaAnswer, float]] = {}
         # By a host that others found silent: who asked this one instead, and when.
         self._substituted: dict[str, dict[str, float]] = {}
-        self._debits: Counter[str] = Counter()
+        self._debits: dict[str, _DebitTotal] = {}
+        # The last total of other hosts and when it came, by host and account.
+        self._debited: dict[tuple[str, str], tuple[int, float]] = {}
         self._ticked_at = clock.now()
         self._trusted_since = clock.now()
         self._alone_since: float | None = None
@@ -167,6 +182,13 @@
         for state in self._states.values():
             state.refused_until = float("-inf")
 
+    def take_over(self) -> None:
+        """Begin as a keeper that doesn't know what others have granted.
+
+        A host that isn't ready yet finds itself first in rank, but nobody asks it.
+        """
+        self._trusted_since = self._clock.now()
+
     # Requests of this host.
 
     async def acquire(self, account: ClientAccount, deadline_in_s: float) -> float | None:
@@ -368,10 +390,7 @@
             if not self._reads_stale_messages(now):
                 self._keeper.give_back(account, count, now - age_s, now)
         elif kind == "quota-debit":
-            account, count = quotamessages.decode_debit(message)
-            now = self._clock.now()
-            if not self._reads_stale_messages(now):
-                self._keeper.debit(account, count, now)
+            self._handle_debit(ip, message)
         else:
             return False
         return True
@@ -383,6 +402,26 @@
         if answered is not None and keeper == ip and not answered.done():
             answered.set_result(answer)
 
+    def _handle_debit(self, ip: str, message: Message) -> None:
+        """Take off what another host has granted since its last message.
+
+        What it granted before this host took over is accounted for by the takeover itself.
+        """
+        account, total, age_s = quotamessages.decode_debit(message)
+        now = self._clock.now()
+        known, _ = self._debited.get((ip, account), (0, 0.0))
+        is_new = total < known or not known
+        self._debited[ip, account] = (total, now)
+        if self._reads_stale_messages(now):
+            return
+        first_since = self._ranking.first_since(account)
+        if first_since is None:
+            first_since = self._trusted_since
+        if is_new and now - age_s < max(first_since, self._trusted_since):
+            return
+        if count := total if is_new else total - known:
+            self._keeper.debit(account, count, now)
+
     def _answer(self, ip: str, question: QuotaQuestion) -> QuotaAnswer:
         """Answer a question as the keeper; the same one again if it was resent."""
         now = self._clock.now()
@@ -398,7 +437,9 @@
         if ip != self._own_ip:
             self._answers[key] = (answer, now)
         if answer.granted and self._debit_peers(account, now):
-            self._debits[account] += answer.granted
+            debit = self._debits.setdefault(account, _DebitTotal(now, now))
+            debit.total += answer.granted
+            debit.last_at = now
         return answer
 
     def _limits_in_force(self, question: QuotaQuestion) -> AccountLimits:
@@ -456,10 +497,7 @@
             self._alone_since = now
         for name, state in list(self._states.items()):
             self._sweep_state(name, state, now)
-        debits, self._debits = self._debits, Counter()
-        for account, count in debits.items():
-            for ip in self._debit_peers(account, now):
-                self._send(ip, ["quota-debit", account, count])
+        self._send_debits(now)
         for key, (_, answered_at) in list(self._answers.items()):
             if now - answered_at <= ANSWER_MEMORY_S:
                 break
@@ -481,6 +519,20 @@
                 change.refused,
             )
 
+    def _send_debits(self, now: float) -> None:
+        for account, debit in list(self._debits.items()):
+            if now - debit.last_at > DEBIT_MEMORY_S:
+                del self._debits[account]
+            elif debit.total > debit.sent_total or now - debit.sent_at >= DEBIT_REPEAT_S:
+                debit.sent_total = debit.total
+                debit.sent_at = now
+                message = quotamessages.encode_debit(account, debit.total, now - debit.first_at)
+                for ip in self._debit_peers(account, now):
+                    self._send(ip, message)
+        for key, (_, heard_at) in list(self._debited.items()):
+            if now - heard_at > DEBIT_MEMORY_S:
+                del self._debited[key]
+
     def _sweep_state(self, name: str, state: _AccountState, now: float) -> None:
         expired = 0
         while state.credits and now - state.credits[0].granted_at > CREDIT_S:
--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
@@ -115,6 +115,8 @@
         self._rules = rules
         self._buckets: dict[str, _Bucket] = {}
         self._changes: list[LimitChange] = []
+        # Of accounts without a bucket: what others granted, and when this host learned of it.
+        self._early_debits: dict[str, tuple[int, float]] = {}
 
     @property
     def bucket_count(self) -> int:
@@ -142,6 +144,7 @@
         if bucket is None:
             bucket = self._open(limits, role, now)
             self._buckets[account] = bucket
+            self._take_off(bucket, self._early_debits.pop(account, (0, now))[0])
         else:
             self._refill(bucket, limits, role, now)
         at_hand = max(0, int(bucket.tokens))
@@ -169,10 +172,12 @@
     def debit(self, account: str, count: int, now: float) -> None:
         """Take off credits that another host granted meanwhile."""
         bucket = self._buckets.get(account)
-        if bucket is not None:
-            self._refill(bucket, bucket.limits, bucket.role, now)
-            capacity = self._capacity(bucket.limits, bucket.role)
-            bucket.tokens = max(bucket.tokens - count, -capacity)
+        if bucket is None:
+            earlier, _ = self._early_debits.get(account, (0, now))
+            self._early_debits[account] = (earlier + count, now)
+            return
+        self._refill(bucket, bucket.limits, bucket.role, now)
+        self._take_off(bucket, count)
 
     def sweep(self, now: float) -> list[LimitChange]:
         """Drop buckets that are full and idle; return the accounts whose state has changed."""
@@ -188,9 +193,16 @@
                 rate = bucket.limits.rate_per_s * bucket.role.share
                 if missing <= rate * (now - bucket.asked_at):
                     del self._buckets[account]
+        for account, (_, debited_at) in list(self._early_debits.items()):
+            if now - debited_at > self._rules.window_s:
+                del self._early_debits[account]
         changes, self._changes = self._changes, []
         return changes
 
+    def _take_off(self, bucket: _Bucket, count: int) -> None:
+        capacity = self._capacity(bucket.limits, bucket.role)
+        bucket.tokens = max(bucket.tokens - count, -capacity)
+
     def _open(self, limits: AccountLimits, role: KeeperRole, now: float) -> _Bucket:
         capacity = self._capacity(limits, role)
         tokens = capacity
@@ -203,10 +215,12 @@
         capacity = self._capacity(limits, role)
         if limits != bucket.limits:
             bucket.tokens += max(0.0, limits.burst - bucket.limits.burst) * role.share
-        filled = bucket.tokens + limits.rate_per_s * role.share * max(0.0, now - bucket.asked_at)
+        elapsed_s = max(0.0, now - bucket.asked_at)
+        filled = bucket.tokens + limits.rate_per_s * role.share * elapsed_s
         is_first = role.first_since is not None
         if is_first and bucket.role.first_since is not None and role.share < bucket.role.share:
-            filled -= limits.rate_per_s * (bucket.role.share - role.share) * SHARE_DELAY_S
+            overfilled_s = max(0.0, SHARE_DELAY_S - elapsed_s)
+            filled -= limits.rate_per_s * (bucket.role.share - role.share) * overfilled_s
         if self._may_lack_grants(bucket, role, now):
             capacity = min(capacity, max(1.0, self._rules.takeover_credit(limits)))
         if filled >= capacity:
--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotamessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotamessages.py
@@ -3,12 +3,13 @@
     ["quota-ask", id, account, wanted, plan version, rate per second, burst]
     ["quota-grant", id, granted, retry after ms]
     ["quota-return", account, count, age ms]
-    ["quota-debit", account, count]
+    ["quota-debit", account, total, age ms]
 
 A host asks the keeper of an account for credits with `quota-ask`, naming the limits that its own
 plan has, and gets `quota-grant`; a resent question has the same id and gets the same answer.  It
 sends credits that were not used back with `quota-return`; the age is that of the oldest of them.  A
-host that grants credits which another keeper may grant as well tells that one with `quota-debit`.
+host that grants credits which another keeper may grant as well tells that one with `quota-debit`:
+how many in total, and since how long.  A lost message is made up for by the next one.
 """
 
 import math
@@ -75,10 +76,15 @@
     return str(account), _count(count), _amount(age_ms) / MS_PER_S
 
 
-def decode_debit(message: Message) -> tuple[str, int]:
-    """Return the account and the number of credits of a `quota-debit` message."""
-    _, account, count = message[:3]
-    return str(account), _count(count)
+def encode_debit(account: str, total: int, age_s: float) -> Message:
+    """Return the `quota-debit` message for credits granted since `age_s` ago."""
+    return ["quota-debit", account, total, int(age_s * MS_PER_S)]
+
+
+def decode_debit(message: Message) -> tuple[str, int, float]:
+    """Return the account, the number of credits, and how long ago the first was granted."""
+    _, account, total, age_ms = message[:4]
+    return str(account), _count(total), _amount(age_ms) / MS_PER_S
 
 
 def _count(value: object, least: int = 1) -> int:
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -428,6 +428,7 @@
         """Send `hello` to all known hosts when this host becomes ready for the first time."""
         if self.is_ready and not self._announced_ready:
             self._announced_ready = True
+            self._quotas.take_over()
             self._relay.set_ready(True)
             log.info("event=ready targets={}", self._targets.size)
             self._announcer.greet_all()
--- a/tests/emulatedfleet.py
+++ b/tests/emulatedfleet.py
@@ -611,6 +611,19 @@
 
         loop.call_later(for_s, end)
 
+    def add_hosts(self, count: int) -> None:
+        """Start further hosts; the others learn of each at a moment of their own."""
+        loop = asyncio.get_running_loop()
+        for _ in range(count):
+            ip = f"10.0.1.{len(self.ips)}"
+            self.ips.append(ip)
+            self.hosts[ip] = EmulatedHost(self, ip, self._entries)
+            for other in self.hosts.values():
+                entry = HostEntry(ip, ip, "beaufort", self.hosts[ip].incarnation)
+                loop.call_later(
+                    self.rng.uniform(0.0, 1.0), other.live_hosts.add_host, entry, self._now()
+                )
+
     def check_host(self, host: EmulatedHost, ip: str) -> None:
         """Let a host probe another one until it has missed as many probes as a dead host does."""
         loop = asyncio.get_running_loop()
