Keep the saved retry budget within its bound and used in lasting shedding

Six brokers with a burst of 20 exceeded the bound by 1, since a window holds by chance fewer requests than the one that the credit is from: 1.5 standard deviations stay unspent.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/budgetwindow.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/budgetwindow.py
@@ -9,6 +9,9 @@
 - Deposits count only as far as they go on: a broker that gets less credit in RECENT_S, since hosts
   ask another one or callers send fewer requests, loses the same share of what it has saved.
 
+A window of the bound holds by chance fewer requests than the one in which the credit was created,
+so some standard deviations of their number aren't spent.
+
 Times are rounded to BUCKET_S, deposits down and spent credit up, so that the rounding never adds
 credit.
 """
@@ -21,6 +24,7 @@
 BUCKET_S: Final = 0.1
 RECENT_S: Final = 2.0
 RECENT_TOLERANCE: Final = 1.25  # Deposits vary by chance, by 5 in 100 at 230 requests per second.
+UNSPENT_DEVIATIONS: Final = 1.5  # Of the number of requests in a window, times the ratio.
 MIN_COUNTED: Final = 2.0  # In retries; for services whose few requests vary more.
 
 
@@ -70,9 +74,13 @@
 class BudgetWindow:
     """What one broker was given and spent in the last `window_s` seconds, in retries."""
 
-    def __init__(self, window_s: float) -> None:
-        """Create an empty window: a new broker knows of no deposits."""
+    def __init__(self, window_s: float, ratio: float = 0.0) -> None:
+        """Create an empty window: a new broker knows of no deposits.
+
+        A request deposits `ratio` retries.
+        """
         self._window_s = window_s
+        self._ratio = ratio
         self._deposits = _WindowSum(window_s)
         self._recent_deposits = _WindowSum(RECENT_S)
         self._spent = _WindowSum(window_s)
@@ -107,7 +115,8 @@
     def deposited(self, now: float) -> float:
         """Return the deposits in the window, as far as they go on."""
         recent = self._recent_deposits.total(now) * self._window_s / RECENT_S
-        return min(self._deposits.total(now), MIN_COUNTED + RECENT_TOLERANCE * recent)
+        counted = min(self._deposits.total(now), MIN_COUNTED + RECENT_TOLERANCE * recent)
+        return max(0.0, counted - UNSPENT_DEVIATIONS * math.sqrt(self._ratio * counted))
 
     def balance(self, now: float) -> float:
         """Return what may be spent now; negative if more was spent than deposited."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/fleetretrybudget.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/fleetretrybudget.py
@@ -42,7 +42,7 @@
         seconds.
         """
         self._ratio = ratio
-        self.window = BudgetWindow(window_s)
+        self.window = BudgetWindow(window_s, ratio)
         self._fleet_capacity = burst * FLEET_CAPACITY_BURST_SHARE
         self._fleet_size: int | None = 1
         self._rng = rng
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/sheddingcontrol.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/sheddingcontrol.py
@@ -5,10 +5,11 @@
 succeeds.  So the broker tells from recent attempts whether the service is shedding, holds the
 retries back, and saves the credit that hosts deposit:
 
-- While the service sheds the share p of the attempts, the share p of the deposits of the budget's
-  window is kept in reserve.  Retries use the rest at once, since what is spent early in a spell of
-  shedding has left the window when the last of the waiting requests have to be sent.  The newest
-  ones go first, as they succeed no less often than the others and may meet their goal.
+- While the service sheds the share p of the attempts, the share (p - r) / (1 - r) of the deposits
+  of the budget's window is kept in reserve, where r is the budget's ratio: nothing if the ratio
+  suffices, all if no retry succeeds.  Retries use the rest at once, since what is spent early in
+  a spell of shedding has left the window when the last of the waiting requests have to be sent.
+  The newest ones go first, as they succeed no less often than the others and may meet their goal.
 - If a spell lasts longer than the window, the reserve shrinks, as its end may not be near.
 - Afterwards the retries held back are sent, PACE of them for each first attempt that isn't shed,
   so that they neither come as a burst nor hide the beginning of another spell.
@@ -47,6 +48,7 @@
 PACE: Final = 2.0  # Retries for each accepted first attempt.
 MAX_SAVED_PACE: Final = 8.0
 MIN_PACE_PER_S: Final = 20.0  # For services with few first attempts.
+RESUMED_WITHIN_S: Final = 1.0  # Shedding that begins again so soon continues its spell.
 RESERVE_NONE_WINDOWS: Final = 1.25  # Age of a spell, in windows, from which on nothing is reserved.
 # Share of the deposits that must be left beside the reserve before a retry that was held back is
 # sent while the service sheds.  Below it, credit goes to new retries.
@@ -64,14 +66,19 @@
 class SheddingControl:
     """Decides for one broker when retries are sent; times are in seconds of its clock."""
 
-    def __init__(self, window_s: float) -> None:
-        """Create the control of a service that isn't shedding; `window_s` is the budget's."""
+    def __init__(self, ratio: float, window_s: float) -> None:
+        """Create the control of a service that isn't shedding.
+
+        The budget allows `ratio` retries per request, in each window of `window_s` seconds.
+        """
+        self._ratio = ratio
         self._window_s = window_s
         self._samples: deque[tuple[float, bool]] = deque()
         self._sheds = 0
         self._undecided: dict[str, tuple[float, bool]] = {}  # Grant time and whether it is a retry.
         self._is_shedding = False
         self._began_at = 0.0
+        self._last_shedding_at = float("-inf")
         self._share = 0.0
         self._shed_time_s = 0.0
         self._held: dict[str, PendingRequest] = {}
@@ -146,7 +153,10 @@
             self._is_shedding = self._sheds > END_SHARE * count
         else:
             self._is_shedding = count >= MIN_SAMPLES and self._sheds > BEGIN_SHARE * count
-            self._began_at = now
+            if now - self._last_shedding_at > RESUMED_WITHIN_S:
+                self._began_at = now
+        if self._is_shedding:
+            self._last_shedding_at = now
 
     def _add_accepted(self, is_retry: bool, now: float) -> None:
         self._add_sample(False, now)
@@ -174,7 +184,7 @@
         `balance` is what the budget's window allows, and `deposited` the deposits in it.
         """
         if self._is_shedding:
-            reserved = self._share * self._reserve_factor(now)
+            reserved = self._reserve_share(now)
             reserved += HELD_MARGIN_SHARE * was_held
             return balance >= 1 + reserved * deposited
         elapsed_s = max(0.0, now - self._paced_at)
@@ -182,10 +192,11 @@
         self._pace_credit = min(self._pace_credit + MIN_PACE_PER_S * elapsed_s, MAX_SAVED_PACE)
         return balance >= 1 and self._pace_credit >= 1
 
-    def _reserve_factor(self, now: float) -> float:
-        """Return 1 in a short spell, and less in one that has lasted for longer than the window."""
+    def _reserve_share(self, now: float) -> float:
+        """Return the share of the deposits that is kept for the end of the spell."""
         windows = (now - self._began_at) / self._window_s
-        return max(0.0, min(1.0, (RESERVE_NONE_WINDOWS - windows) / (RESERVE_NONE_WINDOWS - 1)))
+        factor = min(1.0, (RESERVE_NONE_WINDOWS - windows) / (RESERVE_NONE_WINDOWS - 1))
+        return max(0.0, factor * (self._share - self._ratio) / max(0.01, 1 - self._ratio))
 
     def record_sent(self, now: float) -> None:
         """Record that a retry is sent with saved credit."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -100,7 +100,7 @@
         self._retry_budget = FleetRetryBudget(
             bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s, rng
         )
-        self._shedding = SheddingControl(bounds.retry_window_s)
+        self._shedding = SheddingControl(bounds.retry_ratio, bounds.retry_window_s)
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
         self._mean_work_s = INITIAL_WORK_S
         self._answer_count = 0
--- a/tests/test_entry_shedding.py
+++ b/tests/test_entry_shedding.py
@@ -220,7 +220,7 @@
         self.assertIsInstance(broker.request_slot(request, 0.0), Queued)
 
     def test_retries_of_an_ended_host_are_dropped(self) -> None:
-        control = SheddingControl(WINDOW_S)
+        control = SheddingControl(0.2, WINDOW_S)
         rng = random.Random(1)
         for n in range(20):
             request = slot_request(f"r{n}", host=rng.choice(["h1", "h2"]), is_retry=True)
