--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -14,7 +14,7 @@
 import dataclasses
 import itertools
 import random
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,6 +25,7 @@
 from toucanspindle_entry.broker.localbroker import LocalBroker
 from toucanspindle_entry.broker.poisonsharing import PoisonSharing
 from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.recentretries import RecentRetries
 from toucanspindle_entry.broker.retrycredit import RetryCreditSource
 from toucanspindle_entry.broker.slottypes import (
     AttemptReport,
@@ -33,6 +34,7 @@
     Refused,
     SlotRequest,
 )
+from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.hosts.brokerchoice import BrokerRanking
 from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.hosts.livehosts import LiveHosts
@@ -70,7 +72,8 @@
     `unhealthy_probability` is the broker's estimate for the target, and `estimate_age_ms` the age
     of the last outcome in it.  `started_ms` identifies the target's incarnation.  `broker` is the
     IP address of the host that granted the slot, and `entry_revision` the store revision of the
-    target's entry there, or 0 if it isn't known.
+    target's entry there, or 0 if it isn't known; `entry_era` is the era of that revision.
+    `hedge_after_s` is how long the attempt runs before it may be hedged, or None if it may not.
     """
 
     slot_request_id: str
@@ -81,6 +84,8 @@
     estimate_age_ms: int
     broker: str
     entry_revision: int = 0
+    entry_era: int = 0
+    hedge_after_s: float | None = None
 
 
 @dataclass
@@ -117,9 +122,13 @@
         bounds: FleetBounds,
         clock: Clock,
         rng: random.Random,
+        *,
+        metrics: EntryMetrics | None = None,
     ) -> None:
         """Create a client; call `attach` before the first slot request.
 
+        The brokers on this host count in `metrics`.
+
         `clock` must count the time for which the host is suspended.  Otherwise a broker that wakes
         up would grant retries with credit that should have expired.
         """
@@ -128,6 +137,7 @@
         self._bounds = bounds
         self._clock = clock
         self._rng = rng
+        self._metrics = metrics if metrics is not None else EntryMetrics()
         self._endpoint: DatagramEndpoint | None = None
         self._own_ip = hosts.own.ip
         self._ids = itertools.count(1)
@@ -137,6 +147,7 @@
         self._held_slots: dict[str, _HeldSlot] = {}
         self._ended_at: dict[str, float] = {}  # By slot request id, in the order of time.
         self._recent_results: deque[tuple[float, str, str, AttemptOutcome]] = deque()
+        self._recent_retries = RecentRetries(bounds.retry_window_s)
         # The timer for the next resend and the time of the first send, by broker and request id.
         self._unacknowledged: dict[tuple[str, str], tuple[asyncio.TimerHandle, float]] = {}
         self._skipped_until: dict[str, float] = {}
@@ -144,6 +155,7 @@
         self._round_trips = RoundTrips()
         # When a skipped broker was first sent a request, by broker and request id, oldest first.
         self._asked_in_vain: dict[tuple[str, str], float] = {}
+        self._rejected: Counter[str] = Counter()
         self._ranking = BrokerRanking(hosts)
         self._poison = PoisonSharing(hosts, self._ranking, clock, self._send)
 
@@ -201,6 +213,7 @@
             retry_credit=self._credit_source(service).take(
                 starts_request, self._hosts.fleet_size, self._clock.now()
             ),
+            rejected_before=self._rejected.pop(service, 0),
         )
         pending = _PendingRequest(
             service, slot_request, asyncio.get_running_loop().create_future(), asyncio.Event()
@@ -227,12 +240,21 @@
         self._pending.pop(slot_request.id, None)
         decision = pending.future.result()
         if isinstance(decision, SlotGrant):
+            if slot_request.is_retry:
+                self._recent_retries.record(service, self._clock.now())
             expires_at = self._clock.now() + slot_request.time_left_s
             self._held_slots[slot_request.id] = _HeldSlot(
                 service, decision.target, expires_at, slot_request.fingerprint
             )
         return decision
 
+    def count_rejected(self, service: str) -> None:
+        """Count a request that was rejected for its account's quota, for the next slot request.
+
+        The broker has to know of it: operators count it among the requests that aren't served.
+        """
+        self._rejected[service] += 1
+
     def report_attempt(self, service: str, grant: SlotGrant, report: AttemptReport) -> None:
         """Report the outcome of a granted attempt to its broker; this releases the slot."""
         self._held_slots.pop(report.slot_request_id, None)
@@ -272,6 +294,10 @@
                 self._poison.tracker.adopt(str(fingerprint), targets, self._clock.now())
             notices = message[5] if len(message) > 5 else []
             self._local_broker(message[1]).adopt_notices(map(decode_notice, notices))
+            retries = message[6] if len(message) > 6 else []
+            self._local_broker(message[1]).adopt_retries(
+                (int(count), age_ms / 1000) for count, age_ms in retries
+            )
         elif kind == "crashed":
             self._poison.handle_message(ip, message)
         elif kind == "granted":
@@ -291,6 +317,10 @@
                 return ip
         return self._own_ip
 
+    def is_skipped(self, ip: str) -> bool:
+        """Return whether a host is skipped as a broker since it was silent."""
+        return self._clock.now() < self._skipped_until.get(ip, 0.0)
+
     def _skip_broker(self, broker: str, service: str) -> None:
         log.warning("event=broker_silent service={} broker={}", service, broker)
         self._skipped_until[broker] = self._clock.now() + SILENT_BROKER_SKIP_S
@@ -374,7 +404,7 @@
                 self._send_report(str(message[2]), broker, report)
             return
         if message[0] == "grant":
-            # Brokers of earlier versions send no revision.
+            # Brokers of earlier versions send no revision.  An era of 0 is left out.
             (
                 _,
                 _,
@@ -384,7 +414,7 @@
                 estimate_age_ms,
                 address,
                 started_ms,
-                *revisions,
+                *origin,
             ) = message
             grant = SlotGrant(
                 slot_request_id,
@@ -394,7 +424,9 @@
                 unhealthy_probability,
                 estimate_age_ms,
                 broker,
-                int(revisions[0]) if revisions else 0,
+                int(origin[0]) if origin else 0,
+                int(origin[1]) if len(origin) > 1 else 0,
+                int(origin[2]) / slotmessages.MS_PER_S if len(origin) > 2 else None,
             )
             pending.future.set_result(grant)
         elif message[0] == "refused":
@@ -485,6 +517,14 @@
             self._endpoint.send(ip, ["sync", service])
         self._send_held_state(self._own_ip, service)
 
+    def count_held_retry(self, service: str) -> None:
+        """Count a retry that is held back while targets shed requests."""
+        self._metrics.count_held_retry(service)
+
+    def record_shedding(self, service: str, is_shedding: bool) -> None:
+        """Record that the targets of a service begin or stop to shed requests."""
+        self._metrics.record_shedding(service, is_shedding)
+
     def share_crashes(self, service: str, fingerprint: str) -> None:
         """Tell other hosts which targets a request crashed; none if one has answered."""
         self._poison.share(service, fingerprint)
@@ -544,13 +584,17 @@
             for ended_at, result_service, target, outcome in self._recent_results
             if result_service == service and now - ended_at < RESULT_MEMORY_S
         ]
+        retries = self._recent_retries.of_service(service, now)
         if ip == self._own_ip:
             self._local_broker(service).adopt_host_state(ip, leases, results)
+            self._local_broker(service).adopt_retries(
+                (count, age_ms / 1000) for count, age_ms in retries
+            )
             return
         poison = self._poison.tracker.poison_messages(now)
         notices = [encode_notice(notice) for notice in self._targets.notices_of_service(service)]
-        if self._endpoint is not None and (leases or results or poison or notices):
-            self._endpoint.send(ip, ["held", service, leases, results, poison, notices])
+        if self._endpoint is not None and (leases or results or poison or notices or retries):
+            self._endpoint.send(ip, ["held", service, leases, results, poison, notices, retries])
 
 
 def _withdrawal_report(slot_request_id: str, target: str) -> AttemptReport:
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -4,24 +4,26 @@
 
     ["ask", id, service, failure domain, priority, time left ms, goal left ms, is retry, can retry,
      excluded, fingerprint, retry credit, account, account priority, account weight, body bytes,
-     allowed targets]
+     allowed targets, rejected before, is hedge]
     ["grant", id, service, target, unhealthy probability, estimate age ms, address, started ms,
-     entry revision]
+     entry revision, era of the entry]
     ["queued", id]
     ["refused", id, reason, retry after ms]
     ["end", service, id, target, outcome, work ms, fingerprint, notice]
     ["noted", id]
     ["sync", service]
-    ["held", service, leases, results, poison messages as [fingerprint, targets], notices]
+    ["held", service, leases, results, poison messages as [fingerprint, targets], notices,
+     retries as [count, age ms]]
     ["crashed", service, fingerprint, targets]
     ["granted", service, [[notice, count], ...]]
 
 A host sends `ask` for a slot, `end` for the outcome of an attempt, and `held` with its slots,
-recent outcomes, known poison messages and targets' notices in reply to `sync`.  A broker answers
-`ask` with `grant`, `queued` or `refused`, acknowledges `end` with `noted`, and sends `sync` when it
-takes over.  `crashed` is described in `poisonsharing`.  A broker sends `granted` to the hosts that
-may be brokers too for its grants of targets that limit their requests.  `id` is that of the slot
-request.  A notice is encoded as in `targetnotices`; it is null if the target sent no response.
+recent outcomes, known poison messages, targets' notices and recent retries in reply to `sync`.  A
+broker answers `ask` with `grant`, `queued` or `refused`, acknowledges `end` with `noted`, and sends
+`sync` when it takes over.  `crashed` is described in `poisonsharing`.  A broker sends `granted` to
+the hosts that may be brokers too for its grants of targets that limit their requests.  `id` is that
+of the slot request.  A notice is encoded as in `targetnotices`; it is null if the target sent no
+response.  The era of the store that the entry's revision belongs to is left out if it is 0.
 """
 
 from toucanspindle_entry.broker.slottypes import (
@@ -67,25 +69,28 @@
         slot_request.account_weight,
         slot_request.body_bytes,
         list(slot_request.allowed_targets),
+        slot_request.rejected_before,
+        int(slot_request.is_hedge),
     ]
-    return fields if fields != ["", 0, 1.0, 0, []] else []
+    return fields if fields != ["", 0, 1.0, 0, [], 0, 0] else []
 
 
 def decode_slot_request(host: str, message: Message) -> tuple[str, SlotRequest]:
     """Return the service and the slot request of an `ask` message; `host` is the sender.
 
-    Hosts of earlier versions send no retry credit and nothing behind it.  Raises ValueError if the
-    credit or the size of the body is negative, or the weight isn't positive.
+    Hosts of earlier versions send no retry credit and nothing behind it.  Raises ValueError if a
+    number is negative, or the weight isn't positive.
     """
     _, slot_request_id, service, failure_domain, priority, time_left_ms, goal_left_ms, *options = (
         message
     )
     is_retry, can_retry, excluded, fingerprint, *additions = options
     retry_credit = float(additions[0]) if additions else 0.0
-    account, account_priority, account_weight, body_bytes, allowed_targets = (
-        additions[1:6] if len(additions) > 5 else ("", 0, 1.0, 0, ())
+    account, account_priority, account_weight, body_bytes, allowed_targets, *counts = (
+        additions[1:8] if len(additions) > 7 else ("", 0, 1.0, 0, (), 0, 0)
     )
-    if retry_credit < 0 or body_bytes < 0 or account_weight <= 0:
+    rejected_before, is_hedge = counts
+    if min(retry_credit, body_bytes, rejected_before) < 0 or account_weight <= 0:
         raise ValueError(f"invalid numbers in a slot request: {additions}")
     slot_request = SlotRequest(
         id=str(slot_request_id),
@@ -104,6 +109,8 @@
         account_weight=float(account_weight),
         body_bytes=int(body_bytes),
         allowed_targets=tuple(allowed_targets),
+        rejected_before=int(rejected_before),
+        is_hedge=bool(is_hedge),
     )
     return str(service), slot_request
 
@@ -120,8 +127,12 @@
         unhealthy_probability = round(decision.unhealthy_probability, 3)
         age_ms = int(decision.estimate_age_s * MS_PER_S)
         identity = [decision.slot_request_id, service, decision.target]
-        revision = target.revision if target else 0
-        return ["grant", *identity, unhealthy_probability, age_ms, address, started_ms, revision]
+        origin = [target.revision, target.era] if target else [0, 0]
+        if decision.hedge_after_s is not None:
+            origin.append(int(decision.hedge_after_s * MS_PER_S))
+        elif not origin[1]:
+            del origin[1]
+        return ["grant", *identity, unhealthy_probability, age_ms, address, started_ms, *origin]
     if isinstance(decision, Refused):
         retry_after_ms = int(decision.retry_after_s * MS_PER_S)
         return ["refused", decision.slot_request_id, decision.reason.value, retry_after_ms]
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
@@ -31,6 +31,9 @@
     `account` names the client account, or is empty.  Its priority goes before that of the route,
     and its weight is its share of scarce slots relative to the other accounts.  `body_bytes` is the
     size of the request's body.  If `allowed_targets` isn't empty, the attempt may use only these.
+    `rejected_before` counts the requests for the service that the host has rejected, since their
+    accounts were over their quota, since its last slot request.  `is_hedge` is true for a second
+    attempt beside one that is in progress.
     """
 
     id: str
@@ -49,6 +52,8 @@
     account_weight: float = 1.0
     body_bytes: int = 0
     allowed_targets: tuple[str, ...] = ()
+    rejected_before: int = 0
+    is_hedge: bool = False
 
 
 @dataclass(frozen=True)
@@ -57,7 +62,8 @@
 
     `unhealthy_probability` is the broker's estimate for the target, last updated `estimate_age_s`
     seconds ago.  `retry_wait_s` is how long a retry was queued; it is None for a first attempt and
-    for a resent grant.
+    for a resent grant.  `hedge_after_s` is how long the attempt runs before it may be hedged, or
+    None if it may not.
     """
 
     slot_request_id: str
@@ -66,6 +72,7 @@
     unhealthy_probability: float
     estimate_age_s: float
     retry_wait_s: float | None = None
+    hedge_after_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callermessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callermessages.py
@@ -28,6 +28,7 @@
     413: b"Content Too Large",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
@@ -44,7 +45,7 @@
 
     method: str
     target: str
-    headers: list[tuple[bytes, bytes]]
+    headers: list[tuple[bytes, bytes]] = field(repr=False)  # They may hold an account's key.
     body: Body
     received_at: float
     lease: MemoryLease | None = None
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -6,6 +6,10 @@
 caller, status 408, 421, 429 or 503 means that the request has not run, so once a request may have
 run, the handler neither relays nor generates these statuses.
 
+A request goes to as many targets as its route allows attempts.  A target that shed it, that is
+refused it unexecuted, may get it again, so a shed request is sent until its deadline, at the times
+that the broker decides.
+
 A faulty target may repeat an earlier response on a kept connection.  There only a response that
 echoes the id of the request is its own, and a request without an id gets a new connection.
 """
@@ -21,6 +25,8 @@
 from toucanspindle_core.fingerprint import fingerprint_of_parts
 from toucanspindle_core.hostport import HostPort
 
+from toucanspindle_entry.accounts.planfreshness import PlanFreshness
+from toucanspindle_entry.accounts.quotaclient import QuotaClient
 from toucanspindle_entry.bodybuffer import body_blocks
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
 from toucanspindle_entry.broker.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
@@ -30,6 +36,7 @@
     CallerRequest,
     CallerResponse,
 )
+from toucanspindle_entry.callers.hedgedattempts import HedgedAttempts, RepeatableRequest
 from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
@@ -41,7 +48,10 @@
     MalformedResponseError,
     ResponseMemoryError,
 )
-from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targetconnectionpool import (
+    ConnectionLimitError,
+    TargetConnectionPool,
+)
 from toucanspindle_entry.targets.targethealth import AttemptOutcome
 from toucanspindle_entry.targets.targetnotices import TargetNotice, read_notice, read_pause_s
 from toucanspindle_entry.targets.targettable import TargetTable
@@ -50,7 +60,9 @@
 DEFAULT_DEADLINE_S: Final = 30.0  # For requests without a deadline header.
 MIN_ATTEMPT_S: Final = 0.05  # Least remaining time in which another attempt is worth starting.
 NO_PLAN_RETRY_AFTER_S: Final = 0.5
+UNCONFIRMED_RETRY_AFTER_S: Final = 0.5  # The plan is confirmed twice a second in normal operation.
 SHED_RETRY_AFTER_S: Final = 0.3
+MIN_RETRY_AFTER_S: Final = 0.01  # The least that the header expresses.
 MAX_UNUSED_GRANTS: Final = 6  # Grants per request whose target was unreachable or leaving.
 SERVED_LOG_INTERVAL: Final = 20  # Logs one in 20 served requests, and every failed one.
 FINGERPRINT_HEX_DIGITS: Final = 16
@@ -75,10 +87,15 @@
 
     `deadline_at` and `CallerRequest.received_at` are in seconds of the handler's clock.
     `excluded_targets` lists targets that already failed the request or have left, which the broker
-    may not know.  `unused_grants` counts grants without a sent request.  `last_response` is the
-    last error response that may be relayed.  `lacks_memory` tells that the process had no memory
-    for a response.  `account` is None if the request needs no client account, and
+    may not know; `shed_by` lists those that shed it.  `targets_sent` names all that got it.  Once
+    `asks_shedders` is true, only targets that shed it may get it.  `unshed_attempts` counts the
+    attempts that weren't shed, and `unused_grants` the grants without a sent request.
+    `last_response` is the last error response that may be relayed.  `lacks_memory` tells that the
+    process had no memory for a response, and `lacks_connection` that it may open no more
+    connections to targets.  `account` is None if the request needs no client account, and
     `plan_has_accounts` tells whether the plan that routed the request has accounts at all.
+    `possible_runs` counts the attempts that may have run, and `is_answered` is true once one of
+    several attempts has brought the response.
     """
 
     request: CallerRequest
@@ -87,16 +104,27 @@
     deadline_at: float
     request_id: str
     fingerprint: str
+    possible_runs: int = 0
+    is_answered: bool = False
     account: ClientAccount | None = None
     plan_has_accounts: bool = False
     excluded_targets: list[str] = field(default_factory=list)
+    shed_by: list[str] = field(default_factory=list)
+    targets_sent: set[str] = field(default_factory=set)
+    asks_shedders: bool = False
+    unshed_attempts: int = 0
     slot_request_id: str = ""
     attempts_sent: int = 0
     unused_grants: int = 0
-    may_have_run: bool = False
     lacks_memory: bool = False
+    lacks_connection: bool = False
     last_response: CallerResponse | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request."""
+        return self.possible_runs > 0
+
 
 @dataclass(frozen=True)
 class _AttemptResult:
@@ -113,7 +141,7 @@
 
 @dataclass(frozen=True)
 class HandlerDependencies:
-    """Components that a `RequestHandler` uses."""
+    """Components that a `RequestHandler` uses; without `quotas` no account is limited."""
 
     header_names: HeaderNames
     slots: SlotClient
@@ -121,6 +149,8 @@
     connection_pool: TargetConnectionPool
     metrics: EntryMetrics
     clock: Clock
+    freshness: PlanFreshness = field(default_factory=lambda: PlanFreshness(None))
+    quotas: QuotaClient | None = None
 
 
 class RequestHandler:
@@ -134,6 +164,8 @@
         self._connection_pool = dependencies.connection_pool
         self._metrics = dependencies.metrics
         self._clock = dependencies.clock
+        self._freshness = dependencies.freshness
+        self._quotas = dependencies.quotas
         self.routes: RouteIndex | None = None
         self._served_count = 0
         self._slot_timeouts: set[asyncio.Timeout] = set()
@@ -147,7 +179,7 @@
             return routed
         self._metrics.in_flight += 1
         try:
-            response = await self._run_attempts(routed)
+            response = await self._run_within_quota(routed)
         except asyncio.CancelledError:
             self._metrics.count_disconnected_caller(routed.service)
             raise
@@ -220,9 +252,21 @@
         if routes.accounts is None or route.is_public:
             return None
         keys = [value for name, value in request.headers if name == self._header_names.account_key]
-        account = routes.accounts.find(keys[0].decode("latin-1")) if len(keys) == 1 else None
+        key = keys[0].strip(b" \t").decode("latin-1") if len(keys) == 1 else ""
+        account = routes.accounts.find(key)
         if account is not None:
-            return account
+            # The time of this check counts, not that of the arrival: the host may have been
+            # suspended between the two.
+            if self._freshness.may_run_keyed(self._clock.now()):
+                return account
+            self._metrics.count_unconfirmed_key()
+            return answers.error_response(
+                errorcodes.ACCOUNT_KEYS_UNCONFIRMED,
+                "This host can't confirm that the key is still valid; the request has not run.",
+                "send it again, or ask the directory for another host",
+                503,
+                UNCONFIRMED_RETRY_AFTER_S,
+            )
         return answers.error_response(
             errorcodes.ACCOUNT_KEY_UNKNOWN,
             f"The request has no key of a client account of version {routes.plan.version}.",
@@ -230,6 +274,31 @@
             401,
         )
 
+    # Quotas.
+
+    async def _run_within_quota(self, progress: _RequestProgress) -> CallerResponse:
+        """Run attempts if the request's account has credit; return credit that wasn't used."""
+        account = progress.account
+        if self._quotas is None or account is None or account.rate_per_s <= 0:
+            return await self._run_attempts(progress)
+        time_left_s = progress.deadline_at - self._clock.now()
+        retry_after_s = await self._quotas.acquire(account, time_left_s)
+        if retry_after_s is not None:
+            self._slots.count_rejected(progress.service)
+            return answers.error_response(
+                errorcodes.ACCOUNT_LIMITED,
+                "The account is over its rate limit; the request has not run.",
+                "send it again after the time in Retry-After",
+                429,
+                max(MIN_RETRY_AFTER_S, retry_after_s),
+            )
+        acquired_at = self._clock.now()
+        try:
+            return await self._run_attempts(progress)
+        finally:
+            if not progress.may_have_run:
+                self._quotas.give_back(account, acquired_at)
+
     # Attempts.
 
     async def _run_attempts(self, progress: _RequestProgress) -> CallerResponse:
@@ -242,17 +311,58 @@
                 is_stopped = self._is_stopping and not progress.may_have_run
                 return self._fail_request(progress, None, "stopping" if is_stopped else "timeout")
             if isinstance(slot_or_refusal, Refused):
+                if self._may_ask_shedders(progress, slot_or_refusal):
+                    progress.asks_shedders = True
+                    continue
                 return self._fail_request(progress, slot_or_refusal, slot_or_refusal.reason.value)
-            attempt = await self._run_attempt(progress, slot_or_refusal)
-            self._record_attempt(progress, slot_or_refusal, attempt)
-            if attempt.outcome is AttemptOutcome.ANSWERED and attempt.response is not None:
-                return attempt.response
-            progress.last_response = attempt.response or progress.last_response
+            for grant, attempt in await self._run_with_hedge(progress, slot_or_refusal):
+                self._record_attempt(progress, grant, attempt)
+                if _is_answer(attempt) and attempt.response is not None:
+                    return attempt.response
+                progress.last_response = attempt.response or progress.last_response
             if not self._may_retry(progress, attempt):
                 return self._fail_request(progress, None, attempt.outcome.value)
 
-    async def _acquire_slot(self, progress: _RequestProgress) -> SlotGrant | Refused | None:
-        """Return a slot or a refusal, or None if the deadline expired first."""
+    async def _run_with_hedge(
+        self, progress: _RequestProgress, grant: SlotGrant
+    ) -> list[tuple[SlotGrant, _AttemptResult]]:
+        """Run an attempt, with a second one beside it if the first is slow; see `hedging`.
+
+        Returns the attempts that have ended, one that answers the request last.
+        """
+        repeatable = RepeatableRequest.of_route(progress.route)
+        if repeatable is None or grant.hedge_after_s is None:
+            return [(grant, await self._run_attempt(progress, grant))]
+
+        async def run_first() -> tuple[SlotGrant, _AttemptResult]:
+            return grant, await self._run_attempt(progress, grant)
+
+        async def run_second() -> tuple[SlotGrant, _AttemptResult] | None:
+            second = await self._acquire_slot(progress, beside=grant)
+            if not isinstance(second, SlotGrant):
+                self._metrics.count_hedge(progress.service, "refused")
+                return None
+            self._metrics.count_hedge(progress.service, "sent")
+            return second, await self._run_attempt(progress, second)
+
+        def is_final(ended: tuple[SlotGrant, _AttemptResult]) -> bool:
+            is_answer = _is_answer(ended[1])
+            progress.is_answered = progress.is_answered or is_answer
+            return is_answer
+
+        attempts = HedgedAttempts(repeatable, run_first, run_second, is_final)
+        ended = await attempts.run(grant.hedge_after_s)
+        if _is_answer(ended[-1][1]) and ended[-1][0] is not grant:
+            self._metrics.count_hedge(progress.service, "won")
+        return ended
+
+    async def _acquire_slot(
+        self, progress: _RequestProgress, beside: SlotGrant | None = None
+    ) -> SlotGrant | Refused | None:
+        """Return a slot or a refusal, or None if the deadline expired first.
+
+        `beside` is the grant of the attempt that is in progress, for a hedge.
+        """
         now = self._clock.now()
         starts_request = not progress.slot_request_id
         progress.slot_request_id = self._slots.next_slot_request_id()
@@ -265,15 +375,23 @@
             priority=progress.route.priority,
             time_left_s=progress.deadline_at - now,
             goal_left_s=max(0.0, goal_at - now),
-            is_retry=progress.attempts_sent > 0,
-            can_retry=progress.route.idempotent
-            and progress.attempts_sent + 1 < progress.route.max_attempts,
-            excluded=(*progress.excluded_targets, *self._targets.unusable(progress.service)),
+            is_retry=progress.attempts_sent > 0 or beside is not None,
+            can_retry=beside is None
+            and progress.route.idempotent
+            and len(progress.targets_sent) + 1 < progress.route.max_attempts,
+            excluded=(
+                *progress.excluded_targets,
+                *((beside.target,) if beside is not None else ()),
+                *(() if progress.asks_shedders else progress.shed_by),
+                *self._targets.unusable(progress.service),
+            ),
             fingerprint=progress.fingerprint,
             account=account.name if account is not None else "",
             account_priority=account.priority if account is not None else 0,
             account_weight=(account.rate_per_s if account is not None else 0.0) or 1.0,
             body_bytes=len(progress.request.body),
+            allowed_targets=tuple(progress.shed_by) if progress.asks_shedders else (),
+            is_hedge=beside is not None,
         )
         try:
             async with asyncio.timeout(max(0.0, progress.deadline_at - now)) as timeout:
@@ -292,6 +410,11 @@
         try:
             attempt = await self._send_to_target(progress, grant)
             return attempt
+        except asyncio.CancelledError:
+            if progress.is_answered:
+                attempt = _AttemptResult(AttemptOutcome.CANCELLED, None)
+                self._metrics.count_hedge(progress.service, "cancelled")
+            raise
         finally:
             work_s = self._clock.now() - started_at
             report = AttemptReport(
@@ -307,7 +430,9 @@
     async def _send_to_target(self, progress: _RequestProgress, grant: SlotGrant) -> _AttemptResult:
         """Forward the request before its deadline, unless the target is draining or has left."""
         entry = self._targets.get(grant.target)
-        has_left = self._targets.has_left(grant.target, grant.started_ms, grant.entry_revision)
+        has_left = self._targets.has_left(
+            grant.target, grant.started_ms, grant.entry_revision, grant.entry_era
+        )
         # A broker that repeats a grant sends no address if it has forgotten the target meanwhile.
         has_left = has_left or (entry is None and not grant.address)
         if has_left or (entry is not None and entry.state is not TargetState.READY):
@@ -344,11 +469,15 @@
             )
         except ConnectError as error:
             return _AttemptResult(AttemptOutcome.CONNECT_FAILED, None, str(error))
+        except ConnectionLimitError as error:
+            # No evidence against the target.  Another one would need a connection, too.
+            progress.lacks_connection = True
+            return _AttemptResult(AttemptOutcome.WITHDRAWN, None, str(error))
         progress.attempts_sent += 1
+        progress.targets_sent.add(grant.target)
         if progress.attempts_sent > 1:
             self._record_retry(progress, grant)
-        may_have_run_before = progress.may_have_run
-        progress.may_have_run = True
+        progress.possible_runs += 1
         expected_id = progress.request_id.encode("latin-1")
 
         def is_own_response(response: HttpResponse) -> bool:
@@ -382,7 +511,7 @@
         self._connection_pool.release(address, connection, response)
         attempt = self._classify_response(response)
         if attempt.outcome in OUTCOMES_WITHOUT_RUN:
-            progress.may_have_run = may_have_run_before
+            progress.possible_runs -= 1
         if attempt.outcome is AttemptOutcome.MISDIRECTED:
             return attempt
         notice = read_notice(response, self._header_names, grant.target, started_ms)
@@ -433,15 +562,26 @@
             )
         return _AttemptResult(AttemptOutcome.ANSWERED, relayed, f"status {response.status}")
 
+    def _may_ask_shedders(self, progress: _RequestProgress, refused: Refused) -> bool:
+        """Return whether a refused request may go again to the targets that shed it."""
+        lacks_other_target = refused.reason is RefusalReason.NO_TARGET and bool(progress.shed_by)
+        return lacks_other_target and not progress.asks_shedders
+
     def _may_retry(self, progress: _RequestProgress, attempt: _AttemptResult) -> bool:
         """Return whether a failed attempt may be followed by another; count unused grants."""
-        if progress.lacks_memory or progress.deadline_at - self._clock.now() < MIN_ATTEMPT_S:
+        if progress.lacks_connection or progress.lacks_memory:
+            return False
+        if progress.deadline_at - self._clock.now() < MIN_ATTEMPT_S:
             return False
         if attempt.outcome in OUTCOMES_WITHOUT_SEND:
             progress.unused_grants += 1
             if progress.unused_grants > MAX_UNUSED_GRANTS:
                 return False
-        elif progress.attempts_sent >= progress.route.max_attempts:
+        elif progress.unshed_attempts >= progress.route.max_attempts:
+            return False
+        if len(progress.targets_sent) >= progress.route.max_attempts:
+            progress.asks_shedders = True
+        if progress.asks_shedders and not progress.shed_by:
             return False
         return progress.route.idempotent or not progress.may_have_run
 
@@ -541,7 +681,10 @@
     def _record_attempt(
         self, progress: _RequestProgress, grant: SlotGrant, attempt: _AttemptResult
     ) -> None:
-        """Count and log an attempt; exclude its target from further ones unless it answered."""
+        """Count and log an attempt; exclude its target from further ones if it failed.
+
+        A target that shed the request may get it again.
+        """
         self._metrics.count_attempt(progress.service, attempt.outcome.value)
         if attempt.outcome is AttemptOutcome.ANSWERED:
             self._log_served_sample(progress, grant)
@@ -560,6 +703,14 @@
             progress.attempts_sent,
             attempt.detail,
         )
+        if attempt.outcome is AttemptOutcome.SHED:
+            if grant.target not in progress.shed_by:
+                progress.shed_by.append(grant.target)
+            return
+        if attempt.outcome not in OUTCOMES_WITHOUT_SEND:
+            progress.unshed_attempts += 1
+        if grant.target in progress.shed_by:
+            progress.shed_by.remove(grant.target)
         progress.excluded_targets.append(grant.target)
 
     def _log_served_sample(self, progress: _RequestProgress, grant: SlotGrant) -> None:
@@ -581,6 +732,10 @@
             )
 
 
+def _is_answer(attempt: _AttemptResult) -> bool:
+    return attempt.outcome is AttemptOutcome.ANSWERED
+
+
 def _parse_deadline_s(header_value: str) -> float:
     """Convert a deadline header in milliseconds; return the default if it isn't a number.
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -12,22 +12,29 @@
 
 import asyncio
 import gc
+import math
 import random
 import secrets
+import socket
 import time
-from collections.abc import Awaitable, Callable
-from typing import Final, Protocol
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final, Protocol
 
+import logbook
 from logbook import Logger
 from toucanspindle_core.clock import BoottimeClock, Clock
 from toucanspindle_core.errors import PlatformError
 from toucanspindle_core.hostport import HostPort
 
+from toucanspindle_entry.accounts.planfreshness import PlanFreshness, encode_age_ms
+from toucanspindle_entry.accounts.quotaclient import QuotaClient
 from toucanspindle_entry.broker.slotclient import SlotClient
 from toucanspindle_entry.callers.callerconnection import CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.connectiontable import CallerPort, ConnectionTable
 from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
 from toucanspindle_entry.callers.routeindex import RouteIndex
+from toucanspindle_entry.callers.workturns import WorkTurns
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.headernames import HeaderNames
 from toucanspindle_entry.hosts.brokerchoice import broker_capacity
@@ -52,7 +59,8 @@
     StoreListing,
 )
 from toucanspindle_entry.store.storerelay import StoreRelay
-from toucanspindle_entry.store.storewatch import StoreWatch
+from toucanspindle_entry.store.storesnapshot import StoreSnapshots
+from toucanspindle_entry.store.storewatch import REGISTRATION_GRACE_S, StoreWatch
 from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targets.targettable import TargetTable
 
@@ -60,6 +68,8 @@
 # Waits between host listings; the last repeats.  At a first start the entries of the others may
 # be missing in an outdated listing for some seconds.
 HOST_LIST_WAITS_S: Final = (0.05, 0.6, 2.0, 3.0, 5.0, 15.0)
+# In a large fleet, once a listing that is newer than this host's registration names no other one.
+COMPLETE_HOST_LIST_WAIT_S: Final = 60.0
 LONE_HOST_WAIT_S: Final = 2.0  # From this wait on a host that knows no other needs a new listing.
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
 REGISTER_RETRY_S: Final = 0.5  # Wait between registration attempts, before jitter.
@@ -74,6 +84,22 @@
 # The host counts as suspended if CLOCK_BOOTTIME gains this on the monotonic clock in one interval.
 MIN_SUSPENSION_S: Final = 0.5
 LISTEN_BACKLOG: Final = 512
+# Only with a time limit for revoked keys: how often the age of the plan's confirmation is checked,
+# the age at which a watcher of the failure domain is asked for a newer one, and the age at which,
+# and the interval in which, the plan is listed.
+CONFIRM_INTERVAL_S: Final = 0.25
+ASK_WATCHER_AGE_S: Final = 1.0
+LIST_PLAN_AGE_S: Final = 2.0
+LIST_PLAN_INTERVAL_S: Final = 1.0
+# Watchers list a plan with accounts after each watch call, as that shows what is newest just then.
+# A plan of more keys is too large: 500 keys are about 35 KB, each 1.2 s.
+MAX_LISTED_KEYS: Final = 500
+PROBE_SEQ_BITS: Final = 32
+# Connections that a port accepts in one turn of the event loop.  The limit for connections takes
+# effect in the turn after, so this also bounds how far it is exceeded.
+ACCEPTED_PER_TURN: Final = 16
+# Requests to the ports for readiness, directory, control and metrics need no body.
+STATUS_LIMITS: Final = CallerLimits(body_bytes=4096)
 
 log = Logger("node")
 
@@ -120,14 +146,35 @@
     def __init__(self, node: "EntryNode") -> None:
         self._node = node
 
+        self.plan_name: str | None = None
+        # Version of the newest plan that the store has shown, or None without one.
+        self.shown_version: int | None = None
+        # Whether the plan that the store has now can't be decoded.
+        self.is_unreadable = False
+
     def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
+        # A plan that can't be decoded counts as none here: a valid one may have come before it.
+        self.shown_version = None
+        self.is_unreadable = True
         for item in listing.items:
-            self._node.apply_plan(item.value)
+            if isinstance(item.value, FleetPlan):
+                self._apply(item.name, item.value)
 
     def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:  # noqa: ARG002
+        # A plan that can't be decoded is passed over, since this host has seen all before it.
         for change in changes.changes:
-            if not change.removed:
-                self._node.apply_plan(change.value)
+            if isinstance(change.value, FleetPlan) and not change.removed:
+                self._apply(change.name, change.value)
+            elif change.removed and change.name == self.plan_name:
+                self.shown_version = None
+            elif change.name in {self.plan_name, ""}:  # An unreadable object may have no name.
+                self.is_unreadable = True
+
+    def _apply(self, name: str, plan: FleetPlan) -> None:
+        self.plan_name = name
+        self.is_unreadable = False
+        self.shown_version = plan.version
+        self._node.apply_plan(plan)
 
 
 class _TargetListener:
@@ -142,6 +189,7 @@
         for entry in entries:
             if (known := self._table.get(entry.name)) is not None:
                 _log_target_change(known, entry)
+        self._table.begin_era(listing.era, grace_until or 0.0)
         self._table.replace_all(entries, grace_until)
         self._table.advance_to(listing.revision)
         self._node.targets_changed()
@@ -190,11 +238,30 @@
         capacity = broker_capacity(settings.cores, settings.link_mbps)
         self._hosts = LiveHosts(self._own_entry, self._rng, capacity)
         self._targets = TargetTable(self._clock)
-        self._connection_pool = TargetConnectionPool(self._clock, memory)
         self._metrics = EntryMetrics()
+        self._freshness = PlanFreshness(settings.bounds.revoke_s)
+        self._connection_pool = TargetConnectionPool(
+            self._clock,
+            memory,
+            settings.max_target_connections,
+            self._metrics.count_refused_target_connection,
+        )
         self._slots = SlotClient(
-            self._hosts, self._targets, settings.bounds, self._clock, self._rng
+            self._hosts,
+            self._targets,
+            settings.bounds,
+            self._clock,
+            self._rng,
+            metrics=self._metrics,
         )
+        self._quotas = QuotaClient(
+            self._hosts,
+            settings.bounds,
+            self._clock,
+            self._rng,
+            self._slots.is_skipped,
+        )
+        self._metrics.quota_counts = self._quotas.counts
         self._request_handler = RequestHandler(
             HandlerDependencies(
                 header_names,
@@ -203,26 +270,63 @@
                 self._connection_pool,
                 self._metrics,
                 self._clock,
+                self._freshness,
+                self._quotas,
             )
         )
         self._datagrams = DatagramEndpoint(settings.ip, settings.peer_port, self._handle_datagram)
         self._slots.attach(self._datagrams)
         self._announcer = HostAnnouncer(self._hosts, self._datagrams.send, lambda: self.is_ready)
-        self._prober = HostProber(self._hosts, self._datagrams.send, self, self._clock, self._rng)
-        self._relay = StoreRelay(self._hosts, self._datagrams.send)
-        self._plan_watch = self._create_watch(ObjectKind.PLAN, _PlanListener(self))
+        self._prober = HostProber(
+            self._hosts,
+            self._datagrams.send,
+            self,
+            self._clock,
+            self._rng,
+            # A late answer to a probe of an earlier process on this host must match no new probe.
+            first_seq=secrets.randbits(PROBE_SEQ_BITS) if self._freshness.is_bounded else 1,
+            tells_plan_age=self._freshness.is_bounded,
+        )
+        self._quotas.attach(self._datagrams, self._prober.check_silent)
+        self._relay = StoreRelay(
+            self._hosts, self._datagrams.send, may_spare_calls=settings.spares_store_calls
+        )
+        self._snapshots = StoreSnapshots(
+            self._hosts, self._relay, self._datagrams.send, settings.seeds, self._rng
+        )
+        self._plan_listener = _PlanListener(self)
+        self._plan_watch = self._create_watch(
+            ObjectKind.PLAN,
+            self._plan_listener,
+            self._confirm_plan if self._freshness.is_bounded else None,
+            self._lists_plan,
+        )
         self._target_watch = self._create_watch(
             ObjectKind.TARGETS, _TargetListener(self, self._targets)
         )
-        self._relay.set_watches(
-            {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
+        watches = {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
+        self._relay.set_watches(watches)
+        self._snapshots.set_sources(
+            watches,
+            {ObjectKind.PLAN: self._plan_objects, ObjectKind.TARGETS: self._target_objects},
         )
+        for watch in (self._plan_watch, self._target_watch):
+            watch.add_era_observer(self._handle_era)
+        self._targets.set_era_listener(self._target_watch.hear_era)
+        self._store_era = 0
+        self._era_rose = asyncio.Event()
         self._missed_targets = MissedChanges()
         self._host_listing_requested = asyncio.Event()
         self._targets_known = False
+        self._is_plan_small = False
         self._announced_ready = False
         self._stopping = False
         self._connections: set[CallerConnection] = set()
+        self._turns = WorkTurns(self._clock)
+        self._caller_port = self._create_port("callers", settings.max_caller_connections, None)
+        self._status_port = self._create_port(
+            "status", settings.max_status_connections, STATUS_LIMITS
+        )
         self._servers: dict[str, asyncio.Server] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -264,14 +368,26 @@
     @property
     def host_status(self) -> HostStatus:
         """What this host tells the hosts that probe it."""
-        return HostStatus(self._plan_version(), self.is_ready, self._targets.newest_change)
+        plan_age_ms = None
+        if self._freshness.is_bounded:
+            plan_age_ms = encode_age_ms(self._freshness.age_s(self._clock.now()))
+        return HostStatus(
+            self._plan_version(),
+            self.is_ready,
+            self._targets.newest_change,
+            plan_age_ms,
+            self._targets.era,
+        )
 
-    def handle_host_status(self, status: HostStatus) -> None:
-        """List again what another host has a newer version of."""
+    def handle_host_status(self, status: HostStatus, asked_at: float | None) -> None:
+        """List again what another host has a newer version of; date its plan's confirmation."""
+        if self._freshness.is_bounded and asked_at is not None:
+            age_s = status.plan_age_ms / 1000 if status.plan_age_ms is not None else math.inf
+            self._freshness.record_peer(asked_at, age_s, status.plan_version, self._plan_version())
         if status.plan_version > self._plan_version():
             self._plan_watch.request_listing()
         if status.newest_change is not None:
-            self._check_missed_targets(status.newest_change, self._clock.now())
+            self._check_missed_targets(status.newest_change, status.store_era, self._clock.now())
 
     def greet_all(self) -> None:
         """Greet all known hosts, and those that started while this one was cut off.
@@ -326,13 +442,17 @@
         self._plan_watch.start()
         self._target_watch.start()
         loop = asyncio.get_running_loop()
-        for run_background in (
+        background: list[Callable[[], Coroutine[Any, Any, None]]] = [
             self._register_host,
             self._discover_hosts,
             self._prober.run,
             self._relay.run,
+            self._quotas.run,
             self._run_housekeeping,
-        ):
+        ]
+        if self._freshness.is_bounded:
+            background.append(self._keep_plan_confirmed)
+        for run_background in background:
             task = loop.create_task(run_background())
             task.add_done_callback(_log_task_failure)
             self._tasks.append(task)
@@ -391,14 +511,17 @@
 
     # Changes from the store.
 
-    def apply_plan(self, plan: object) -> None:
-        """Put a plan in force if it is newer; ignore any other object."""
-        if not isinstance(plan, FleetPlan):
-            return
+    def apply_plan(self, plan: FleetPlan) -> None:
+        """Put a plan in force if it is newer."""
         routes = self._request_handler.routes
         if routes is not None and plan.version <= routes.plan.version:
             return
-        self._request_handler.routes = RouteIndex(plan, self._rng)
+        routes = RouteIndex(plan, self._rng)
+        self._request_handler.routes = routes
+        self._quotas.set_plan(plan, routes.accounts)
+        accounts = plan.accounts
+        key_count = sum(len(account.keys) for account in accounts or ())
+        self._is_plan_small = accounts is not None and key_count <= MAX_LISTED_KEYS
         log.info("event=plan_in_force version={} routes={}", plan.version, len(plan.routes))
         self._announce_when_ready()
 
@@ -408,20 +531,42 @@
         self._slots.targets_changed()
         self._announce_when_ready()
 
+    def _hear_era(self, era: int) -> None:
+        """List all kinds if their listings are of an earlier era of the store."""
+        self._plan_watch.hear_era(era)
+        self._target_watch.hear_era(era)
+
+    def _handle_era(self, era: int, now: float) -> None:
+        """List the other kinds and register again, when a listing shows another era."""
+        self._missed_targets = MissedChanges()
+        if era <= self._store_era:
+            return
+        self._store_era = era
+        self._freshness.era_changed(now)
+        self._hear_era(era)
+        self._era_rose.set()
+        if self._announced_ready:
+            # The other hosts have registered again by then.
+            wait_s = REGISTRATION_GRACE_S * self._rng.uniform(1.0, 1.5)
+            asyncio.get_running_loop().call_later(wait_s, self._host_listing_requested.set)
+
     # Other hosts.
 
     def _announce_when_ready(self) -> None:
         """Send `hello` to all known hosts when this host becomes ready for the first time."""
         if self.is_ready and not self._announced_ready:
             self._announced_ready = True
+            self._quotas.take_over()
             self._relay.set_ready(True)
             log.info("event=ready targets={}", self._targets.size)
             self._announcer.greet_all()
 
     def _handle_datagram(self, ip: str, message: Message) -> None:
-        """Process a datagram about slots or about other hosts; ignore unknown kinds."""
+        """Process a datagram about slots, quotas or other hosts; ignore unknown kinds."""
         if self._slots.handle_message(ip, message) or self._relay.handle_message(ip, message):
             return
+        if self._quotas.handle_message(ip, message) or self._snapshots.handle_message(ip, message):
+            return
         kind = message[0]
         now = self._clock.now()
         if self._prober.handle_message(ip, message):
@@ -436,9 +581,12 @@
         elif kind == "leave" and self._hosts.set_leaving(ip, message[1]):
             log.info("event=host_leaving host={}", ip)
 
-    def _check_missed_targets(self, newest_change: int, now: float) -> None:
+    def _check_missed_targets(self, newest_change: int, era: int, now: float) -> None:
         """List the targets again if another host has long seen a change that this one hasn't."""
         revision = self._target_watch.revision
+        if era != self._target_watch.era:
+            self._hear_era(era)
+            return
         # A listing is due already if no revision is known.
         if revision and self._missed_targets.is_overdue(newest_change, revision, now):
             log.warning(
@@ -446,6 +594,48 @@
             )
             self._target_watch.request_listing()
 
+    def _confirm_plan(self, sent_at: float) -> None:
+        """Process an answer of the store to a call for the plan that was sent at `sent_at`."""
+        self._freshness.record_store_answer(
+            sent_at, self._plan_listener.shown_version, self._plan_version()
+        )
+
+    def _lists_plan(self) -> bool:
+        """Return whether the plan is listed to confirm it, rather than only watched.
+
+        A listing of a plan that can't be decoded doesn't tell whether a valid one came before it.
+        """
+        return self._is_plan_small and not self._plan_listener.is_unreadable
+
+    async def _keep_plan_confirmed(self) -> None:
+        """Ask other hosts, and then the store, for a newer confirmation; log changes of state."""
+        listing_requested_at = float("-inf")
+        while True:
+            await asyncio.sleep(CONFIRM_INTERVAL_S)
+            now = self._clock.now()
+            self._log_confirmation(now)
+            routes = self._request_handler.routes
+            if routes is None or routes.accounts is None:
+                continue
+            age_s = self._freshness.age_s(now)
+            if age_s > ASK_WATCHER_AGE_S and (watchers := self._relay.domain_watchers()):
+                self._prober.ask(self._rng.choice(watchers))
+            is_due = now - listing_requested_at > LIST_PLAN_INTERVAL_S and self._lists_plan()
+            if age_s > LIST_PLAN_AGE_S and is_due and not self._plan_watch.is_unreachable:
+                listing_requested_at = now
+                self._plan_watch.request_listing()
+
+    def _log_confirmation(self, now: float) -> None:
+        may_run = self._freshness.take_state_change(now)
+        if may_run is not None:
+            log.log(
+                logbook.INFO if may_run else logbook.WARNING,
+                "event=account_keys_{} version={} age_s={:.2f}",
+                "confirmed" if may_run else "unconfirmed",
+                self._plan_version(),
+                self._freshness.age_s(now),
+            )
+
     def _plan_version(self) -> int:
         routes = self._request_handler.routes
         return routes.plan.version if routes is not None else 0
@@ -454,19 +644,27 @@
         """Ask the seeds for the other hosts, and greet each unknown host that the store lists.
 
         Outdated listings cost the store little.  Only a requested listing is up to date, and those
-        of a host that hasn't found any other.
+        of a host that hasn't found any other.  In a large fleet a host that already knows the
+        others leaves out the first listing, and lists them rarely once no listing names a further
+        one.
         """
         seeds = [ip for ip in self._settings.seeds if ip != self._own_entry.ip]
         self._rng.shuffle(seeds)
         for ip in seeds:
             self._announcer.greet(ip)
         waits = iter(HOST_LIST_WAITS_S)
+        unheard: set[str] = set()  # Listed hosts that had not answered by then.
+        is_complete = False
         while True:
             # One seed at a time, since each names all hosts.
             if seeds:
                 self._announcer.ask_for_hosts(seeds.pop())
             wait_s = next(waits, HOST_LIST_WAITS_S[-1])
+            if is_complete and self._relay.spares_calls:
+                wait_s = COMPLETE_HOST_LIST_WAIT_S
             is_requested = await self._wait_for_host_listing(wait_s * self._rng.uniform(0.9, 1.1))
+            if wait_s == HOST_LIST_WAITS_S[0] and self._relay.spares_calls and not is_requested:
+                continue
             is_alone = wait_s >= LONE_HOST_WAIT_S and not self._hosts.peers
             may_be_stale = not (is_requested or is_alone)
             try:
@@ -479,8 +677,12 @@
             ]
             # An outdated listing counts only if it is newer than this host's registration: one from
             # before may lack hosts, and would make the parts of limits that are split too large.
-            if not may_be_stale or self._own_entry in registrations:
+            is_counted = not may_be_stale or self._own_entry in registrations
+            if is_counted:
                 self._hosts.record_listing(len(registrations))
+            known = {self._own_entry.ip, *self._hosts.peers}
+            previously_unheard, unheard = unheard, {r.ip for r in registrations} - known
+            is_complete = is_counted and unheard <= previously_unheard
             for registration in registrations:
                 self._announcer.greet_first(registration.ip)
 
@@ -495,15 +697,20 @@
         return True
 
     async def _register_host(self) -> None:
-        """Write this host's entry to the store; retry until it succeeds."""
+        """Write this host's entry to the store until it succeeds, and again in each later era."""
         while True:
             try:
-                await self._store.put_host(self._own_entry.name, self._own_entry)
+                era = await self._store.put_host(self._own_entry.name, self._own_entry)
             except PlatformError as error:
                 log.warning("event=register_failed error={}", error)
                 await asyncio.sleep(REGISTER_RETRY_S * self._rng.uniform(0.8, 1.6))
                 continue
-            return
+            self._hear_era(era)
+            while era >= self._store_era:
+                await self._era_rose.wait()
+                self._era_rose.clear()
+            # All hosts learn of an era at about the same time.
+            await asyncio.sleep(REGISTER_RETRY_S * self._rng.random())
 
     # Housekeeping and servers.
 
@@ -528,22 +735,61 @@
             suspended_s = current_suspended_s
 
     def _create_watch(
-        self, kind: ObjectKind, listener: _PlanListener | _TargetListener
+        self,
+        kind: ObjectKind,
+        listener: _PlanListener | _TargetListener,
+        on_answer: Callable[[float], None] | None = None,
+        confirms_by_listing: Callable[[], bool] = lambda: False,
     ) -> StoreWatch:
-        return StoreWatch(self._store, kind, listener, self._clock, self._rng, exchange=self._relay)
+        return StoreWatch(
+            self._store,
+            kind,
+            listener,
+            self._clock,
+            self._rng,
+            exchange=self._relay,
+            on_answer=on_answer,
+            confirms_by_listing=confirms_by_listing,
+            snapshots=self._snapshots if self._settings.spares_store_calls else None,
+        )
+
+    def _plan_objects(self) -> list[tuple[str, FleetPlan]] | None:
+        """Return the plan in force for a host that starts, or None without one."""
+        routes, name = self._request_handler.routes, self._plan_listener.plan_name
+        return [(name, routes.plan)] if routes is not None and name is not None else None
+
+    def _target_objects(self) -> list[tuple[str, TargetEntry]] | None:
+        """Return the targets for a host that starts, or None while some are kept for a grace."""
+        if not self._targets.is_settled:
+            return None
+        return [(entry.name, entry) for entry in self._targets.all_entries()]
+
+    def _create_port(self, name: str, limit: int, limits: CallerLimits | None) -> CallerPort:
+        count_shed = self._metrics.count_shed_connection
+        table = ConnectionTable(name, limit, self._clock.now, count_shed)
+        return CallerPort(table, limits, self._turns)
 
     async def _start_server(self, name: str, address: HostPort, handler: EndpointHandler) -> None:
-        loop = asyncio.get_running_loop()
-        self._servers[name] = await loop.create_server(
-            lambda: CallerConnection(self, handler, self._clock),
-            address.ip,
-            address.port,
-            backlog=LISTEN_BACKLOG,
+        port = self._caller_port if name == "callers" else self._status_port
+        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+        sock = socket.create_server((address.ip, address.port), family=family)
+        self._servers[name] = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self, handler, self._clock, port),
+            sock=sock,
+            backlog=ACCEPTED_PER_TURN,
         )
+        # For the event loop the backlog is also the number of connections accepted in one turn.
+        sock.listen(LISTEN_BACKLOG)
 
     async def _serve_metrics(self, request: CallerRequest) -> CallerResponse:  # noqa: ARG002
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        return CallerResponse(200, headers, self._metrics.render(self._memory.held_bytes))
+        plan_age_s = None
+        if self._freshness.is_bounded:
+            plan_age_s = self._freshness.age_s(self._clock.now())
+        body = self._metrics.render(
+            self._memory.held_bytes, self._turns.deferred, plan_age_s, self._quotas.gauges
+        )
+        return CallerResponse(200, headers, body)
 
 
 def _log_task_failure(task: asyncio.Task[None]) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/httpclient.py
@@ -37,6 +37,8 @@
 WRITE_BUFFER_BYTES: Final = 32_768  # What may wait to be sent; writing pauses above.
 HEADER_OVERHEAD_BYTES: Final = 180  # Of the objects around a header.
 NO_BODY_STATUSES: Final = frozenset({204, 304})
+FIRST_STATUS: Final = 100  # RFC 9110, 15: any other status is invalid.
+LAST_STATUS: Final = 599
 FIRST_FINAL_STATUS: Final = 200
 
 
@@ -66,7 +68,7 @@
     status: int = 0
     reason: bytes = b""
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    content: Body = b""
+    content: Body = field(default=b"", repr=False)  # A plan of the store holds the accounts' keys.
     lease: MemoryLease | None = None
 
     @property
@@ -102,9 +104,12 @@
 class HttpConnection(asyncio.BufferedProtocol):
     """A client connection that runs one exchange at a time."""
 
-    def __init__(self, memory: MemoryAccount, max_response_bytes: int) -> None:
+    def __init__(
+        self, memory: MemoryAccount, max_response_bytes: int, on_lost: Callable[[], None]
+    ) -> None:
         """Create an unconnected connection; use `connect`."""
         self._memory = memory
+        self._on_lost = on_lost
         self._max_response_bytes = max_response_bytes
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -136,16 +141,18 @@
         timeout_s: float,
         memory: MemoryAccount,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
+        on_lost: Callable[[], None] = lambda: None,
     ) -> "HttpConnection":
         """Return an open connection; raise ConnectError after `timeout_s` or on failure.
 
         Responses are charged to `memory`, and their bodies are limited to `max_response_bytes`.
+        `on_lost` is called when a connection that was established has ended.
         """
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: cls(memory, max_response_bytes), address.ip, address.port
+                    lambda: cls(memory, max_response_bytes, on_lost), address.ip, address.port
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"{address}: {error or 'connection attempt timed out'}") from error
@@ -277,6 +284,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
+        self._on_lost()
         self._closed = True
         self._fail_exchange(
             ConnectionLostError(str(exc) if exc else "the peer closed the connection")
@@ -313,6 +321,9 @@
         response.status = self._parser.get_status_code()
         has_length = response.header(b"content-length") is not None
         chunked = response.header(b"transfer-encoding") is not None
+        if not FIRST_STATUS <= response.status <= LAST_STATUS:
+            self._fail_exchange(MalformedResponseError(f"status {response.status:03}"))
+            return
         if response.status < FIRST_FINAL_STATUS:
             return
         self._is_head_complete = True
@@ -348,14 +359,7 @@
         if self._body_bytes > self._max_response_bytes:
             self._fail_oversized()
             return
-        self._content.append(body)
-        uncharged = self._content.uncharged_bytes
-        if not uncharged:
-            return
-        has_memory = self._lease.try_grow(uncharged)
-        if not has_memory:
-            self._lease.charge(uncharged)  # It is here already.
-        self._content.record_charge(uncharged)
+        has_memory = self._content.append(body)
         if not has_memory and not self._lacks_memory:
             self._wait_for_memory(body_cost(BLOCK_BYTES))
             self._memory_timer = asyncio.get_running_loop().call_later(
--- a/packages/toucanspindle-entry/toucanspindle_entry/targets/targethealth.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/targets/targethealth.py
@@ -31,6 +31,7 @@
     CONNECT_FAILED = "unreached"  # the connect failed
     MISDIRECTED = "misdirected"  # the address belongs to another target now
     WITHDRAWN = "withdrawn"  # the caller disconnected, or the grant was not used
+    CANCELLED = "cancelled"  # another attempt of the request was answered first
 
 
 # Likelihood of each outcome at an unhealthy target divided by that at a healthy one.
@@ -69,7 +70,7 @@
         ) * math.exp(-age_s / FAILURE_EPISODE_S)
 
     def observe(self, outcome: AttemptOutcome, now: float) -> None:
-        """Update the estimate with an outcome; a withdrawn attempt is no evidence."""
+        """Update the estimate with an outcome; a withdrawn or cancelled one is no evidence."""
         likelihood_ratio = LIKELIHOOD_RATIOS.get(outcome)
         if likelihood_ratio is not None:
             self.apply_likelihood_ratio(likelihood_ratio, now)
--- a/tests/test_entry_requestpath.py
+++ b/tests/test_entry_requestpath.py
@@ -1,28 +1,32 @@
-"""Tests of a request's way to a faulty target and back, over real sockets."""
+"""Tests of a request's way to a faulty target and back."""
 
 import asyncio
 import dataclasses
 import random
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final, cast
 
 from testtools import TestCase
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_core.hostport import HostPort
+from toucanspindle_entry.accounts.planfreshness import PlanFreshness
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
-from toucanspindle_entry.broker.slottypes import AttemptReport, SlotRequest
+from toucanspindle_entry.broker.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
 from toucanspindle_entry.callers.requestpath import HandlerDependencies, RequestHandler
 from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.memoryaccount import MemoryAccount
-from toucanspindle_entry.model import FleetPlan, Route, WeightedService
+from toucanspindle_entry.model import ClientAccount, FleetPlan, Route, WeightedService
 from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
+from toucanspindle_entry.targets.targethealth import AttemptOutcome
 from toucanspindle_entry.targets.targettable import TargetTable
 
-from tests.emulatedfleet import HEADER_NAMES
+from tests.emulatedfleet import HEADER_NAMES, EmulatedFleet, FleetShape
 from tests.entrycase import target
+from tests.virtualtime import run_in_virtual_time
 
 DEADLINE_S: Final = 1.0
 MEMORY_BYTES: Final = 10_000_000
@@ -32,7 +36,7 @@
 
 
 class FakeSlots:
-    """Grants every request a slot at the only target."""
+    """Grants every request a slot at the only target, but has no credit to repeat a shed one."""
 
     def __init__(self, target_name: str = "t") -> None:
         self._target_name = target_name
@@ -45,7 +49,10 @@
 
     async def acquire(
         self, service: str, slot_request: SlotRequest, starts_request: bool  # noqa: ARG002
-    ) -> SlotGrant:
+    ) -> SlotGrant | Refused:
+        if slot_request.is_retry and self.outcomes[-1] == AttemptOutcome.SHED.value:
+            reason = RefusalReason.RETRY_BUDGET_EXHAUSTED
+            return Refused(slot_request.id, "", reason, 0.0)
         return SlotGrant(slot_request.id, self._target_name, "", 1, 0.0, 0, "")
 
     def report_attempt(self, service: str, grant: SlotGrant, report: AttemptReport) -> None:
@@ -82,10 +89,15 @@
         max_attempts: int = 1,
         granted: str = "t",
         deadline_ms: bytes = b"1000",
+        accounts: tuple[ClientAccount, ...] | None = None,
+        is_public: bool = False,
+        extra_headers: tuple[tuple[bytes, bytes], ...] = (),
+        freshness: PlanFreshness | None = None,
     ) -> tuple[list[CallerResponse], int]:
         """Send requests one after another; return the responses and the number of connections.
 
-        The broker grants the target `granted`; the host knows only the target `t`.
+        The broker grants the target `granted`; the host knows only the target `t`.  `accounts` are
+        those of the plan, and `is_public` is about its only route.
         """
         connections = 0
 
@@ -120,18 +132,27 @@
                     pool,
                     EntryMetrics(),
                     clock,
+                    freshness or PlanFreshness(None),
                 )
             )
             services = (WeightedService("orders", 1.0),)
             route = Route(
-                "r", "shop", "/", method == "GET", DEADLINE_S, 0.5, max_attempts, 1, services
-            )
-            handler.routes = RouteIndex(
-                FleetPlan(1, (route,), frozenset({"orders"})), random.Random(1)
+                "r",
+                "shop",
+                "/",
+                method == "GET",
+                DEADLINE_S,
+                0.5,
+                max_attempts,
+                1,
+                services,
+                is_public,
             )
+            plan = FleetPlan(1, (route,), frozenset({"orders"}), accounts=accounts)
+            handler.routes = RouteIndex(plan, random.Random(1))
             responses: list[CallerResponse] = []
             for request_id in request_ids:
-                headers = [(b"host", b"shop"), (b"x-deadline-ms", deadline_ms)]
+                headers = [(b"host", b"shop"), (b"x-deadline-ms", deadline_ms), *extra_headers]
                 if request_id:
                     headers.append((b"x-request-id", request_id.encode()))
                 request = CallerRequest(method, "/a", headers, b"", clock.now())
@@ -240,6 +261,21 @@
                 responses, _ = self.send(answer, "q1", method=method)
                 self.assertEqual(502, responses[0].status, (method, cut))
 
+    # Guards against a caller that gets status 000 or 999 as a target's answer, or waits for it.
+    def test_answer_with_a_status_outside_of_100_to_599_is_given_up(self) -> None:
+        for status in (b"000", b"999"):
+
+            async def answer(
+                number: int,
+                request_id: bytes,
+                writer: asyncio.StreamWriter,
+                status: bytes = status,
+            ) -> None:
+                writer.write(response(request_id).replace(b"200", status, 1))
+
+            responses, _ = self.send(answer, "q1", method="POST")
+            self.assertEqual(502, responses[0].status, status)
+
     def test_answer_without_end_is_given_up_before_the_deadline(self) -> None:
         async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
             writer.write(b"HTTP/1.1 200 OK\r\n")
@@ -277,3 +313,24 @@
         first_sent_at, _ = deadlines[0]
         for sent_at, deadline_ms in deadlines:
             self.assertLessEqual(sent_at - first_sent_at + deadline_ms / 1000, DEADLINE_S + 0.1)
+
+
+class ShedRequestTests(TestCase):
+    """Targets shed most requests that reach them, and a request may go to two of them."""
+
+    def test_shed_request_goes_on_until_its_deadline_and_to_two_targets_only(self) -> None:
+        """It used to fail after two rejections within milliseconds."""
+        shape = FleetShape(
+            idempotent=False, max_attempts=2, shed_share=0.7, fail_share=0.0, rate=30.0
+        )
+        fleets: list[EmulatedFleet] = []
+
+        async def main() -> None:
+            fleets.append(EmulatedFleet(shape, 1))
+            await fleets[0].run_load(20.0)
+
+        run_in_virtual_time(main())
+        record = fleets[0].record
+        self.assertEqual(2, max(len(names) for names in record.targets.values()))
+        arrivals = Counter(request_id for _, request_id in record.arrivals)
+        self.assertLess(2, max(arrivals.values()))
--- a/tests/test_entry_storerelay.py
+++ b/tests/test_entry_storerelay.py
@@ -8,11 +8,12 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine
-from typing import Any, Final
+from typing import Any, Final, cast
 
 from testtools import TestCase
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import PlatformError
+from toucanspindle_entry.entrynode import EntryNode, _TargetListener
 from toucanspindle_entry.hosts.datagrams import Message
 from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import (
@@ -34,6 +35,7 @@
 from toucanspindle_entry.store.storemessages import decode_progress, encode_progress
 from toucanspindle_entry.store.storerelay import StoreRelay
 from toucanspindle_entry.store.storewatch import StoreProgress, StoreWatch
+from toucanspindle_entry.targets.targettable import TargetTable
 
 from tests.entrycase import target
 from tests.virtualtime import LoopClock, run_in_virtual_time
@@ -52,10 +54,12 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = 0
         self.objects: dict[str, tuple[Any, int]] = {}
         self.history: list[StoreChange] = []
         self.first_kept = 0
         self.calls: Counter[str] = Counter()
+        self.listings: Counter[str] = Counter()
         self.silent_for: Callable[[str], bool] = lambda _: False
         self.is_down = False
         self.rng = random.Random(2)
@@ -66,11 +70,27 @@
         if value is None:
             del self.objects[name]
         else:
+            value = dataclasses.replace(value, revision=self.revision, era=self.era)
             self.objects[name] = (value, self.revision)
         self.history.append(StoreChange(name, value, value is None, self.revision))
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def restore(self, revision: int) -> None:
+        """Go back to a revision and begin the next era; the calls that wait are aborted."""
+        self.revision = revision
+        self.era += 1
+        self.history = [change for change in self.history if change.revision <= revision]
+        self.objects.clear()
+        for change in self.history:
+            if change.removed:
+                del self.objects[change.name]
+            else:
+                value = dataclasses.replace(change.value, era=self.era)
+                self.objects[change.name] = (value, change.revision)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def enter(self, ip: str) -> None:
         """Begin a call of a host; raise PlatformError if the store doesn't serve it."""
         self.calls[ip] += 1
@@ -81,16 +101,20 @@
         if self.is_down:
             raise PlatformError(errorcodes.PLATFORM_UNREACHABLE, "down", "wait")
 
-    async def watch(self, ip: str, revision: int) -> StoreChanges:
+    async def watch(self, ip: str, revision: int, max_wait_s: float | None = None) -> StoreChanges:
         await self.enter(ip)
-        deadline = asyncio.get_running_loop().time() + self.rng.uniform(*WATCH_WAITS_S)
+        era = self.era
+        wait_s = min(self.rng.uniform(*WATCH_WAITS_S), max_wait_s or WATCH_WAITS_S[1])
+        deadline = asyncio.get_running_loop().time() + wait_s
         while True:
-            if revision < self.first_kept:
+            if era != self.era:
+                raise PlatformError(errorcodes.PLATFORM_UNREACHABLE, "restored", "wait")
+            if not self.first_kept <= revision <= self.revision:
                 raise HistoryLostError
             changes = tuple(change for change in self.history if change.revision > revision)
             left_s = deadline - asyncio.get_running_loop().time()
             if changes or left_s <= 0:
-                return StoreChanges(changes, self.revision)
+                return StoreChanges(changes, self.revision, self.era)
             try:
                 async with asyncio.timeout(left_s):
                     await self._changed.wait()
@@ -108,14 +132,17 @@
     async def list_all(
         self, kind: ObjectKind, may_be_stale: bool = False  # noqa: ARG002
     ) -> StoreListing:
+        self._store.listings[self._ip] += 1
         await self._store.enter(self._ip)
         items = [StoreItem(name, value) for name, (value, _) in self._store.objects.items()]
-        return StoreListing(tuple(items), self._store.revision)
+        return StoreListing(tuple(items), self._store.revision, self._store.era)
 
-    async def watch(self, kind: ObjectKind, revision: int) -> StoreChanges:  # noqa: ARG002
-        return await self._store.watch(self._ip, revision)
+    async def watch(
+        self, kind: ObjectKind, revision: int, max_wait_s: float | None = None  # noqa: ARG002
+    ) -> StoreChanges:
+        return await self._store.watch(self._ip, revision, max_wait_s)
 
-    async def put_host(self, name: str, value: Any) -> None:
+    async def put_host(self, name: str, value: Any) -> int:
         raise NotImplementedError
 
     async def close(self) -> None:
@@ -130,9 +157,15 @@
         self.is_cut_off = False
         self.known: dict[str, Any] = {}
         self.graces: list[bool] = []
+        self.table = TargetTable(LoopClock())
+        self._table_listener = _TargetListener(cast(EntryNode, self), self.table)
         rng = random.Random(ip)
         self.hosts = LiveHosts(HostEntry(ip, ip, domain, ip), rng)
-        self.relay = StoreRelay(self.hosts, lambda to, message: fleet.deliver(ip, to, message))
+        self.relay = StoreRelay(
+            self.hosts,
+            lambda to, message: fleet.deliver(ip, to, message),
+            may_spare_calls=fleet.may_spare_calls,
+        )
         client = StoreClient(fleet.store, ip)
         self.watch = StoreWatch(
             client, ObjectKind.TARGETS, self, LoopClock(), rng, exchange=self.relay
@@ -150,10 +183,15 @@
         self._task.cancel()
         await self.watch.close()
 
-    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
+    def targets_changed(self) -> None:
+        return
+
+    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:
+        self._table_listener.on_listing(listing, grace_until)
         self.known = {item.name: item.value for item in listing.items}
 
     def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:
+        self._table_listener.on_changes(changes, grace_until)
         self.graces.append(grace_until is not None)
         for change in changes.changes:
             if change.removed:
@@ -165,7 +203,8 @@
 class RelayFleet:
     """Hosts in four failure domains that know each other."""
 
-    def __init__(self, size: int, loss: float = 0.0) -> None:
+    def __init__(self, size: int, loss: float = 0.0, *, may_spare_calls: bool = False) -> None:
+        self.may_spare_calls = may_spare_calls
         self.store = EmulatedStore()
         self.loss = loss
         self.rng = random.Random(1)
@@ -194,7 +233,8 @@
         loop = asyncio.get_running_loop()
         changed_at = loop.time()
         self.store.put(name, value)
-        while any(host.known.get(name) != value for host in hosts):
+        stored = self.store.objects.get(name, (None, 0))[0]
+        while any(host.known.get(name) != stored for host in hosts):
             await asyncio.sleep(0.01)
             if loop.time() - changed_at > 10.0:
                 break
--- a/tests/test_entry_storewatch.py
+++ b/tests/test_entry_storewatch.py
@@ -40,14 +40,16 @@
         self.listings += 1
         return StoreListing((StoreItem("a", self.listings),), 100 * self.listings)
 
-    async def watch(self, kind: ObjectKind, revision: int) -> StoreChanges:  # noqa: ARG002
+    async def watch(
+        self, kind: ObjectKind, revision: int, max_wait_s: float | None = None  # noqa: ARG002
+    ) -> StoreChanges:
         self.watched_revisions.append(revision)
         watch_result = await self.watch_results.get()
         if isinstance(watch_result, Exception):
             raise watch_result
         return watch_result
 
-    async def put_host(self, name: str, value: Any) -> None:
+    async def put_host(self, name: str, value: Any) -> int:
         raise NotImplementedError
 
     async def close(self) -> None:
