--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/activetargetfloor.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/activetargetfloor.py
@@ -22,6 +22,9 @@
 # A target counts as in use for this long after a request: the 2 s window less a margin.
 HIGH_FAILURE_IN_USE_S: Final = 1.2
 HIGH_FAILURE_SHARE: Final = 0.08  # Operators evaluate the floor from 0.1 on; 20% less as a margin.
+# The same of the requests that failed or were rejected for a quota.  A quota may be exceeded for
+# long, and each target that is tried for the floor may fail a request, so the margin is smaller.
+HIGH_UNSERVED_SHARE: Final = 0.095
 # Operators count a target that failed by itself again after 2 s; a margin more.
 RECOVERED_AFTER_S: Final = 2.2
 # The same at a normal failure rate.  Hosts may be killed 1 s into a 2 s window; less a margin.
@@ -43,6 +46,7 @@
         self._floor_share = floor_share
         self._results: deque[tuple[float, bool]] = deque()
         self._failures = 0
+        self._rejected: deque[float] = deque()
         self._last_granted_at: dict[str, float] = {}
         self._last_failed_at: dict[str, float] = {}
         self._floor_request_at = float("-inf")
@@ -58,6 +62,10 @@
         self._results.append((now, is_failure))
         self._failures += is_failure
 
+    def record_rejected(self, count: int, now: float) -> None:
+        """Count requests that were rejected for the quota of their account."""
+        self._rejected.extend([now] * count)
+
     def record_grant(self, target: str, now: float) -> None:
         """Record that a target gets a request at `now`."""
         self._last_granted_at[target] = now
@@ -117,6 +125,12 @@
         while self._results and now - self._results[0][0] > FAILURE_WINDOW_S:
             _, was_failure = self._results.popleft()
             self._failures -= was_failure
-        return len(self._results) >= MIN_RESULTS and self._failures > HIGH_FAILURE_SHARE * len(
-            self._results
+        while self._rejected and now - self._rejected[0] > FAILURE_WINDOW_S:
+            self._rejected.popleft()
+        ended, rejected = len(self._results), len(self._rejected)
+        if ended + rejected < MIN_RESULTS:
+            return False
+        has_failures = self._failures > HIGH_FAILURE_SHARE * ended
+        return has_failures or (
+            rejected > 0 and self._failures + rejected > HIGH_UNSERVED_SHARE * (ended + rejected)
         )
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -236,8 +236,8 @@
         if slot_request.id in self._refusals:
             return self._refusals[slot_request.id][1]
         self._retry_budget.deposit(slot_request.retry_credit, slot_request.host, now)
-        for _ in range(min(slot_request.rejected_before, MAX_REJECTED_BEFORE)):
-            self._active_floor.record_request_end(True, now)
+        rejected = min(slot_request.rejected_before, MAX_REJECTED_BEFORE)
+        self._active_floor.record_rejected(rejected, now)
         decision = self._decide(slot_request, now)
         if isinstance(decision, Refused):
             self._remember_refusal(decision, now)
