Keep a connection open whose bytes wait for their turn

Since the turns, a received request may wait unparsed; a stop of the host or the idle timeout took such a connection for idle and closed it (TurnTests, failed before).

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -229,7 +229,8 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or handled, and no response is being sent."""
-        return not self._exchanges and self._reader.began_at is None and self._unsent is None
+        is_reading = self._reader.began_at is not None or self._reader.has_unparsed
+        return not self._exchanges and not is_reading and self._unsent is None
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
@@ -563,6 +564,9 @@
             self.reject(408)
         elif self.is_idle:
             self._close_gracefully()
+        elif self._reader.has_unparsed:
+            # Bytes wait for their turn, or for a caller that doesn't read its responses.
+            self._restart_timer(self.limits.idle_timeout_s)
 
 
 def _has_peer_closed(sock: socket.socket) -> bool:
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -12,7 +12,9 @@
 from toucanspindle_entry.bodybuffer import BodyBuffer
 from toucanspindle_entry.callers.callerconnection import MAX_PIPELINED, CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
+from toucanspindle_entry.callers.connectiontable import CallerPort
 from toucanspindle_entry.callers.requestreader import RequestReader
+from toucanspindle_entry.callers.workturns import WorkTurns
 from toucanspindle_entry.memoryaccount import MemoryAccount
 from toucanspindle_entry.model import CallerLimits
 
@@ -206,6 +208,36 @@
         self.assertEqual(["CONNECT"], [request.method for request in self.handled])
 
 
+class TurnTests(CallerCase):
+    def test_stop_does_not_close_a_connection_whose_request_waits_for_its_turn(self) -> None:
+        """Guards against requests that were received and are dropped when a host stops."""
+
+        async def client() -> bytes:
+            turns = WorkTurns(MonotonicClock())
+            port = CallerPort(turns=turns)
+            server = await asyncio.get_running_loop().create_server(
+                lambda: CallerConnection(self.owner, self.handle_request, MonotonicClock(), port),
+                "127.0.0.1",
+                0,
+            )
+            reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+            while not self.owner.connections:
+                await asyncio.sleep(0)
+            (connection,) = self.owner.connections
+            turns._steps_left = 0
+            data = get_request("/a")
+            self.owner.memory.read_buffer[: len(data)] = data
+            connection.buffer_updated(len(data))
+            self.assertEqual(1, turns.deferred)
+            connection.close_if_idle()
+            received = await reader.readuntil(b"\r\n\r\n/a")
+            writer.close()
+            server.close()
+            return received
+
+        self.assertTrue(asyncio.run(client()).startswith(b"HTTP/1.1 200 "))
+
+
 class FailedHandlerTests(CallerCase):
     def test_request_whose_handler_fails_is_answered(self) -> None:
         """Guards against requests that are never answered, and hold up those behind them."""
