--- a/packages/toucanspindle-entry/toucanspindle_entry/settings.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/settings.py
@@ -16,8 +16,10 @@
 CALLER_DESCRIPTOR_SHARE: Final = 0.5
 STATUS_DESCRIPTOR_SHARE: Final = 0.125
 # The fleet's own, for the store, the ports and the event loop, and for connections that have been
-# accepted and not yet counted: two turns of 16 for each of five ports.
+# accepted and not yet counted: two turns of 16 for each of five ports.  With few descriptors it is
+# a share of them, and a storm of connections may reach the system's limit for some turns.
 RESERVED_DESCRIPTORS: Final = 192
+RESERVED_DESCRIPTOR_SHARE: Final = 0.125
 
 
 @dataclass(frozen=True)
@@ -96,7 +98,8 @@
     def max_target_connections(self) -> int:
         """The connections to targets that the process may have open together."""
         sockets = self.max_fds - FILE_DESCRIPTORS
-        others = self.max_caller_connections + self.max_status_connections + RESERVED_DESCRIPTORS
+        reserved = min(RESERVED_DESCRIPTORS, self._connections_for(RESERVED_DESCRIPTOR_SHARE))
+        others = self.max_caller_connections + self.max_status_connections + reserved
         return max(1, sockets - others)
 
     def _connections_for(self, share: float) -> int:
--- a/tests/test_entry_connectiontable.py
+++ b/tests/test_entry_connectiontable.py
@@ -2,6 +2,11 @@
 
 from testtools import TestCase
 from toucanspindle_entry.callers.connectiontable import ConnectionPhase, ConnectionTable
+from toucanspindle_entry.settings import FILE_DESCRIPTORS, RESERVED_DESCRIPTORS
+
+from deployedfleet import SETTINGS
+from platformsettings import load_settings
+from tests.tempfolder import temporary_folder
 
 
 class FakeConnection:
@@ -61,3 +66,34 @@
         self.table.remove(first)
         self.add(ConnectionPhase.READING)
         self.assertEqual([], self.shed)
+
+
+class DescriptorSettingsTests(TestCase):
+    def test_all_limits_together_leave_the_descriptors_for_files(self) -> None:
+        """Guards against limits that add up to more than a process may open."""
+        folder = temporary_folder(self)
+        for max_fds in (600, 1000, 4100):
+            path = folder / "settings.toml"
+            path.write_text(
+                SETTINGS.format(
+                    name="h",
+                    ip="127.0.0.1",
+                    peer=1,
+                    seeds="",
+                    front=2,
+                    ready=3,
+                    control=4,
+                    directory=5,
+                    store="127.0.0.1:6",
+                ).replace("MemoryMb = 300", f"MaxFds = {max_fds}")
+            )
+            settings, _ = load_settings(path)
+            limits = (
+                settings.max_caller_connections,
+                settings.max_status_connections,
+                settings.max_target_connections,
+            )
+            sockets = max_fds - FILE_DESCRIPTORS
+            reserved = min(RESERVED_DESCRIPTORS, sockets // 8)
+            self.assertLessEqual(sum(limits) + reserved, sockets)
+            self.assertEqual(sockets // 2, limits[0])
