Share waiting slots by client account, with start-time fair queueing

A surge of one account delayed all others, since the queue was one of arrival. Requests with an account get start tags by expected work and weight; the expected wait counts what is ahead in this order, and a full queue refuses the account furthest above its share. An account without a limit sends weight 0.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -112,6 +112,7 @@
         self._unsettled: deque[tuple[float, str]] = deque()  # Time of the grant, slot request id.
         self._ended_at: dict[str, float] = {}
         self._refusals: dict[str, tuple[float, Refused]] = {}
+        self._evicted: list[Decision] = []  # Refusals that are told at the next tick.
 
     @property
     def slots_in_use(self) -> int:
@@ -252,10 +253,11 @@
         )
         if slot_request.is_retry and self._shedding.saves_credit(now):
             return self._send_or_hold(pending, now)
-        if not self._queue.count_ahead_of(slot_request.priority):
+        if not self._queue.has_as_urgent(slot_request):
             self._candidates.refresh(now)
             target = self._choice.choose(pending, self._mean_work_s, now)
             if target is not None:
+                self._queue.charge(slot_request, self._mean_work_s)
                 return self._grant(pending, target, now)
         return self._enqueue_or_refuse(pending, now)
 
@@ -397,7 +399,7 @@
             passed_over = 0
             grants.append((pending, self._grant(pending, target, now)))
         for pending, _ in grants:
-            self._queue.remove(pending.slot_request.id)
+            self._queue.remove_granted(pending.slot_request.id)
         return [grant for _, grant in grants]
 
     def _send_or_hold(self, pending: PendingRequest, now: float) -> Decision:
@@ -483,9 +485,15 @@
     def _enqueue_or_refuse(self, pending: PendingRequest, now: float) -> Decision:
         """Queue a request, or refuse it if the queue is full or the expected wait too long."""
         slot_request = pending.slot_request
-        requests_ahead = self._queue.count_ahead_of(slot_request.priority)
+        requests_ahead = self._queue.count_ahead_of(pending, now, self._mean_work_s)
         wait_s = (requests_ahead + 1) * self._mean_work_s / max(1.0, self._healthy_slots(now))
-        if len(self._queue) >= MAX_QUEUE_LENGTH or wait_s > self._max_wait_s(slot_request):
+        is_full = len(self._queue) >= MAX_QUEUE_LENGTH
+        last = self._queue.last() if is_full and self._queue.shares_by_account else None
+        if last is not None and requests_ahead < len(self._queue):
+            # The last one is of the account that is furthest above its share.
+            self._evicted.append(self._refuse_waiting(last, now))
+            is_full = False
+        if is_full or wait_s > self._max_wait_s(slot_request):
             retry_after_s = max(self._retry_after_s(now), wait_s / 2)
             return Refused(
                 slot_request.id, slot_request.host, RefusalReason.OVERLOADED, retry_after_s
@@ -505,21 +513,36 @@
         )
 
     def _refuse_unservable(self, now: float) -> list[Decision]:
-        """Remove and refuse queued requests that can't finish before their deadline."""
-        decisions: list[Decision] = []
+        """Remove and refuse queued requests that can't finish before their deadline.
+
+        Where accounts share, those that came later may have gone ahead, so the expected wait is
+        checked again.
+        """
+        decisions, self._evicted = self._evicted, []
         unservable = self._queue.remove_due_before(now + self._mean_work_s / 2)
         unservable += self._shedding.remove_unservable(self._mean_work_s, now)
-        for pending in unservable:
-            slot_request = pending.slot_request
-            refusal = Refused(
-                slot_request.id,
-                slot_request.host,
-                RefusalReason.OVERLOADED,
-                self._retry_after_s(now),
-            )
-            self._remember_refusal(refusal, now)
-            decisions.append(refusal)
-        return decisions
+        if self._queue.shares_by_account:
+            wait_per_request_s = self._mean_work_s / max(1.0, self._healthy_slots(now))
+            latest_s = now + self._mean_work_s / 2
+            unservable += [
+                pending
+                for ahead, pending in enumerate(self._queue)
+                if latest_s + ahead * wait_per_request_s > pending.deadline_at
+            ]
+        return decisions + [self._refuse_waiting(pending, now) for pending in unservable]
+
+    def _refuse_waiting(self, pending: PendingRequest, now: float) -> Refused:
+        """Remove and refuse a request that waits."""
+        slot_request = pending.slot_request
+        self._queue.remove(slot_request.id)
+        refusal = Refused(
+            slot_request.id,
+            slot_request.host,
+            RefusalReason.OVERLOADED,
+            self._retry_after_s(now),
+        )
+        self._remember_refusal(refusal, now)
+        return refusal
 
     def _grant(self, pending: PendingRequest, record: TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -77,7 +77,7 @@
     """Return the service and the slot request of an `ask` message; `host` is the sender.
 
     Hosts of earlier versions send no retry credit and nothing behind it.  Raises ValueError if the
-    credit or the size of the body is negative, or the weight isn't positive.
+    credit, the size of the body or the weight is negative.
     """
     _, slot_request_id, service, failure_domain, priority, time_left_ms, goal_left_ms, *options = (
         message
@@ -87,7 +87,7 @@
     account, account_priority, account_weight, body_bytes, allowed_targets = (
         additions[1:6] if len(additions) > 5 else ("", 0, 1.0, 0, ())
     )
-    if retry_credit < 0 or body_bytes < 0 or account_weight <= 0:
+    if retry_credit < 0 or body_bytes < 0 or account_weight < 0:
         raise ValueError(f"invalid numbers in a slot request: {additions}")
     slot_request = SlotRequest(
         id=str(slot_request_id),
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
@@ -1,9 +1,18 @@
 """The queue of a slot broker: requests that wait for a free slot, by priority.
 
-Within a priority, requests that can still meet their latency goal come first, then the order is
-that of arrival.  The order is kept in a sorted list, and whether a request can still meet its goal
-is evaluated when it arrives and again in `reorder`, so that the work for a grant or an attempt
-report doesn't grow with the queue.
+The priority of the client account goes before that of the route.  Within a priority, requests that
+can still meet their latency goal come first, then the accounts share by start-time fair queueing,
+then the order is that of arrival.  Without accounts there are no start tags.
+
+Start-time fair queueing: a request's start tag is the finish tag of the previous request of its
+account, or the virtual time if that is later.  Its finish tag is its start tag plus the expected
+work divided by the account's weight.  The virtual time is the start tag of the last request that
+got a slot.  So the tags of an account that asks for more than its share run ahead, and only its own
+requests wait.
+
+The order is kept in a sorted list, and whether a request can still meet its goal is evaluated when
+it arrives and again in `reorder`, so that the work for a grant or an attempt report doesn't grow
+with the queue.
 """
 
 from bisect import bisect_left, insort
@@ -13,8 +22,8 @@
 
 from toucanspindle_entry.broker.slottypes import SlotRequest
 
-# Priority, whether the latency goal is missed, time of arrival, slot request id.
-_Key = tuple[int, bool, float, str]
+# Account priority, priority, whether the latency goal is missed, start tag, time of arrival, id.
+_Key = tuple[int, int, bool, float, float, str]
 
 
 @dataclass
@@ -25,6 +34,8 @@
     arrived_at: float
     deadline_at: float
     goal_at: float
+    start_tag: float = 0.0
+    tag_cost: float = 0.0
 
 
 class SlotQueue:
@@ -35,8 +46,11 @@
         self._keys: dict[str, _Key] = {}
         self._pending: dict[str, PendingRequest] = {}
         self._order: list[_Key] = []
-        self._by_priority: Counter[int] = Counter()
+        self._by_priority: Counter[tuple[int, int]] = Counter()
         self._retries = 0
+        self._finish_tags: dict[str, float] = {}  # By account.
+        self._virtual_time = 0.0
+        self._weights: Counter[float] = Counter()  # Of the pending requests.
 
     def __len__(self) -> int:
         """Return the number of pending requests."""
@@ -55,28 +69,77 @@
         """Number of pending requests that are retries."""
         return self._retries
 
-    def count_ahead_of(self, priority: int) -> int:
-        """Return the number of requests of the same or a more urgent priority."""
-        return sum(count for other, count in self._by_priority.items() if other <= priority)
+    @property
+    def shares_by_account(self) -> bool:
+        """Whether any client account has been served recently."""
+        return bool(self._finish_tags)
+
+    def has_as_urgent(self, slot_request: SlotRequest) -> bool:
+        """Return whether requests of the same or a more urgent priority are pending."""
+        return self._count_as_urgent(slot_request) > 0
+
+    def count_ahead_of(self, pending: PendingRequest, now: float, work_s: float) -> int:
+        """Return how many requests are granted slots before a new one.
+
+        Without accounts these are all of the same or a more urgent priority.
+        """
+        if not self._uses_tags(pending.slot_request):
+            return self._count_as_urgent(pending.slot_request)
+        start_tag, _ = self._next_tags(pending.slot_request, work_s)
+        return bisect_left(self._order, _sort_key(pending, start_tag, now, work_s))
 
     def add(self, pending: PendingRequest, now: float, work_s: float) -> None:
         """Add a request; `work_s` is the mean time of an attempt."""
         slot_request = pending.slot_request
-        key = _sort_key(pending, now, work_s)
+        if self._uses_tags(slot_request):
+            pending.start_tag, pending.tag_cost = self._next_tags(slot_request, work_s)
+            self._finish_tags[slot_request.account] = pending.start_tag + pending.tag_cost
+        self._weights[slot_request.account_weight if slot_request.account else 0.0] += 1
+        key = _sort_key(pending, pending.start_tag, now, work_s)
         self._keys[slot_request.id] = key
         self._pending[slot_request.id] = pending
         insort(self._order, key)
-        self._by_priority[slot_request.priority] += 1
+        self._by_priority[slot_request.account_priority, slot_request.priority] += 1
         self._retries += slot_request.is_retry
 
     def remove(self, slot_request_id: str) -> PendingRequest | None:
-        """Remove and return a request, or return None if it isn't in the queue."""
+        """Remove and return a request that got no slot, or return None if it isn't queued."""
+        pending = self._take(slot_request_id)
+        if pending is not None and pending.tag_cost:
+            account = pending.slot_request.account
+            finish_tag = self._finish_tags.get(account, 0.0) - pending.tag_cost
+            self._finish_tags[account] = max(self._virtual_time, finish_tag)
+        return pending
+
+    def remove_granted(self, slot_request_id: str) -> None:
+        """Remove a request that got a slot."""
+        pending = self._take(slot_request_id)
+        if pending is not None:
+            self._virtual_time = max(self._virtual_time, pending.start_tag)
+
+    def charge(self, slot_request: SlotRequest, work_s: float) -> None:
+        """Count a request that got a slot without waiting as its account's share."""
+        if self._uses_tags(slot_request):
+            start_tag, cost = self._next_tags(slot_request, work_s)
+            self._finish_tags[slot_request.account] = start_tag + cost
+            self._virtual_time = max(self._virtual_time, start_tag)
+
+    def last(self) -> PendingRequest | None:
+        """Return the request that is granted a slot last, or None without any."""
+        return self._pending[self._order[-1][-1]] if self._order else None
+
+    def _take(self, slot_request_id: str) -> PendingRequest | None:
         pending = self._pending.pop(slot_request_id, None)
         if pending is None:
             return None
         del self._order[bisect_left(self._order, self._keys.pop(slot_request_id))]
-        self._by_priority[pending.slot_request.priority] -= 1
-        self._retries -= pending.slot_request.is_retry
+        slot_request = pending.slot_request
+        self._by_priority[slot_request.account_priority, slot_request.priority] -= 1
+        self._retries -= slot_request.is_retry
+        weight = slot_request.account_weight if slot_request.account else 0.0
+        self._weights[weight] -= 1
+        if not self._weights[weight]:
+            del self._weights[weight]
         return pending
 
     def remove_host(self, host: str) -> None:
@@ -93,13 +156,44 @@
         return due
 
     def reorder(self, now: float, work_s: float) -> None:
-        """Move the requests that miss their latency goal by now behind the others."""
+        """Move the requests that miss their latency goal by now behind the others.
+
+        Forgets the accounts that are served in full.
+        """
         for slot_request_id, pending in self._pending.items():
-            self._keys[slot_request_id] = _sort_key(pending, now, work_s)
+            self._keys[slot_request_id] = _sort_key(pending, pending.start_tag, now, work_s)
         self._order = sorted(self._keys.values())
+        if not self._pending:
+            self._finish_tags.clear()
+            self._virtual_time = 0.0
+
+    def _count_as_urgent(self, slot_request: SlotRequest) -> int:
+        priority = (slot_request.account_priority, slot_request.priority)
+        return sum(count for other, count in self._by_priority.items() if other <= priority)
+
+    def _uses_tags(self, slot_request: SlotRequest) -> bool:
+        """Return whether a request gets a start tag; requests without an account share one."""
+        return bool(slot_request.account or self._finish_tags)
+
+    def _next_tags(self, slot_request: SlotRequest, work_s: float) -> tuple[float, float]:
+        """Return the start tag of a new request, and what it adds to that for the finish tag.
+
+        An account without a limit weighs as much as the heaviest one that waits.
+        """
+        weight = slot_request.account_weight if slot_request.account else 0.0
+        weight = weight or max(self._weights, default=0.0) or 1.0
+        start_tag = max(self._virtual_time, self._finish_tags.get(slot_request.account, 0.0))
+        return start_tag, work_s / weight
 
 
-def _sort_key(pending: PendingRequest, now: float, work_s: float) -> _Key:
+def _sort_key(pending: PendingRequest, start_tag: float, now: float, work_s: float) -> _Key:
     slot_request = pending.slot_request
     misses_goal = pending.goal_at - now < work_s / 2
-    return slot_request.priority, misses_goal, pending.arrived_at, slot_request.id
+    return (
+        slot_request.account_priority,
+        slot_request.priority,
+        misses_goal,
+        start_tag,
+        pending.arrived_at,
+        slot_request.id,
+    )
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slottypes.py
@@ -29,7 +29,8 @@
     `retry_credit` is added to the broker's retry budget, in retries.
 
     `account` names the client account, or is empty.  Its priority goes before that of the route,
-    and its weight is its share of scarce slots relative to the other accounts.  `body_bytes` is the
+    and its weight is its share of scarce slots relative to the other accounts; 0 is that of the
+    heaviest one.  `body_bytes` is the
     size of the request's body.  If `allowed_targets` isn't empty, the attempt may use only these.
     """
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -289,7 +289,7 @@
             fingerprint=progress.fingerprint,
             account=account.name if account is not None else "",
             account_priority=account.priority if account is not None else 0,
-            account_weight=(account.rate_per_s if account is not None else 0.0) or 1.0,
+            account_weight=account.rate_per_s if account is not None else 1.0,
             body_bytes=len(progress.request.body),
             allowed_targets=tuple(progress.shed_by) if progress.asks_shedders else (),
         )
