Bound the body bytes that the fleet sends to one target at once

A target crashes if the requests that it holds exceed its memory, and slots bound only their number. A new broker gets the sizes from the hosts, in a field behind the others of held, which earlier versions ignore.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/localbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/localbroker.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any, Final, Protocol
 
 from logbook import Logger
@@ -144,12 +144,17 @@
         self._send_decisions(decisions)
 
     def adopt_host_state(
-        self, host: str, leases: list[list[Any]], results: list[list[Any]]
+        self,
+        host: str,
+        leases: list[list[Any]],
+        results: list[list[Any]],
+        body_sizes: Iterable[Sequence[Any]] = (),
     ) -> None:
         """Adopt the slots that a host holds and the outcomes that it observed.
 
         Each lease is [slot request id, target, ms left, fingerprint], each result [target, outcome,
-        age in ms].  Results are applied in order of time.
+        age in ms].  Results are applied in order of time.  `body_sizes` holds [slot request id,
+        bytes] of the leases with a body.
         """
         now = self._clock.now()
         self._broker.adopt_leases(
@@ -159,6 +164,7 @@
                 for lease_id, target, left_ms, fingerprint in leases
             ],
             now,
+            {str(lease_id): int(size) for lease_id, size in body_sizes},
         )
         for target, outcome, age_ms in sorted(results, key=lambda result: -result[2]):
             self._broker.adopt_result(str(target), AttemptOutcome(outcome), now - age_ms / 1000)
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -15,7 +15,7 @@
 
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from toucanspindle_entry.broker.activetargetfloor import ActiveTargetFloor
@@ -213,7 +213,7 @@
             self._targets[entry.name] = record
         for lease_id, lease in self._leases.items():
             if lease.target in self._targets:
-                self._targets[lease.target].leases.add(lease_id)
+                self._targets[lease.target].add_lease(lease_id, lease.body_bytes)
         self._active_floor.retain_targets(self._targets)
         self._limits.retain((name, r.entry.started_ms) for name, r in self._targets.items())
         self._candidates.set_records(self._targets)
@@ -289,19 +289,26 @@
         return self.grant_queued(now)
 
     def adopt_leases(
-        self, host: str, leases: Iterable[tuple[str, str, float, str]], now: float
+        self,
+        host: str,
+        leases: Iterable[tuple[str, str, float, str]],
+        now: float,
+        body_bytes: Mapping[str, int] | None = None,
     ) -> None:
         """Adopt a host's attempts in progress from an earlier broker.
 
         Each lease is (slot request id, target, seconds left, fingerprint).  Known ids are skipped.
+        `body_bytes` holds the sizes of the bodies by slot request id.
         """
         for slot_request_id, target, time_left_s, fingerprint in leases:
             if slot_request_id in self._leases:
                 continue
             expires_at = now + time_left_s + LEASE_GRACE_S
-            self._leases[slot_request_id] = Lease(host, target, now, expires_at, fingerprint)
+            lease = Lease(host, target, now, expires_at, fingerprint)
+            lease.body_bytes = (body_bytes or {}).get(slot_request_id, 0)
+            self._leases[slot_request_id] = lease
             if target in self._targets:
-                self._targets[target].leases.add(slot_request_id)
+                self._targets[target].add_lease(slot_request_id, lease.body_bytes)
         self._candidates.invalidate()
 
     def adopt_result(self, target: str, outcome: AttemptOutcome, observed_at: float) -> None:
@@ -335,7 +342,7 @@
         self._retry_budget.window.forget_spent()
         self._limits.forget_savings(now)
         for record in self._targets.values():
-            record.leases.clear()
+            record.clear_leases()
         self._candidates.invalidate()
 
     def release_host(self, host: str, now: float) -> list[Decision]:
@@ -558,8 +565,9 @@
             slot_request.fingerprint,
             slot_request.can_retry,
             retry_credit_at,
+            body_bytes=slot_request.body_bytes,
         )
-        record.leases.add(slot_request.id)
+        record.add_lease(slot_request.id, slot_request.body_bytes)
         self._unsettled.append((now, slot_request.id))
         self._limits.take(record.entry.name, record.entry.started_ms, now)
         self._active_floor.record_grant(record.entry.name, now)
@@ -674,7 +682,7 @@
         lease = self._leases.pop(slot_request_id, None)
         if lease is not None and lease.target in self._targets:
             record = self._targets[lease.target]
-            record.leases.discard(slot_request_id)
+            record.remove_lease(slot_request_id)
             self._candidates.update(record, now)
         return lease
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -107,6 +107,7 @@
     target: str
     expires_at: float
     fingerprint: str
+    body_bytes: int = 0
 
 
 class SlotClient:
@@ -239,7 +240,11 @@
                 self._recent_retries.record(service, self._clock.now())
             expires_at = self._clock.now() + slot_request.time_left_s
             self._held_slots[slot_request.id] = _HeldSlot(
-                service, decision.target, expires_at, slot_request.fingerprint
+                service,
+                decision.target,
+                expires_at,
+                slot_request.fingerprint,
+                slot_request.body_bytes,
             )
         return decision
 
@@ -277,7 +282,9 @@
         elif kind == "sync":
             self._send_held_state(ip, message[1])
         elif kind == "held":
-            self._local_broker(message[1]).adopt_host_state(ip, message[2], message[3])
+            self._local_broker(message[1]).adopt_host_state(
+                ip, message[2], message[3], message[7] if len(message) > 7 else ()
+            )
             for fingerprint, targets in message[4] if len(message) > 4 else ():
                 self._poison.tracker.adopt(str(fingerprint), targets, self._clock.now())
             notices = message[5] if len(message) > 5 else []
@@ -561,6 +568,11 @@
             for slot_request_id, held_slot in self._held_slots.items()
             if held_slot.service == service
         ]
+        body_sizes = [
+            [slot_request_id, held_slot.body_bytes]
+            for slot_request_id, held_slot in self._held_slots.items()
+            if held_slot.service == service and held_slot.body_bytes
+        ]
         results = [
             [target, outcome.value, int((now - ended_at) * 1000)]
             for ended_at, result_service, target, outcome in self._recent_results
@@ -568,7 +580,7 @@
         ]
         retries = self._recent_retries.of_service(service, now)
         if ip == self._own_ip:
-            self._local_broker(service).adopt_host_state(ip, leases, results)
+            self._local_broker(service).adopt_host_state(ip, leases, results, body_sizes)
             self._local_broker(service).adopt_retries(
                 (count, age_ms / 1000) for count, age_ms in retries
             )
@@ -576,7 +588,8 @@
         poison = self._poison.tracker.poison_messages(now)
         notices = [encode_notice(notice) for notice in self._targets.notices_of_service(service)]
         if self._endpoint is not None and (leases or results or poison or notices or retries):
-            self._endpoint.send(ip, ["held", service, leases, results, poison, notices, retries])
+            state = [leases, results, poison, notices, retries, body_sizes]
+            self._endpoint.send(ip, ["held", service, *state])
 
 
 def _withdrawal_report(slot_request_id: str, target: str) -> AttemptReport:
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotlease.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotlease.py
@@ -24,3 +24,4 @@
     retry_credit_at: float | None = None
     is_overdue: bool = False
     is_settled: bool = False
+    body_bytes: int = 0
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -13,7 +13,7 @@
     ["noted", id]
     ["sync", service]
     ["held", service, leases, results, poison messages as [fingerprint, targets], notices,
-     retries as [count, age ms]]
+     retries as [count, age ms], body sizes as [id, bytes]]
     ["crashed", service, fingerprint, targets]
     ["granted", service, [[notice, count], ...]]
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/targetcandidates.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/targetcandidates.py
@@ -119,8 +119,10 @@
         """Require no target for the floor until the next evaluation of all targets."""
         self._floor_due.clear()
 
-    def cheapest(self, failure_domain: str, excluded: Collection[str]) -> Candidate | None:
-        """Return the free target of least cost for a host of a failure domain."""
+    def cheapest(
+        self, failure_domain: str, excluded: Collection[str], body_bytes: int
+    ) -> Candidate | None:
+        """Return the free target of least cost for a host of a failure domain and a body."""
         best: Candidate | None = None
         best_cost = float("inf")
         for domain, available in self._available.items():
@@ -128,12 +130,15 @@
             for cost, name in available:
                 if cost + surcharge >= best_cost:
                     break
-                if name not in excluded:
-                    best, best_cost = self._candidates[name], cost + surcharge
+                candidate = self._candidates[name]
+                if name not in excluded and candidate.record.has_room_for_body(body_bytes):
+                    best, best_cost = candidate, cost + surcharge
                     break
         return best
 
-    def cheapest_of(self, names: Collection[str], excluded: Collection[str]) -> Candidate | None:
+    def cheapest_of(
+        self, names: Collection[str], excluded: Collection[str], body_bytes: int
+    ) -> Candidate | None:
         """Return the free target of least cost among a few, whatever their failure domains."""
         best: Candidate | None = None
         best_cost = float("inf")
@@ -141,7 +146,7 @@
             candidate = self._candidates.get(name)
             if candidate is None or candidate.cost is None or name in excluded:
                 continue
-            if candidate.cost < best_cost:
+            if candidate.cost < best_cost and candidate.record.has_room_for_body(body_bytes):
                 best, best_cost = candidate, candidate.cost
         return best
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/targetchoice.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/targetchoice.py
@@ -50,7 +50,7 @@
         slot_request = pending.slot_request
         if slot_request.allowed_targets:
             allowed = self._candidates.cheapest_of(
-                slot_request.allowed_targets, slot_request.excluded
+                slot_request.allowed_targets, slot_request.excluded, slot_request.body_bytes
             )
             return allowed.record if allowed is not None else None
         preferred = self._floor_target(slot_request, now) or (
@@ -58,7 +58,9 @@
         )
         if preferred is not None:
             return preferred
-        best = self._candidates.cheapest(slot_request.failure_domain, slot_request.excluded)
+        best = self._candidates.cheapest(
+            slot_request.failure_domain, slot_request.excluded, slot_request.body_bytes
+        )
         if best is None:
             return None
         should_avoid_best = (
@@ -111,6 +113,7 @@
             candidate
             for candidate in self._candidates.floor_due
             if candidate.record.entry.name not in slot_request.excluded
+            and candidate.record.has_room_for_body(slot_request.body_bytes)
         ]
         if not due:
             return None
@@ -132,7 +135,8 @@
         wait_s = NEW_TARGET_DELAY_RETRYABLE_S if slot_request.can_retry else NEW_TARGET_DELAY_S
         for record in self._candidates.unused:
             is_excluded = record.entry.name in slot_request.excluded
-            if not is_excluded and now - record.joined_at > wait_s:
+            has_room = record.has_room_for_body(slot_request.body_bytes)
+            if not is_excluded and has_room and now - record.joined_at > wait_s:
                 return record
         return None
 
