--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -16,7 +16,7 @@
 import dataclasses
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from toucanspindle_entry.broker.activetargetfloor import ActiveTargetFloor
@@ -121,6 +121,7 @@
         self._unsettled: deque[tuple[float, str]] = deque()  # Time of the grant, slot request id.
         self._ended_at: dict[str, float] = {}
         self._refusals: dict[str, tuple[float, Refused]] = {}
+        self._evicted: list[Decision] = []  # Refusals that are told at the next tick.
 
     @property
     def slots_in_use(self) -> int:
@@ -221,7 +222,7 @@
             self._targets[entry.name] = record
         for lease_id, lease in self._leases.items():
             if lease.target in self._targets:
-                self._targets[lease.target].leases.add(lease_id)
+                self._targets[lease.target].add_lease(lease_id, lease.body_bytes)
         self._active_floor.retain_targets(self._targets)
         self._limits.retain((name, r.entry.started_ms) for name, r in self._targets.items())
         self._candidates.set_records(self._targets)
@@ -265,10 +266,11 @@
         )
         if slot_request.is_retry and self._shedding.saves_credit(now):
             return self._send_or_hold(pending, now)
-        if not self._queue.count_ahead_of(slot_request.priority):
+        if not self._queue.has_as_urgent(slot_request):
             self._candidates.refresh(now)
             target = self._choice.choose(pending, self._mean_work_s, now)
             if target is not None:
+                self._queue.charge(slot_request, self._mean_work_s)
                 return self._grant(pending, target, now)
         return self._enqueue_or_refuse(pending, now)
 
@@ -325,19 +327,26 @@
         return self.grant_queued(now)
 
     def adopt_leases(
-        self, host: str, leases: Iterable[tuple[str, str, float, str]], now: float
+        self,
+        host: str,
+        leases: Iterable[tuple[str, str, float, str]],
+        now: float,
+        body_bytes: Mapping[str, int] | None = None,
     ) -> None:
         """Adopt a host's attempts in progress from an earlier broker.
 
         Each lease is (slot request id, target, seconds left, fingerprint).  Known ids are skipped.
+        `body_bytes` holds the sizes of the bodies by slot request id.
         """
         for slot_request_id, target, time_left_s, fingerprint in leases:
             if slot_request_id in self._leases:
                 continue
             expires_at = now + time_left_s + LEASE_GRACE_S
-            self._leases[slot_request_id] = Lease(host, target, now, expires_at, fingerprint)
+            lease = Lease(host, target, now, expires_at, fingerprint)
+            lease.body_bytes = (body_bytes or {}).get(slot_request_id, 0)
+            self._leases[slot_request_id] = lease
             if target in self._targets:
-                self._targets[target].leases.add(slot_request_id)
+                self._targets[target].add_lease(slot_request_id, lease.body_bytes)
         self._candidates.invalidate()
 
     def adopt_result(self, target: str, outcome: AttemptOutcome, observed_at: float) -> None:
@@ -371,7 +380,7 @@
         self._retry_budget.window.forget_spent()
         self._limits.forget_savings(now)
         for record in self._targets.values():
-            record.leases.clear()
+            record.clear_leases()
         self._candidates.invalidate()
 
     def release_host(self, host: str, now: float) -> list[Decision]:
@@ -435,7 +444,7 @@
             passed_over = 0
             grants.append((pending, self._grant(pending, target, now)))
         for pending, _ in grants:
-            self._queue.remove(pending.slot_request.id)
+            self._queue.remove_granted(pending.slot_request.id)
         return [grant for _, grant in grants]
 
     def _send_or_hold(self, pending: PendingRequest, now: float) -> Decision:
@@ -521,9 +530,15 @@
     def _enqueue_or_refuse(self, pending: PendingRequest, now: float) -> Decision:
         """Queue a request, or refuse it if the queue is full or the expected wait too long."""
         slot_request = pending.slot_request
-        requests_ahead = self._queue.count_ahead_of(slot_request.priority)
+        requests_ahead = self._queue.count_ahead_of(pending, now, self._mean_work_s)
         wait_s = (requests_ahead + 1) * self._mean_work_s / max(1.0, self._healthy_slots(now))
-        if len(self._queue) >= MAX_QUEUE_LENGTH or wait_s > self._max_wait_s(slot_request):
+        is_full = len(self._queue) >= MAX_QUEUE_LENGTH
+        last = self._queue.last() if is_full and self._queue.shares_by_account else None
+        if last is not None and requests_ahead < len(self._queue):
+            # The last one is of the account that is furthest above its share.
+            self._evicted.append(self._refuse_waiting(last, now))
+            is_full = False
+        if is_full or wait_s > self._max_wait_s(slot_request):
             retry_after_s = max(self._retry_after_s(now), wait_s / 2)
             return Refused(
                 slot_request.id, slot_request.host, RefusalReason.OVERLOADED, retry_after_s
@@ -543,21 +558,36 @@
         )
 
     def _refuse_unservable(self, now: float) -> list[Decision]:
-        """Remove and refuse queued requests that can't finish before their deadline."""
-        decisions: list[Decision] = []
+        """Remove and refuse queued requests that can't finish before their deadline.
+
+        Where accounts share, those that came later may have gone ahead, so the expected wait is
+        checked again.
+        """
+        decisions, self._evicted = self._evicted, []
         unservable = self._queue.remove_due_before(now + self._mean_work_s / 2)
         unservable += self._shedding.remove_unservable(self._mean_work_s, now)
-        for pending in unservable:
-            slot_request = pending.slot_request
-            refusal = Refused(
-                slot_request.id,
-                slot_request.host,
-                RefusalReason.OVERLOADED,
-                self._retry_after_s(now),
-            )
-            self._remember_refusal(refusal, now)
-            decisions.append(refusal)
-        return decisions
+        if self._queue.shares_by_account:
+            wait_per_request_s = self._mean_work_s / max(1.0, self._healthy_slots(now))
+            latest_s = now + self._mean_work_s / 2
+            unservable += [
+                pending
+                for ahead, pending in enumerate(self._queue)
+                if latest_s + ahead * wait_per_request_s > pending.deadline_at
+            ]
+        return decisions + [self._refuse_waiting(pending, now) for pending in unservable]
+
+    def _refuse_waiting(self, pending: PendingRequest, now: float) -> Refused:
+        """Remove and refuse a request that waits."""
+        slot_request = pending.slot_request
+        self._queue.remove(slot_request.id)
+        refusal = Refused(
+            slot_request.id,
+            slot_request.host,
+            RefusalReason.OVERLOADED,
+            self._retry_after_s(now),
+        )
+        self._remember_refusal(refusal, now)
+        return refusal
 
     def _grant(self, pending: PendingRequest, record: TargetRecord, now: float) -> Grant:
         slot_request = pending.slot_request
@@ -575,8 +605,9 @@
             slot_request.fingerprint,
             slot_request.can_retry,
             retry_credit_at,
+            body_bytes=slot_request.body_bytes,
         )
-        record.leases.add(slot_request.id)
+        record.add_lease(slot_request.id, slot_request.body_bytes)
         self._unsettled.append((now, slot_request.id))
         self._limits.take(record.entry.name, record.entry.started_ms, now)
         self._active_floor.record_grant(record.entry.name, now)
@@ -694,7 +725,7 @@
         lease = self._leases.pop(slot_request_id, None)
         if lease is not None and lease.target in self._targets:
             record = self._targets[lease.target]
-            record.leases.discard(slot_request_id)
+            record.remove_lease(slot_request_id)
             self._candidates.update(record, now)
         return lease
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -13,7 +13,7 @@
     ["noted", id]
     ["sync", service]
     ["held", service, leases, results, poison messages as [fingerprint, targets], notices,
-     retries as [count, age ms]]
+     retries as [count, age ms], body sizes as [id, bytes]]
     ["crashed", service, fingerprint, targets]
     ["granted", service, [[notice, count], ...]]
 
@@ -79,7 +79,7 @@
     """Return the service and the slot request of an `ask` message; `host` is the sender.
 
     Hosts of earlier versions send no retry credit and nothing behind it.  Raises ValueError if a
-    number is negative, or the weight isn't positive.
+    number is negative.
     """
     _, slot_request_id, service, failure_domain, priority, time_left_ms, goal_left_ms, *options = (
         message
@@ -90,7 +90,7 @@
         additions[1:8] if len(additions) > 7 else ("", 0, 1.0, 0, (), 0, 0)
     )
     rejected_before, is_hedge = counts
-    if min(retry_credit, body_bytes, rejected_before) < 0 or account_weight <= 0:
+    if min(retry_credit, body_bytes, rejected_before, account_weight) < 0:
         raise ValueError(f"invalid numbers in a slot request: {additions}")
     slot_request = SlotRequest(
         id=str(slot_request_id),
