--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -290,7 +290,9 @@
                 slot_request.id, slot_request.host, RefusalReason.RETRY_BUDGET_EXHAUSTED, 0.0
             )
         self._candidates.refresh(now)
-        best = self._candidates.cheapest(slot_request.failure_domain, slot_request.excluded)
+        best = self._candidates.cheapest(
+            slot_request.failure_domain, slot_request.excluded, slot_request.body_bytes
+        )
         if best is None or best.unhealthy_probability > AVOID_MIN_UNHEALTHY:
             return Refused(slot_request.id, slot_request.host, RefusalReason.OVERLOADED, 0.0)
         self._hedging.record_hedge(now)
