--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -604,8 +604,12 @@
         """Return whether the plan is listed to confirm it, rather than only watched.
 
         A listing of a plan that can't be decoded doesn't tell whether a valid one came before it.
+        The second watcher of a failure domain mostly learns of the first one's listings.
         """
-        return self._is_plan_small and not self._plan_listener.is_unreadable
+        if not self._is_plan_small or self._plan_listener.is_unreadable:
+            return False
+        age_s = self._freshness.age_s(self._clock.now())
+        return self._relay.is_first_of_domain or age_s > ASK_WATCHER_AGE_S
 
     async def _keep_plan_confirmed(self) -> None:
         """Ask other hosts, and then the store, for a newer confirmation; log changes of state."""
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storerelay.py
@@ -88,6 +88,12 @@
         own = self._hosts.own
         return own.ip in self.watchers_of(own.failure_domain)
 
+    @property
+    def is_first_of_domain(self) -> bool:
+        """Whether this host is the first watcher of its failure domain."""
+        own = self._hosts.own
+        return self.watchers_of(own.failure_domain)[:1] == [own.ip]
+
     @property
     def spares_calls(self) -> bool:
         """Whether calls that each host would make are to be avoided now."""
