Give substitute keepers half of the limits, and end partitions without debits

A share by the hosts that had turned to a substitute starved small accounts, whose hosts ask rarely; the total of a side of a partition was taken off again when it ended.

--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
@@ -51,8 +51,11 @@
 NO_CONTACT_S: Final = 0.8  # Three probes without an answer.
 # What was sent to this host while it was suspended is read within this time after it woke up.
 STALE_MESSAGES_S: Final = 0.1
-SUBSTITUTE_MEMORY_S: Final = 2.0  # How long a host counts that asked this one instead of another.
+# Of the limits, for a host that is asked although another one is first in rank and believed alive.
+# It probes that one, so within 0.5 s they reach each other, or this host is the first.
+SUBSTITUTE_SHARE: Final = 0.5
 DEBIT_PEER_MEMORY_S: Final = 120.0  # Hosts dead for longer get no debits.
+MIN_DEBITED_SHARE: Final = 0.9  # With fewer hosts alive this host has known of a partition.
 DEBIT_REPEAT_S: Final = 0.3
 DEBIT_MEMORY_S: Final = 5.0  # A total ends this long after the last grant.
 MAX_DEBIT_PEERS: Final = 3
@@ -152,8 +155,6 @@
         self._questions: dict[str, tuple[str, asyncio.Future[QuotaAnswer]]] = {}
         self._skipped_until: dict[str, float] = {}
         self._answers: dict[tuple[str, str], tuple[QuotaAnswer, float]] = {}
-        # By a host that others found silent: who asked this one instead, and when.
-        self._substituted: dict[str, dict[str, float]] = {}
         self._debits: dict[str, _DebitTotal] = {}
         # The last total of other hosts and when it came, by host and account.
         self._debited: dict[tuple[str, str], tuple[int, float]] = {}
@@ -419,6 +420,10 @@
             first_since = self._trusted_since
         if is_new and now - age_s < max(first_since, self._trusted_since):
             return
+        live_share = (len(self._hosts.alive_ips()) + 1) / self._hosts.possible_hosts
+        if is_new and live_share < MIN_DEBITED_SHARE:
+            # A partition ends; each side has granted its own part of the limits.
+            return
         if count := total if is_new else total - known:
             self._keeper.debit(account, count, now)
 
@@ -432,7 +437,7 @@
         self._ranking.update(now)
         account = question.account
         answer = self._keeper.ask(
-            account, self._limits_in_force(question), question.wanted, self._role(ip, account), now
+            account, self._limits_in_force(question), question.wanted, self._role(account), now
         )
         if ip != self._own_ip:
             self._answers[key] = (answer, now)
@@ -449,8 +454,8 @@
         account = self._index.named(question.account)
         return question.limits if account is None else self._limits(account)
 
-    def _role(self, ip: str, account: str) -> KeeperRole:
-        """Return the role of this host for an account that `ip` asks it about."""
+    def _role(self, account: str) -> KeeperRole:
+        """Return the role of this host for an account that it is asked about."""
         now = self._clock.now()
         hosts = self._hosts.possible_hosts
         first_since = self._ranking.first_since(account)
@@ -460,11 +465,8 @@
                 share = 1 / hosts
             return KeeperRole(max(first_since, self._trusted_since), share)
         first = next(ip for ip in self._ranking.ranked(account) if self._ranking.is_alive(ip))
-        if first not in self._substituted:
-            self._check_host(first)
-        asked_by = self._substituted.setdefault(first, {})
-        asked_by[ip] = now
-        return KeeperRole(None, min(1.0, len(asked_by) / hosts))
+        self._check_host(first)
+        return KeeperRole(None, SUBSTITUTE_SHARE)
 
     def _debit_peers(self, account: str, now: float) -> list[str]:
         """Return the hosts ranked before this one that may grant credit of an account as well."""
@@ -502,12 +504,6 @@
             if now - answered_at <= ANSWER_MEMORY_S:
                 break
             del self._answers[key]
-        for first, asked_by in list(self._substituted.items()):
-            for ip, asked_at in list(asked_by.items()):
-                if now - asked_at > SUBSTITUTE_MEMORY_S:
-                    del asked_by[ip]
-            if not asked_by:
-                del self._substituted[first]
         self._lone.sweep(now)
         for change in self._keeper.sweep(now):
             log.info(
--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
@@ -241,7 +241,6 @@
 
     def _capacity(self, limits: AccountLimits, role: KeeperRole) -> float:
         if role.first_since is None:
-            # The share of a substitute grows from nothing with the hosts that turn to it.
             return self._rules.takeover_credit(limits)
         return self._rules.capacity(limits, role.share)
 
