--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -605,7 +605,8 @@
             now,
             expires_at,
             slot_request.fingerprint,
-            slot_request.can_retry,
+            # A hedge that fails isn't the end of its request either.
+            slot_request.can_retry or slot_request.is_hedge,
             retry_credit_at,
             body_bytes=slot_request.body_bytes,
         )
@@ -689,6 +690,10 @@
                 min(relative_work, MAX_RELATIVE_WORK) - record.slowness
             )
             self._poison_tracker.record_answer(report.fingerprint, now)
+        elif outcome is AttemptOutcome.CANCELLED:
+            # It would have taken longer, so it can only show that the target is slower.
+            relative_work = min(report.work_s / max(self._mean_work_s, 0.001), MAX_RELATIVE_WORK)
+            record.slowness += SLOWNESS_SMOOTHING * max(0.0, relative_work - record.slowness)
         elif outcome is AttemptOutcome.SHED:
             record.paused_until = now + SHED_PAUSE_S
         elif outcome in {AttemptOutcome.CONNECT_FAILED, AttemptOutcome.MISDIRECTED}:
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotmessages.py
@@ -6,7 +6,7 @@
      excluded, fingerprint, retry credit, account, account priority, account weight, body bytes,
      allowed targets, rejected before, is hedge]
     ["grant", id, service, target, unhealthy probability, estimate age ms, address, started ms,
-     entry revision, era of the entry]
+     entry revision, era of the entry, hedge after ms]
     ["queued", id]
     ["refused", id, reason, retry after ms]
     ["end", service, id, target, outcome, work ms, fingerprint, notice]
@@ -23,7 +23,8 @@
 `sync` when it takes over.  `crashed` is described in `poisonsharing`.  A broker sends `granted` to
 the hosts that may be brokers too for its grants of targets that limit their requests.  `id` is that
 of the slot request.  A notice is encoded as in `targetnotices`; it is null if the target sent no
-response.  The era of the store that the entry's revision belongs to is left out if it is 0.
+response.  The era of the store that the entry's revision belongs to is left out if it is 0 and
+nothing follows; `hedge after` is sent only if the attempt may be hedged.
 """
 
 from toucanspindle_entry.broker.slottypes import (
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/hedgedattempts.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/hedgedattempts.py
@@ -31,7 +31,7 @@
     """The attempts of one repeatable request.
 
     `second` returns None if no second attempt is allowed.  `is_final` tells whether a result ends
-    the request; it is called once for each result.
+    the request.
     """
 
     request: RepeatableRequest
@@ -45,20 +45,24 @@
     async def run(self, delay_s: float) -> list[Result]:
         """Run the first attempt, and the second one too if the first takes longer than `delay_s`.
 
-        Returns the results of the attempts that have ended; a final one is the last.  The attempt
-        that is then still running is cancelled.  If no result is final, both attempts have ended.
+        Returns the results of the attempts that have ended.  The last one is final, or both
+        attempts have ended.  An attempt that is still running then is cancelled, and a second
+        final result of the same moment is dropped.
         """
-        tasks: set[asyncio.Future[Result | None]] = {asyncio.ensure_future(self._run_first())}
+        tasks: list[asyncio.Future[Result | None]] = [asyncio.ensure_future(self._run_first())]
         results: list[Result] = []
         try:
             done, running = await asyncio.wait(tasks, timeout=delay_s)
             if running:
-                tasks.add(asyncio.ensure_future(self.second()))
+                tasks.append(asyncio.ensure_future(self.second()))
                 done, running = set(), set(tasks)
             while True:
-                ended = [result for task in done if (result := task.result()) is not None]
-                results += sorted(ended, key=self.is_final)
-                if (ended and self.is_final(results[-1])) or not running:
+                for task in (task for task in tasks if task in done):
+                    result = task.result()
+                    if result is not None and self.is_final(result):
+                        return [*results, result]
+                    results += [result] if result is not None else []
+                if not running:
                     return results
                 done, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
         finally:
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -252,13 +252,9 @@
         if routes.accounts is None or route.is_public:
             return None
         keys = [value for name, value in request.headers if name == self._header_names.account_key]
-        key = keys[0].strip(b" \t").decode("latin-1") if len(keys) == 1 else ""
-        account = routes.accounts.find(key)
-        if account is not None:
-            # The time of this check counts, not that of the arrival: the host may have been
-            # suspended between the two.
-            if self._freshness.may_run_keyed(self._clock.now()):
-                return account
+        # The time of this check counts, not that of the arrival: the host may have been suspended
+        # between the two.  A key that isn't known may have been added meanwhile.
+        if keys and not self._freshness.may_run_keyed(self._clock.now()):
             self._metrics.count_unconfirmed_key()
             return answers.error_response(
                 errorcodes.ACCOUNT_KEYS_UNCONFIRMED,
@@ -267,6 +263,10 @@
                 503,
                 UNCONFIRMED_RETRY_AFTER_S,
             )
+        key = keys[0].strip(b" \t").decode("latin-1") if len(keys) == 1 else ""
+        account = routes.accounts.find(key)
+        if account is not None:
+            return account
         return answers.error_response(
             errorcodes.ACCOUNT_KEY_UNKNOWN,
             f"The request has no key of a client account of version {routes.plan.version}.",
@@ -343,7 +343,10 @@
                 self._metrics.count_hedge(progress.service, "refused")
                 return None
             self._metrics.count_hedge(progress.service, "sent")
-            return second, await self._run_attempt(progress, second)
+            attempt = await self._run_attempt(progress, second)
+            # What a hedge lacks is no reason against a retry after the first attempt.
+            progress.lacks_connection = progress.lacks_memory = False
+            return second, attempt
 
         def is_final(ended: tuple[SlotGrant, _AttemptResult]) -> bool:
             is_answer = _is_answer(ended[1])
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storewatch.py
@@ -327,7 +327,9 @@
             return
         sent_at, watched_revision = self._clock.now(), self._revision
         is_paused = sent_at - self._answered_at > MAX_WATCH_PAUSE_S
-        if self._on_answer is not None and is_paused and not self._confirms_by_listing():
+        # Asked once: an answer that follows a pause must not count because it changes meanwhile.
+        confirms_by_listing = self._on_answer is not None and self._confirms_by_listing()
+        if self._on_answer is not None and is_paused and not confirms_by_listing:
             self._revision = None
             return
         changes = await self._wait_for_changes(watched_revision)
@@ -346,7 +348,7 @@
             self._apply(changes)
         elif not changes.changes and self._exchange is not None and self._exchange.spares_calls:
             self._exchange.announce()
-        if self._on_answer is not None and self._confirms_by_listing():
+        if confirms_by_listing:
             await self._confirm_by_listing()
         elif changes.revision >= watched_revision:  # Otherwise the store went back.
             self._note_answer(sent_at)
