--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -48,19 +48,17 @@
     FleetPlan,
     HostEntry,
     TargetEntry,
-    TargetState,
 )
 from toucanspindle_entry.settings import EntrySettings
 from toucanspindle_entry.store.missedchanges import MissedChanges
 from toucanspindle_entry.store.objectstore import (
     ObjectKind,
     ObjectStore,
-    StoreChanges,
-    StoreListing,
 )
 from toucanspindle_entry.store.storerelay import StoreRelay
 from toucanspindle_entry.store.storesnapshot import StoreSnapshots
 from toucanspindle_entry.store.storewatch import REGISTRATION_GRACE_S, StoreWatch
+from toucanspindle_entry.storelisteners import PlanListener, TargetListener
 from toucanspindle_entry.targets.targetconnectionpool import TargetConnectionPool
 from toucanspindle_entry.targets.targettable import TargetTable
 
@@ -140,76 +138,6 @@
         ...
 
 
-class _PlanListener:
-    """Applies plans from the store; the node ignores versions that are not newer."""
-
-    def __init__(self, node: "EntryNode") -> None:
-        self._node = node
-
-        self.plan_name: str | None = None
-        # Version of the newest plan that the store has shown, or None without one.
-        self.shown_version: int | None = None
-        # Whether the plan that the store has now can't be decoded.
-        self.is_unreadable = False
-
-    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
-        # A plan that can't be decoded counts as none here: a valid one may have come before it.
-        self.shown_version = None
-        self.is_unreadable = True
-        for item in listing.items:
-            if isinstance(item.value, FleetPlan):
-                self._apply(item.name, item.value)
-
-    def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:  # noqa: ARG002
-        # A plan that can't be decoded is passed over, since this host has seen all before it.
-        for change in changes.changes:
-            if isinstance(change.value, FleetPlan) and not change.removed:
-                self._apply(change.name, change.value)
-            elif change.removed and change.name == self.plan_name:
-                self.shown_version = None
-            elif change.name in {self.plan_name, ""}:  # An unreadable object may have no name.
-                self.is_unreadable = True
-
-    def _apply(self, name: str, plan: FleetPlan) -> None:
-        self.plan_name = name
-        self.is_unreadable = False
-        self.shown_version = plan.version
-        self._node.apply_plan(plan)
-
-
-class _TargetListener:
-    """Applies target registrations from the store to the target table."""
-
-    def __init__(self, node: "EntryNode", table: TargetTable) -> None:
-        self._node = node
-        self._table = table
-
-    def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:
-        entries = [item.value for item in listing.items if isinstance(item.value, TargetEntry)]
-        for entry in entries:
-            if (known := self._table.get(entry.name)) is not None:
-                _log_target_change(known, entry)
-        self._table.begin_era(listing.era, grace_until or 0.0)
-        self._table.replace_all(entries, grace_until)
-        self._table.advance_to(listing.revision)
-        self._node.targets_changed()
-
-    def on_changes(self, changes: StoreChanges, grace_until: float | None) -> None:
-        for change in changes.changes:
-            self._table.record_change(change.revision)
-            if isinstance(change.value, TargetEntry) and not change.removed:
-                _log_target_change(self._table.get(change.name), change.value)
-                self._table.register(change.value)
-            elif grace_until is not None:
-                log.info("event=target_unconfirmed target={}", change.name)
-                self._table.mark_unconfirmed(change.name, grace_until)
-            else:
-                log.info("event=target_removed target={}", change.name)
-                self._table.remove(change.name)
-        self._table.advance_to(changes.revision)
-        self._node.targets_changed()
-
-
 class EntryNode:
     """One entry process; each instance has a new random incarnation id."""
 
@@ -294,7 +222,7 @@
         self._snapshots = StoreSnapshots(
             self._hosts, self._relay, self._datagrams.send, settings.seeds, self._rng
         )
-        self._plan_listener = _PlanListener(self)
+        self._plan_listener = PlanListener(self.apply_plan)
         self._plan_watch = self._create_watch(
             ObjectKind.PLAN,
             self._plan_listener,
@@ -302,7 +230,7 @@
             self._lists_plan,
         )
         self._target_watch = self._create_watch(
-            ObjectKind.TARGETS, _TargetListener(self, self._targets)
+            ObjectKind.TARGETS, TargetListener(self._targets, self.targets_changed)
         )
         watches = {ObjectKind.PLAN: self._plan_watch, ObjectKind.TARGETS: self._target_watch}
         self._relay.set_watches(watches)
@@ -741,7 +669,7 @@
     def _create_watch(
         self,
         kind: ObjectKind,
-        listener: _PlanListener | _TargetListener,
+        listener: PlanListener | TargetListener,
         on_answer: Callable[[float], None] | None = None,
         confirms_by_listing: Callable[[], bool] = lambda: False,
     ) -> StoreWatch:
@@ -805,17 +733,3 @@
 def _suspended_since_boot_s() -> float:
     """Return how long this host was suspended since boot, in seconds."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
-
-
-def _log_target_change(old: TargetEntry | None, new: TargetEntry) -> None:
-    if old is None:
-        log.info(
-            "event=target_joined target={} service={} address={}",
-            new.name,
-            new.service,
-            new.address,
-        )
-    elif old.started_ms != new.started_ms:
-        log.info("event=target_restarted target={}", new.name)
-    elif old.state is not new.state and new.state is TargetState.DRAINING:
-        log.info("event=target_draining target={} service={}", new.name, new.service)
--- a/tests/test_entry_storerelay.py
+++ b/tests/test_entry_storerelay.py
@@ -8,12 +8,11 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine
-from typing import Any, Final, cast
+from typing import Any, Final
 
 from testtools import TestCase
 from toucanspindle_core import errorcodes
 from toucanspindle_core.errors import PlatformError
-from toucanspindle_entry.entrynode import EntryNode, _TargetListener
 from toucanspindle_entry.hosts.datagrams import Message
 from toucanspindle_entry.hosts.livehosts import LiveHosts
 from toucanspindle_entry.model import (
@@ -35,6 +34,7 @@
 from toucanspindle_entry.store.storemessages import decode_progress, encode_progress
 from toucanspindle_entry.store.storerelay import StoreRelay
 from toucanspindle_entry.store.storewatch import StoreProgress, StoreWatch
+from toucanspindle_entry.storelisteners import TargetListener
 from toucanspindle_entry.targets.targettable import TargetTable
 
 from tests.entrycase import target
@@ -158,7 +158,7 @@
         self.known: dict[str, Any] = {}
         self.graces: list[bool] = []
         self.table = TargetTable(LoopClock())
-        self._table_listener = _TargetListener(cast(EntryNode, self), self.table)
+        self._table_listener = TargetListener(self.table, self.targets_changed)
         rng = random.Random(ip)
         self.hosts = LiveHosts(HostEntry(ip, ip, domain, ip), rng)
         self.relay = StoreRelay(
