End a connection whose last response isn't read

A connection that closes after its last response returned before the stall check started, and the transport closes only once its buffer is empty. So a caller that read nothing held the connection and its response without limit. The test fails (times out) without the change.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -469,6 +469,9 @@
             not self._is_write_paused and not transport.is_closing() and self._write_next(transport)
         ):
             if self._closes_after_unsent and self._unsent is None:
+                # The transport closes only once the caller has taken its buffer.
+                if self._stall_check is not None:
+                    self._stall_check.start(self._owner.caller_stall_s)
                 self._close_gracefully()
                 return
         if transport.is_closing():
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -81,6 +81,8 @@
             body = BodyBuffer(self.owner.memory.lease())
             body.append(b"x" * LARGE_RESPONSE_BYTES)
             return CallerResponse(200, [], body)
+        if request.path == "/bytes":
+            return CallerResponse(200, [], b"x" * 200_000)
         return CallerResponse(200, [(b"x-kept", b"1")], request.path.encode())
 
     def run_client(self, client: Client, timeout_s: float = 5) -> None:
@@ -345,6 +347,24 @@
         gc.collect()
         self.assertEqual(0, self.owner.memory.held_bytes)
 
+    def test_unread_last_response_ends_the_connection(self) -> None:
+        """Guards against connections without a stall limit once their last response is written."""
+        self.owner.caller_stall_s = 0.4
+
+        async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with socket.socket() as sock:
+                sock.setblocking(False)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(sock, writer.get_extra_info("peername"))
+                request = b"GET /bytes HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                await loop.sock_sendall(sock, request)
+                while not self.owner.stalled:
+                    await asyncio.sleep(0.01)
+
+        self.run_client(client)
+        self.assertEqual(1, self.owner.stalled)
+
 
 class MemoryTests(CallerCase):
     """Uploads of callers when the process has no memory for them."""
