Never shed a connection that runs a request behind an unread response

When an earlier response isn't read while a later pipelined request runs, the connection counted as blocked and could be shed, so its request was cancelled although it may have run. It now counts as busy until the handlers return. The test fails without the change: the request is cancelled.

--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -314,11 +314,18 @@
         if self._port.turns is not None:
             self._port.turns.forget(self)
 
+    @property
+    def _runs_request(self) -> bool:
+        """Whether a request has been started and its handler hasn't returned."""
+        return any(
+            exchange.task is not None and exchange.response is None for exchange in self._exchanges
+        )
+
     def _update_phase(self) -> None:
         """Tell the table of connections what this one does now."""
         if self._is_closing:
             phase = ConnectionPhase.CLOSING
-        elif self._is_write_paused:
+        elif self._is_write_paused and not self._runs_request:
             phase = ConnectionPhase.BLOCKED
         elif self._exchanges or self._unsent is not None:
             phase = ConnectionPhase.BUSY
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -12,7 +12,7 @@
 from toucanspindle_entry.bodybuffer import BodyBuffer
 from toucanspindle_entry.callers.callerconnection import MAX_PIPELINED, CallerConnection
 from toucanspindle_entry.callers.callermessages import CallerRequest, CallerResponse
-from toucanspindle_entry.callers.connectiontable import CallerPort
+from toucanspindle_entry.callers.connectiontable import CallerPort, ConnectionTable
 from toucanspindle_entry.callers.requestreader import RequestReader
 from toucanspindle_entry.callers.workturns import WorkTurns
 from toucanspindle_entry.memoryaccount import MemoryAccount
@@ -85,16 +85,17 @@
             return CallerResponse(200, [], b"x" * 200_000)
         return CallerResponse(200, [(b"x-kept", b"1")], request.path.encode())
 
-    def run_client(self, client: Client, timeout_s: float = 5) -> None:
+    def run_client(
+        self, client: Client, timeout_s: float = 5, port: CallerPort | None = None
+    ) -> None:
         async def run() -> None:
             loop = asyncio.get_running_loop()
             server = await loop.create_server(
-                lambda: CallerConnection(self.owner, self.handle_request, MonotonicClock()),
+                lambda: CallerConnection(self.owner, self.handle_request, MonotonicClock(), port),
                 "127.0.0.1",
                 0,
             )
-            port = server.sockets[0].getsockname()[1]
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
             try:
                 async with asyncio.timeout(timeout_s):
                     await client(reader, writer)
@@ -347,6 +348,23 @@
         gc.collect()
         self.assertEqual(0, self.owner.memory.held_bytes)
 
+    def test_connection_with_a_running_request_is_not_shed(self) -> None:
+        """Guards against ending a request that runs behind a response that isn't read."""
+
+        async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(get_request("/large") + get_request("/never"))
+            while not any(connection._is_write_paused for connection in self.owner.connections):
+                await asyncio.sleep(0.01)
+            other_reader, other_writer = await asyncio.open_connection(
+                *writer.get_extra_info("peername")
+            )
+            # The new connection is shed in place of the one that is busy.
+            self.assertEqual(b"", await other_reader.read())
+            self.assertEqual([], self.cancelled)
+            other_writer.close()
+
+        self.run_client(client, port=CallerPort(ConnectionTable("callers", 1, lambda: 0.0)))
+
     def test_unread_last_response_ends_the_connection(self) -> None:
         """Guards against connections without a stall limit once their last response is written."""
         self.owner.caller_stall_s = 0.4
