State the time that is left in each send of a slot request

Resends, renewals and moves to another broker repeated the times of the first send, so a broker that took over counted the deadline and the goal anew. The client keeps both moments and computes the times at each send. A held slot that is reported to a new broker expires at the same deadline. The test fails without the change: all sends state the same time.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -92,15 +92,26 @@
 class _PendingRequest:
     """A slot request without a decision; `answered` is set by each answer, `queued` included.
 
-    `broker` is the host that is asked now.
+    `broker` is the host that is asked now.  `deadline_at` and `goal_at` are in seconds of the
+    client's clock; the times left in `slot_request` are those of the first send.
     """
 
     service: str
     slot_request: SlotRequest
+    deadline_at: float
+    goal_at: float
     future: asyncio.Future[SlotGrant | Refused]
     answered: asyncio.Event
     broker: str = ""
 
+    def slot_request_at(self, now: float) -> SlotRequest:
+        """Return the slot request with the times that are left now."""
+        return dataclasses.replace(
+            self.slot_request,
+            time_left_s=max(0.0, self.deadline_at - now),
+            goal_left_s=max(0.0, self.goal_at - now),
+        )
+
 
 @dataclass
 class _HeldSlot:
@@ -207,17 +218,23 @@
         the host, failure domain and retry credit of the slot request.
         """
         own = self._hosts.own
+        now = self._clock.now()
         slot_request = dataclasses.replace(
             slot_request,
             host=own.ip,
             failure_domain=own.failure_domain,
             retry_credit=self._credit_source(service).take(
-                starts_request, self._hosts.fleet_size, self._clock.now()
+                starts_request, self._hosts.fleet_size, now
             ),
             rejected_before=self._rejected.pop(service, 0),
         )
         pending = _PendingRequest(
-            service, slot_request, asyncio.get_running_loop().create_future(), asyncio.Event()
+            service,
+            slot_request,
+            now + slot_request.time_left_s,
+            now + slot_request.goal_left_s,
+            asyncio.get_running_loop().create_future(),
+            asyncio.Event(),
         )
         self._pending[slot_request.id] = pending
         broker = ""
@@ -243,11 +260,10 @@
         if isinstance(decision, SlotGrant):
             if slot_request.is_retry:
                 self._recent_retries.record(service, self._clock.now())
-            expires_at = self._clock.now() + slot_request.time_left_s
             self._held_slots[slot_request.id] = _HeldSlot(
                 service,
                 decision.target,
-                expires_at,
+                pending.deadline_at,
                 slot_request.fingerprint,
                 slot_request.body_bytes,
             )
@@ -340,27 +356,24 @@
     async def _request_from_broker(self, broker: str, pending: _PendingRequest) -> bool:
         """Request a slot from one broker; return False if it doesn't answer."""
         if broker == self._own_ip:
-            self._local_broker(pending.service).request_slot(pending.slot_request)
+            self._local_broker(pending.service).request_slot(
+                pending.slot_request_at(self._clock.now())
+            )
             await pending.future
             return True
-        assert self._endpoint is not None
-        message = slotmessages.encode_slot_request(pending.service, pending.slot_request)
         while True:
             pending.answered.clear()
-            if not await self._send_until_answered(broker, message, pending):
+            if not await self._send_until_answered(broker, pending):
                 return False
             if pending.future.done():
                 return True
             # The request is queued; resend it regularly until the broker decides, without the
             # credit that the broker has: it may restart after it has spent that.
             pending.slot_request = dataclasses.replace(pending.slot_request, retry_credit=0.0)
-            message = slotmessages.encode_slot_request(pending.service, pending.slot_request)
             if await _wait_for_decision(pending.future, QUEUED_RENEWAL_S):
                 return True
 
-    async def _send_until_answered(
-        self, broker: str, message: Message, pending: _PendingRequest
-    ) -> bool:
+    async def _send_until_answered(self, broker: str, pending: _PendingRequest) -> bool:
         """Send a slot request until the broker answers; return False if it is silent."""
         assert self._endpoint is not None
         loop = asyncio.get_running_loop()
@@ -370,6 +383,8 @@
         is_read_soon = False
         while True:
             if not is_read_soon:
+                slot_request = pending.slot_request_at(self._clock.now())
+                message = slotmessages.encode_slot_request(pending.service, slot_request)
                 self._endpoint.send(broker, message)
             sent_at = self._clock.now()
             this_wait_s = self._round_trips.wait_s(broker, wait_s, MAX_RESEND_WAIT_S)
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import random
 import time
 from collections import Counter
@@ -15,7 +16,8 @@
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_entry.broker.localbroker import TAKEOVER_WAIT_S
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
-from toucanspindle_entry.broker.slottypes import AttemptReport, Refused
+from toucanspindle_entry.broker.slotmessages import decode_slot_request
+from toucanspindle_entry.broker.slottypes import AttemptReport, Refused, SlotRequest
 from toucanspindle_entry.hosts.brokerchoice import rank_brokers
 from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.hosts.livehosts import LiveHosts
@@ -40,6 +42,7 @@
         self.not_sending: set[str] = set()
         self.sent: Counter[str] = Counter()
         self.sent_by: Counter[tuple[str, str]] = Counter()
+        self.asked: list[tuple[str, SlotRequest]] = []  # The broker, and what it was sent.
         self._loss = loss
         self._rng = random.Random(7)
 
@@ -50,6 +53,8 @@
     def deliver(self, sender: str, receiver: str, message: Message) -> None:
         self.sent[message[0]] += 1
         self.sent_by[sender, message[0]] += 1
+        if message[0] == "ask":
+            self.asked.append((receiver, decode_slot_request(sender, message)[1]))
         is_lost = self._rng.random() < self._loss
         if is_lost or sender in self.not_sending or receiver in self.not_receiving:
             return
@@ -246,6 +251,27 @@
 
         self.run_fleet(scenario, slots=1)
 
+    def test_each_send_states_the_time_that_is_left(self) -> None:
+        """Guards against brokers that count the deadline and the goal from a resend."""
+
+        async def scenario(network: FakeNetwork) -> None:
+            for _ in range(4):
+                await acquire(network, OTHER_HOSTS[0], goal_left_s=5.0)
+            del network.asked[:]
+            queued = asyncio.create_task(acquire(network, OTHER_HOSTS[1], goal_left_s=5.0))
+            while len(network.asked) < 2:
+                await asyncio.sleep(0.005)
+            network.not_sending.add(BROKER)
+            while network.asked[-1][0] != SECOND_BROKER:
+                await asyncio.sleep(0.005)
+            queued.cancel()
+            self.assertGreater(len(network.asked), 3)  # A renewal, a resend and a move.
+            for (_, earlier), (_, later) in itertools.pairwise(network.asked):
+                self.assertLess(later.time_left_s, earlier.time_left_s)
+                self.assertLess(later.goal_left_s, earlier.goal_left_s)
+
+        self.run_fleet(scenario, slots=1)
+
     def test_invalidated_broker_rebuilds_its_state(self) -> None:
         """The broker of a host that was suspended has outdated leases."""
 
