Count rejections at one broker, and don't pass a hedge on to another

A renewal or a move to another broker repeated the rejections of a slot request, so they could count twice; they are now left out together with the retry credit. A hedge whose broker is silent was sent to the next one, which doesn't know what the first one granted; it is refused as overloaded. Both tests fail without the change: the rejection is sent again, and the hedge reaches the second broker.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotclient.py
@@ -1,9 +1,9 @@
 """Requests slots for this host from the brokers of the services, and runs brokers on this host.
 
 The client resends a slot request a few times until the broker answers.  It skips a
-broker that is silent for a while and asks the next one in rank.  If none answers, this host's own
-broker decides on what it knows.  The client resends attempt reports until they are acknowledged or
-the resends are used up.
+broker that is silent for a while and asks the next one in rank, except for a hedge, which is
+refused.  If none answers, this host's own broker decides on what it knows.  The client resends
+attempt reports until they are acknowledged or the resends are used up.
 
 A broker that answers other requests isn't silent but behind.  Asking the next one as well would
 only add load, so the client waits for it, and doesn't resend what the broker is about to read.  A
@@ -31,6 +31,7 @@
     AttemptReport,
     Decision,
     Grant,
+    RefusalReason,
     Refused,
     SlotRequest,
 )
@@ -104,6 +105,12 @@
     answered: asyncio.Event
     broker: str = ""
 
+    def clear_deposits(self) -> None:
+        """Leave out of further sends what may count only once: the credit and the rejections."""
+        self.slot_request = dataclasses.replace(
+            self.slot_request, retry_credit=0.0, rejected_before=0
+        )
+
     def slot_request_at(self, now: float) -> SlotRequest:
         """Return the slot request with the times that are left now."""
         return dataclasses.replace(
@@ -249,8 +256,13 @@
                 self._asked_in_vain[broker, slot_request.id] = asked_at
                 # The broker may have granted a slot and only its answers were lost.
                 self._send_report(service, broker, _withdrawal_report(slot_request.id, ""))
-                # The broker may have received the credit, so no other one may get it.
-                pending.slot_request = dataclasses.replace(slot_request, retry_credit=0.0)
+                if slot_request.is_hedge:
+                    # Another broker doesn't know what this one granted.  A hedge isn't worth that.
+                    refused = Refused(slot_request.id, own.ip, RefusalReason.OVERLOADED, 0.0)
+                    pending.future.set_result(refused)
+                    break
+                # The broker may have received the deposits, so no other one may get them.
+                pending.clear_deposits()
         except asyncio.CancelledError:
             self._pending.pop(slot_request.id, None)
             self._send_report(service, broker, _withdrawal_report(slot_request.id, ""))
@@ -368,8 +380,8 @@
             if pending.future.done():
                 return True
             # The request is queued; resend it regularly until the broker decides, without the
-            # credit that the broker has: it may restart after it has spent that.
-            pending.slot_request = dataclasses.replace(pending.slot_request, retry_credit=0.0)
+            # deposits that the broker has: it may restart after it has used them.
+            pending.clear_deposits()
             if await _wait_for_decision(pending.future, QUEUED_RENEWAL_S):
                 return True
 
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import itertools
 import random
 import time
@@ -17,7 +18,12 @@
 from toucanspindle_entry.broker.localbroker import TAKEOVER_WAIT_S
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
 from toucanspindle_entry.broker.slotmessages import decode_slot_request
-from toucanspindle_entry.broker.slottypes import AttemptReport, Refused, SlotRequest
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    RefusalReason,
+    Refused,
+    SlotRequest,
+)
 from toucanspindle_entry.hosts.brokerchoice import rank_brokers
 from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.hosts.livehosts import LiveHosts
@@ -272,6 +278,45 @@
 
         self.run_fleet(scenario, slots=1)
 
+    def test_rejected_requests_count_at_one_broker(self) -> None:
+        """Guards against rejections that count again in a renewal or at the next broker."""
+
+        async def scenario(network: FakeNetwork) -> None:
+            for _ in range(4):
+                await acquire(network, OTHER_HOSTS[0], goal_left_s=5.0)
+            del network.asked[:]
+            for ip, silent_broker in ((OTHER_HOSTS[1], None), (OTHER_HOSTS[2], BROKER)):
+                if silent_broker is not None:
+                    network.not_receiving.add(silent_broker)
+                network.clients[ip].count_rejected(SERVICE)
+                queued = asyncio.create_task(acquire(network, ip, goal_left_s=5.0))
+                # A renewal at the first broker, or a move to the second one.
+                next_broker = BROKER if silent_broker is None else SECOND_BROKER
+                while len(network.asked) < 2 or network.asked[-1][0] != next_broker:
+                    await asyncio.sleep(0.005)
+                queued.cancel()
+                self.assertEqual(1, network.asked[0][1].rejected_before)
+                self.assertEqual(0, network.asked[-1][1].rejected_before)
+                await asyncio.sleep(0)  # The request is withdrawn.
+                del network.asked[:]
+
+        self.run_fleet(scenario, slots=1)
+
+    def test_hedge_is_refused_when_its_broker_is_silent(self) -> None:
+        """Guards against hedges that are granted twice, by brokers that don't know each other's."""
+
+        async def scenario(network: FakeNetwork) -> None:
+            network.not_sending.add(BROKER)
+            client = network.clients[OTHER_HOSTS[0]]
+            request = slot_request(client.next_slot_request_id(), is_retry=True)
+            hedge = dataclasses.replace(request, is_hedge=True)
+            decision = await client.acquire(SERVICE, hedge)
+            assert isinstance(decision, Refused), decision
+            self.assertEqual(RefusalReason.OVERLOADED, decision.reason)
+            self.assertEqual({BROKER}, {broker for broker, _ in network.asked})
+
+        self.run_fleet(scenario)
+
     def test_invalidated_broker_rebuilds_its_state(self) -> None:
         """The broker of a host that was suspended has outdated leases."""
 
