--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/callerconnection.py
@@ -314,11 +314,18 @@
         if self._port.turns is not None:
             self._port.turns.forget(self)
 
+    @property
+    def _runs_request(self) -> bool:
+        """Whether a request has been started and its handler hasn't returned."""
+        return any(
+            exchange.task is not None and exchange.response is None for exchange in self._exchanges
+        )
+
     def _update_phase(self) -> None:
         """Tell the table of connections what this one does now."""
         if self._is_closing:
             phase = ConnectionPhase.CLOSING
-        elif self._is_write_paused:
+        elif self._is_write_paused and not self._runs_request:
             phase = ConnectionPhase.BLOCKED
         elif self._exchanges or self._unsent is not None:
             phase = ConnectionPhase.BUSY
@@ -469,6 +476,9 @@
             not self._is_write_paused and not transport.is_closing() and self._write_next(transport)
         ):
             if self._closes_after_unsent and self._unsent is None:
+                # The transport closes only once the caller has taken its buffer.
+                if self._stall_check is not None:
+                    self._stall_check.start(self._owner.caller_stall_s)
                 self._close_gracefully()
                 return
         if transport.is_closing():
--- a/tests/test_entry_slotclient.py
+++ b/tests/test_entry_slotclient.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import dataclasses
+import itertools
 import random
 import time
 from collections import Counter
@@ -15,7 +17,13 @@
 from toucanspindle_core.clock import MonotonicClock
 from toucanspindle_entry.broker.localbroker import TAKEOVER_WAIT_S
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
-from toucanspindle_entry.broker.slottypes import AttemptReport, Refused
+from toucanspindle_entry.broker.slotmessages import decode_slot_request
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    RefusalReason,
+    Refused,
+    SlotRequest,
+)
 from toucanspindle_entry.hosts.brokerchoice import rank_brokers
 from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
 from toucanspindle_entry.hosts.livehosts import LiveHosts
@@ -40,6 +48,7 @@
         self.not_sending: set[str] = set()
         self.sent: Counter[str] = Counter()
         self.sent_by: Counter[tuple[str, str]] = Counter()
+        self.asked: list[tuple[str, SlotRequest]] = []  # The broker, and what it was sent.
         self._loss = loss
         self._rng = random.Random(7)
 
@@ -50,6 +59,8 @@
     def deliver(self, sender: str, receiver: str, message: Message) -> None:
         self.sent[message[0]] += 1
         self.sent_by[sender, message[0]] += 1
+        if message[0] == "ask":
+            self.asked.append((receiver, decode_slot_request(sender, message)[1]))
         is_lost = self._rng.random() < self._loss
         if is_lost or sender in self.not_sending or receiver in self.not_receiving:
             return
@@ -246,6 +257,66 @@
 
         self.run_fleet(scenario, slots=1)
 
+    def test_each_send_states_the_time_that_is_left(self) -> None:
+        """Guards against brokers that count the deadline and the goal from a resend."""
+
+        async def scenario(network: FakeNetwork) -> None:
+            for _ in range(4):
+                await acquire(network, OTHER_HOSTS[0], goal_left_s=5.0)
+            del network.asked[:]
+            queued = asyncio.create_task(acquire(network, OTHER_HOSTS[1], goal_left_s=5.0))
+            while len(network.asked) < 2:
+                await asyncio.sleep(0.005)
+            network.not_sending.add(BROKER)
+            while network.asked[-1][0] != SECOND_BROKER:
+                await asyncio.sleep(0.005)
+            queued.cancel()
+            self.assertGreater(len(network.asked), 3)  # A renewal, a resend and a move.
+            for (_, earlier), (_, later) in itertools.pairwise(network.asked):
+                self.assertLess(later.time_left_s, earlier.time_left_s)
+                self.assertLess(later.goal_left_s, earlier.goal_left_s)
+
+        self.run_fleet(scenario, slots=1)
+
+    def test_rejected_requests_count_at_one_broker(self) -> None:
+        """Guards against rejections that count again in a renewal or at the next broker."""
+
+        async def scenario(network: FakeNetwork) -> None:
+            for _ in range(4):
+                await acquire(network, OTHER_HOSTS[0], goal_left_s=5.0)
+            del network.asked[:]
+            for ip, silent_broker in ((OTHER_HOSTS[1], None), (OTHER_HOSTS[2], BROKER)):
+                if silent_broker is not None:
+                    network.not_receiving.add(silent_broker)
+                network.clients[ip].count_rejected(SERVICE)
+                queued = asyncio.create_task(acquire(network, ip, goal_left_s=5.0))
+                # A renewal at the first broker, or a move to the second one.
+                next_broker = BROKER if silent_broker is None else SECOND_BROKER
+                while len(network.asked) < 2 or network.asked[-1][0] != next_broker:
+                    await asyncio.sleep(0.005)
+                queued.cancel()
+                self.assertEqual(1, network.asked[0][1].rejected_before)
+                self.assertEqual(0, network.asked[-1][1].rejected_before)
+                await asyncio.sleep(0)  # The request is withdrawn.
+                del network.asked[:]
+
+        self.run_fleet(scenario, slots=1)
+
+    def test_hedge_is_refused_when_its_broker_is_silent(self) -> None:
+        """Guards against hedges that are granted twice, by brokers that don't know each other's."""
+
+        async def scenario(network: FakeNetwork) -> None:
+            network.not_sending.add(BROKER)
+            client = network.clients[OTHER_HOSTS[0]]
+            request = slot_request(client.next_slot_request_id(), is_retry=True)
+            hedge = dataclasses.replace(request, is_hedge=True)
+            decision = await client.acquire(SERVICE, hedge)
+            assert isinstance(decision, Refused), decision
+            self.assertEqual(RefusalReason.OVERLOADED, decision.reason)
+            self.assertEqual({BROKER}, {broker for broker, _ in network.asked})
+
+        self.run_fleet(scenario)
+
     def test_invalidated_broker_rebuilds_its_state(self) -> None:
         """The broker of a host that was suspended has outdated leases."""
 
