--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/budgetwindow.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/budgetwindow.py
@@ -49,6 +49,8 @@
             return
         self._buckets.append([bucket, amount])
         self._total += amount
+        # Buckets are rounded up by less than one, so those dropped here are out of the window.
+        self._drop_before(bucket - 1 - self._window_buckets)
 
     def insert(self, amount: float, bucket: int) -> None:
         """Add an amount to a bucket, which may be older than others."""
@@ -63,12 +65,14 @@
 
     def total(self, now: float) -> float:
         """Return the sum over the window that ends at `now`."""
-        oldest = now / BUCKET_S - self._window_buckets
+        self._drop_before(now / BUCKET_S - self._window_buckets)
+        return self._total
+
+    def _drop_before(self, oldest: float) -> None:
         while self._buckets and self._buckets[0][0] < oldest:
             self._total -= self._buckets.popleft()[1]
         if not self._buckets:
             self._total = 0.0
-        return self._total
 
 
 class BudgetWindow:
--- a/tests/test_entry_shedding.py
+++ b/tests/test_entry_shedding.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
-from toucanspindle_entry.broker.budgetwindow import BudgetWindow
+from toucanspindle_entry.broker.budgetwindow import BUCKET_S, BudgetWindow
 from toucanspindle_entry.broker.recentretries import RecentRetries
 from toucanspindle_entry.broker.sheddingcontrol import MIN_SAMPLES, SheddingControl
 from toucanspindle_entry.broker.slotbroker import SlotBroker
@@ -105,6 +105,15 @@
 
 
 class BudgetWindowTests(TestCase):
+    def test_window_that_is_only_added_to_stays_bounded(self) -> None:
+        """Without shedding nothing asks for a balance, and buckets used to pile up."""
+        window = BudgetWindow(WINDOW_S, 0.2)
+        for step in range(2000):
+            window.deposit(0.2, step * 0.1)
+            window.spend(0.1, step * 0.1)
+        for kept in (window._deposits, window._recent_deposits, window._spent):
+            self.assertLessEqual(len(kept._buckets), round(WINDOW_S / BUCKET_S) + 2)
+
     @given(st.lists(st.tuples(st.floats(0.0, 0.7), st.floats(0.0, 3.0), st.booleans())))
     def test_no_window_before_any_moment_has_more_spent_than_deposited(
         self, steps: list[tuple[float, float, bool]]
