Drop expired results of the target floor when one is recorded

They were dropped only when targets were evaluated, which a service without an eligible target never does. The test fails before the change.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/activetargetfloor.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/activetargetfloor.py
@@ -61,10 +61,12 @@
         """Count the end of a request; a refused request is a failure."""
         self._results.append((now, is_failure))
         self._failures += is_failure
+        self._drop_expired(now)
 
     def record_rejected(self, count: int, now: float) -> None:
         """Count requests that were rejected for the quota of their account."""
         self._rejected.extend([now] * count)
+        self._drop_expired(now)
 
     def record_grant(self, target: str, now: float) -> None:
         """Record that a target gets a request at `now`."""
@@ -120,13 +122,17 @@
             for target in times.keys() - kept:
                 del times[target]
 
-    def _has_high_failure_rate(self, now: float) -> bool:
-        """Drop results older than the window; return whether too many of the rest failed."""
+    def _drop_expired(self, now: float) -> None:
+        """Drop results older than the window."""
         while self._results and now - self._results[0][0] > FAILURE_WINDOW_S:
             _, was_failure = self._results.popleft()
             self._failures -= was_failure
         while self._rejected and now - self._rejected[0] > FAILURE_WINDOW_S:
             self._rejected.popleft()
+
+    def _has_high_failure_rate(self, now: float) -> bool:
+        """Return whether too many of the results in the window failed."""
+        self._drop_expired(now)
         ended, rejected = len(self._results), len(self._rejected)
         if ended + rejected < MIN_RESULTS:
             return False
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -35,6 +35,17 @@
 from tests.entrycase import BOUNDS, granted_target, make_broker, slot_request, target
 
 
+class FloorMemoryTests(TestCase):
+    def test_results_stay_bounded_without_an_eligible_target(self) -> None:
+        """Nothing is evaluated while all requests are refused, and results used to pile up."""
+        broker = make_broker(target("a", state=TargetState.DRAINING))
+        for n in range(300):
+            request = dataclasses.replace(slot_request(str(n)), rejected_before=2)
+            self.assertIsInstance(broker.request_slot(request, n * 0.1), Refused)
+        self.assertLessEqual(len(broker._active_floor._results), 21)
+        self.assertLessEqual(len(broker._active_floor._rejected), 42)
+
+
 def attempt_report(
     slot_request_id: str,
     name: str,
