Apply the rule of the window at a new broker after a spell of shedding

Adopted retries counted only in the window, which a new broker didn't use: waiting retries were refused, and later ones were sent by the usual rule beyond the bound. More adopted retries than the part of the burst that hosts don't create now start that rule. The test fails before.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/sheddingcontrol.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/sheddingcontrol.py
@@ -203,6 +203,10 @@
         self._saved_credit_spent_at = now
         self._pace_credit = max(0.0, self._pace_credit - 1)
 
+    def adopt_sent(self, sent_at: float) -> None:
+        """Record that an earlier broker may have sent a retry with saved credit."""
+        self._saved_credit_spent_at = max(self._saved_credit_spent_at, sent_at)
+
     # Retries held back.
 
     def hold(self, pending: PendingRequest) -> None:
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -24,6 +24,7 @@
 from toucanspindle_entry.broker.fleetretrybudget import FleetRetryBudget
 from toucanspindle_entry.broker.hedging import HedgePolicy
 from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.retrycredit import BURST_SHARE
 from toucanspindle_entry.broker.sheddingcontrol import SheddingControl
 from toucanspindle_entry.broker.slotlease import LEASE_GRACE_S, Lease
 from toucanspindle_entry.broker.slotqueue import PendingRequest, SlotQueue
@@ -108,6 +109,11 @@
         self._retry_budget = FleetRetryBudget(
             bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s, rng
         )
+        # The usual rule grants at most the ratio of the later requests and what hosts create of the
+        # burst, so earlier retries up to the rest of the burst can't exceed the bound with it.
+        self._max_usual_retries = bounds.retry_burst * (1 - BURST_SHARE)
+        self._adopted_retries = 0
+        self._adopted_until = float("-inf")
         self._shedding = SheddingControl(bounds.retry_ratio, bounds.retry_window_s)
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
         self._mean_work_s = INITIAL_WORK_S
@@ -362,8 +368,16 @@
             self._candidates.invalidate()
 
     def adopt_retries(self, count: int, sent_at: float) -> None:
-        """Count retries that a host sent before this broker took over."""
+        """Count retries that a host sent before this broker took over.
+
+        If there are more than the usual rule leaves room for, the earlier broker may have spent
+        saved credit, so the rule of the window applies until a window after the newest.
+        """
         self._retry_budget.window.adopt_spent(count, sent_at)
+        self._adopted_retries += count
+        self._adopted_until = max(self._adopted_until, sent_at)
+        if self._adopted_retries > self._max_usual_retries:
+            self._shedding.adopt_sent(self._adopted_until)
 
     def adopt_notice(self, notice: TargetNotice, now: float) -> None:
         """Heed what a target said of itself to any host; ignore another incarnation's notice."""
@@ -380,6 +394,8 @@
         """Drop all leases, before they are adopted again from the hosts."""
         self._leases.clear()
         self._retry_budget.window.forget_spent()
+        self._adopted_retries = 0
+        self._adopted_until = float("-inf")
         self._limits.forget_savings(now)
         for record in self._targets.values():
             record.clear_leases()
--- a/tests/test_entry_shedding.py
+++ b/tests/test_entry_shedding.py
@@ -104,6 +104,29 @@
         self.assertEqual([], result.shedding_s)
 
 
+class AdoptedRetriesTests(TestCase):
+    def test_new_broker_keeps_the_window_after_a_spell(self) -> None:
+        """Waiting retries used to be refused, and later ones sent beyond the window's bound."""
+        broker = make_broker(target("a", slots=500))
+        broker.adopt_retries(600, -0.5)
+        for n in range(300):
+            retry = slot_request(f"w{n}", time_left_s=20.0, is_retry=True)
+            self.assertIsInstance(broker.request_slot(retry, 0.0), Queued)
+        sent = 0
+        for n in range(400):
+            request = slot_request(f"f{n}", retry_credit=0.2)
+            broker.request_slot(request, n * 0.01)
+            again = slot_request(f"r{n}", is_retry=True, retry_credit=0.0)
+            sent += isinstance(broker.request_slot(again, n * 0.01), Grant)
+        self.assertEqual(0, sent)
+
+    def test_few_adopted_retries_leave_the_usual_rule(self) -> None:
+        broker = make_broker(target("a"))
+        broker.adopt_retries(20, -0.5)
+        broker.adopt_retries(16, -0.4)
+        self.assertIsInstance(broker.request_slot(slot_request("r", is_retry=True), 0.0), Refused)
+
+
 class BudgetWindowTests(TestCase):
     def test_window_that_is_only_added_to_stays_bounded(self) -> None:
         """Without shedding nothing asks for a balance, and buckets used to pile up."""
