Keep requests blocked by their body or allowed targets from blocking others

A queued body without room kept new requests from free slots, and a few of them ended the search for grants. The test fails before the change.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -439,7 +439,8 @@
     def grant_queued(self, now: float, max_passed_over: int = MAX_PASSED_OVER) -> list[Decision]:
         """Grant free slots to queued requests in priority order; return the grants.
 
-        The search ends after `max_passed_over` requests in a row that no free target suits.
+        The search ends after `max_passed_over` requests in a row that no free target suits, without
+        those that only their body or their allowed targets keep from the free ones.
         """
         if not len(self._queue) and not len(self._shedding):
             return []
@@ -450,14 +451,23 @@
         """Grant free slots to the queue."""
         grants: list[tuple[PendingRequest, Grant]] = []
         passed_over = 0
+        blocked_bytes = float("inf")  # No target has room for a body of this size.
         for pending in self._queue:
             if not self._candidates.has_free_target or passed_over > max_passed_over:
                 break
             if pending.slot_request.is_retry and not self._has_retry_credit(now):
                 continue
+            slot_request = pending.slot_request
+            if slot_request.body_bytes >= blocked_bytes:
+                self._queue.set_blocked(slot_request.id, True)
+                continue
             target = self._choice.choose(pending, self._mean_work_s, now)
             if target is None:
-                passed_over += 1
+                is_blocked = self._choice.is_blocked(slot_request)
+                self._queue.set_blocked(slot_request.id, is_blocked)
+                passed_over += not is_blocked
+                if is_blocked and not (slot_request.allowed_targets or slot_request.excluded):
+                    blocked_bytes = slot_request.body_bytes
                 continue
             passed_over = 0
             grants.append((pending, self._grant(pending, target, now)))
@@ -497,7 +507,7 @@
                 grants.append((pending, self._grant(pending, target, now)))
                 passed_over = 0
             elif self._candidates.has_free_target or self._shedding.is_shedding:
-                passed_over += 1
+                passed_over += not self._choice.is_blocked(pending.slot_request)
             else:
                 queued.append(pending)
         for pending, _ in grants:
@@ -562,6 +572,7 @@
                 slot_request.id, slot_request.host, RefusalReason.OVERLOADED, retry_after_s
             )
         self._queue.add(pending, now, self._mean_work_s)
+        self._queue.set_blocked(slot_request.id, self._choice.is_blocked(slot_request))
         return Queued(slot_request.id, slot_request.host)
 
     def _max_wait_s(self, slot_request: SlotRequest) -> float:
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
@@ -47,6 +47,8 @@
         self._pending: dict[str, PendingRequest] = {}
         self._order: list[_Key] = []
         self._by_priority: Counter[tuple[int, int]] = Counter()
+        self._blocked: set[str] = set()
+        self._blocked_by_priority: Counter[tuple[int, int]] = Counter()
         self._retries = 0
         self._finish_tags: dict[str, float] = {}  # By account.
         self._virtual_time = 0.0
@@ -75,8 +77,25 @@
         return bool(self._finish_tags)
 
     def has_as_urgent(self, slot_request: SlotRequest) -> bool:
-        """Return whether requests of the same or a more urgent priority are pending."""
-        return self._count_as_urgent(slot_request) > 0
+        """Return whether requests of the same or a more urgent priority are pending.
+
+        Blocked requests don't count, as they can't use the free slots.
+        """
+        blocked = _count_as_urgent(self._blocked_by_priority, slot_request)
+        return _count_as_urgent(self._by_priority, slot_request) > blocked
+
+    def set_blocked(self, slot_request_id: str, is_blocked: bool) -> None:
+        """Set whether only its body or its allowed targets keep a request from the free slots."""
+        if is_blocked == (slot_request_id in self._blocked):
+            return
+        slot_request = self._pending[slot_request_id].slot_request
+        priority = (slot_request.account_priority, slot_request.priority)
+        if is_blocked:
+            self._blocked.add(slot_request_id)
+            self._blocked_by_priority[priority] += 1
+        else:
+            self._blocked.remove(slot_request_id)
+            self._blocked_by_priority[priority] -= 1
 
     def count_ahead_of(self, pending: PendingRequest, now: float, work_s: float) -> int:
         """Return how many requests are granted slots before a new one.
@@ -84,7 +103,7 @@
         Without accounts these are all of the same or a more urgent priority.
         """
         if not self._uses_tags(pending.slot_request):
-            return self._count_as_urgent(pending.slot_request)
+            return _count_as_urgent(self._by_priority, pending.slot_request)
         start_tag, _ = self._next_tags(pending.slot_request, work_s)
         return bisect_left(self._order, _sort_key(pending, start_tag, now, work_s))
 
@@ -129,9 +148,10 @@
         return self._pending[self._order[-1][-1]] if self._order else None
 
     def _take(self, slot_request_id: str) -> PendingRequest | None:
-        pending = self._pending.pop(slot_request_id, None)
-        if pending is None:
+        if slot_request_id not in self._pending:
             return None
+        self.set_blocked(slot_request_id, False)
+        pending = self._pending.pop(slot_request_id)
         del self._order[bisect_left(self._order, self._keys.pop(slot_request_id))]
         slot_request = pending.slot_request
         self._by_priority[slot_request.account_priority, slot_request.priority] -= 1
@@ -167,10 +187,6 @@
             self._finish_tags.clear()
             self._virtual_time = 0.0
 
-    def _count_as_urgent(self, slot_request: SlotRequest) -> int:
-        priority = (slot_request.account_priority, slot_request.priority)
-        return sum(count for other, count in self._by_priority.items() if other <= priority)
-
     def _uses_tags(self, slot_request: SlotRequest) -> bool:
         """Return whether a request gets a start tag; requests without an account share one."""
         return bool(slot_request.account or self._finish_tags)
@@ -186,6 +202,11 @@
         return start_tag, work_s / weight
 
 
+def _count_as_urgent(by_priority: Counter[tuple[int, int]], slot_request: SlotRequest) -> int:
+    priority = (slot_request.account_priority, slot_request.priority)
+    return sum(count for other, count in by_priority.items() if other <= priority)
+
+
 def _sort_key(pending: PendingRequest, start_tag: float, now: float, work_s: float) -> _Key:
     slot_request = pending.slot_request
     misses_goal = pending.goal_at - now < work_s / 2
--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/targetchoice.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/targetchoice.py
@@ -76,6 +76,18 @@
             return None
         return best.record
 
+    def is_blocked(self, slot_request: SlotRequest) -> bool:
+        """Return whether a target is free but for the request's body or its allowed targets."""
+        domain, excluded = slot_request.failure_domain, slot_request.excluded
+        body_bytes, allowed = slot_request.body_bytes, slot_request.allowed_targets
+        if not body_bytes and not allowed:
+            return False
+        if self._candidates.cheapest(domain, excluded, 0) is None:
+            return False
+        if allowed:
+            return self._candidates.cheapest_of(allowed, excluded, body_bytes) is None
+        return self._candidates.cheapest(domain, excluded, body_bytes) is None
+
     def _can_wait_for_healthier_target(
         self, pending: PendingRequest, work_s: float, now: float
     ) -> bool:
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -46,6 +46,29 @@
         self.assertLessEqual(len(broker._active_floor._rejected), 42)
 
 
+class BlockedBodyTests(TestCase):
+    def test_bodies_without_room_do_not_block_other_requests(self) -> None:
+        """Waiting bodies kept new requests from free slots, and ended the search for grants."""
+        broker = make_broker(target("a", slots=3))
+
+        def ask(id_: str, body_bytes: int = 0) -> object:
+            request = slot_request(id_, time_left_s=60.0, goal_left_s=50.0)
+            return broker.request_slot(dataclasses.replace(request, body_bytes=body_bytes), 0.0)
+
+        self.assertIsInstance(ask("large", 60 << 20), Grant)
+        for n in range(MAX_PASSED_OVER + 5):
+            self.assertIsInstance(ask(f"body{n}", 60 << 20), Queued)
+        self.assertIsInstance(ask("1"), Grant)
+        self.assertIsInstance(ask("2"), Grant)
+        self.assertIsInstance(ask("3"), Queued)
+        decisions = broker.record_attempt(attempt_report("1", "a", AttemptOutcome.ANSWERED), 0.1)
+        self.assertEqual(["3"], [decision.slot_request_id for decision in decisions])
+        decisions = broker.record_attempt(
+            attempt_report("large", "a", AttemptOutcome.ANSWERED), 0.2
+        )
+        self.assertEqual(["body0"], [decision.slot_request_id for decision in decisions])
+
+
 def attempt_report(
     slot_request_id: str,
     name: str,
