Share slots by accounts within each pair of priorities

With one virtual time for all priorities, an urgent account of small weight put a light account's request behind a heavy account's backlog of another priority. The test fails before.

--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
@@ -8,7 +8,8 @@
 account, or the virtual time if that is later.  Its finish tag is its start tag plus the expected
 work divided by the account's weight.  The virtual time is the start tag of the last request that
 got a slot.  So the tags of an account that asks for more than its share run ahead, and only its own
-requests wait.
+requests wait.  Each pair of priorities has tags and a virtual time of its own, as the tags of
+accounts of other priorities say nothing about the shares in it.
 
 The order is kept in a sorted list, and whether a request can still meet its goal is evaluated when
 it arrives and again in `reorder`, so that the work for a grant or an attempt report doesn't grow
@@ -24,6 +25,8 @@
 
 # Account priority, priority, whether the latency goal is missed, start tag, time of arrival, id.
 _Key = tuple[int, int, bool, float, float, str]
+# Account priority, priority, account.
+_Share = tuple[int, int, str]
 
 
 @dataclass
@@ -50,8 +53,8 @@
         self._blocked: set[str] = set()
         self._blocked_by_priority: Counter[tuple[int, int]] = Counter()
         self._retries = 0
-        self._finish_tags: dict[str, float] = {}  # By account.
-        self._virtual_time = 0.0
+        self._finish_tags: dict[_Share, float] = {}
+        self._virtual_times: dict[tuple[int, int], float] = {}  # By both priorities.
         self._weights: Counter[float] = Counter()  # Of the pending requests.
 
     def __len__(self) -> int:
@@ -112,7 +115,7 @@
         slot_request = pending.slot_request
         if self._uses_tags(slot_request):
             pending.start_tag, pending.tag_cost = self._next_tags(slot_request, work_s)
-            self._finish_tags[slot_request.account] = pending.start_tag + pending.tag_cost
+            self._finish_tags[_share_of(slot_request)] = pending.start_tag + pending.tag_cost
         self._weights[slot_request.account_weight if slot_request.account else 0.0] += 1
         key = _sort_key(pending, pending.start_tag, now, work_s)
         self._keys[slot_request.id] = key
@@ -125,23 +128,23 @@
         """Remove and return a request that got no slot, or return None if it isn't queued."""
         pending = self._take(slot_request_id)
         if pending is not None and pending.tag_cost:
-            account = pending.slot_request.account
-            finish_tag = self._finish_tags.get(account, 0.0) - pending.tag_cost
-            self._finish_tags[account] = max(self._virtual_time, finish_tag)
+            share = _share_of(pending.slot_request)
+            finish_tag = self._finish_tags.get(share, 0.0) - pending.tag_cost
+            self._finish_tags[share] = max(self._virtual_times.get(share[:2], 0.0), finish_tag)
         return pending
 
     def remove_granted(self, slot_request_id: str) -> None:
         """Remove a request that got a slot."""
         pending = self._take(slot_request_id)
         if pending is not None:
-            self._virtual_time = max(self._virtual_time, pending.start_tag)
+            self._advance(pending.slot_request, pending.start_tag)
 
     def charge(self, slot_request: SlotRequest, work_s: float) -> None:
         """Count a request that got a slot without waiting as its account's share."""
         if self._uses_tags(slot_request):
             start_tag, cost = self._next_tags(slot_request, work_s)
-            self._finish_tags[slot_request.account] = start_tag + cost
-            self._virtual_time = max(self._virtual_time, start_tag)
+            self._finish_tags[_share_of(slot_request)] = start_tag + cost
+            self._advance(slot_request, start_tag)
 
     def last(self) -> PendingRequest | None:
         """Return the request that is granted a slot last, or None without any."""
@@ -185,7 +188,7 @@
         self._order = sorted(self._keys.values())
         if not self._pending:
             self._finish_tags.clear()
-            self._virtual_time = 0.0
+            self._virtual_times.clear()
 
     def _uses_tags(self, slot_request: SlotRequest) -> bool:
         """Return whether a request gets a start tag; requests without an account share one."""
@@ -198,9 +201,21 @@
         """
         weight = slot_request.account_weight if slot_request.account else 0.0
         weight = weight or max(self._weights, default=0.0) or 1.0
-        start_tag = max(self._virtual_time, self._finish_tags.get(slot_request.account, 0.0))
+        share = _share_of(slot_request)
+        virtual_time = self._virtual_times.get(share[:2], 0.0)
+        start_tag = max(virtual_time, self._finish_tags.get(share, 0.0))
         return start_tag, work_s / weight
 
+    def _advance(self, slot_request: SlotRequest, start_tag: float) -> None:
+        """Move the virtual time of a granted request's priorities to its start tag."""
+        priorities = (slot_request.account_priority, slot_request.priority)
+        virtual_time = self._virtual_times.get(priorities, 0.0)
+        self._virtual_times[priorities] = max(virtual_time, start_tag)
+
+
+def _share_of(slot_request: SlotRequest) -> _Share:
+    return slot_request.account_priority, slot_request.priority, slot_request.account
+
 
 def _count_as_urgent(by_priority: Counter[tuple[int, int]], slot_request: SlotRequest) -> int:
     priority = (slot_request.account_priority, slot_request.priority)
--- a/tests/test_entry_fairsharing.py
+++ b/tests/test_entry_fairsharing.py
@@ -159,6 +159,19 @@
             ),
         )
 
+    def test_shares_of_a_priority_do_not_depend_on_those_of_others(self) -> None:
+        """An urgent account of small weight put a light one behind a heavy one's backlog."""
+        queue = SlotQueue()
+        for name in "uvw":
+            queue.add(pending_request(name, "urgent", 0.1), 0.0, 1.0)
+        for name in "abc":
+            queue.add(pending_request(name, "heavy", priority=2), 0.0, 1.0)
+        for name in "uvw":
+            queue.remove_granted(name)
+        queue.add(pending_request("x", "light", priority=2), 0.0, 1.0)
+        order = [pending.slot_request.id for pending in queue]
+        self.assertEqual(["a", "x", "b", "c"], order)
+
     def test_withdrawn_request_takes_nothing_from_its_account(self) -> None:
         queue = SlotQueue()
         for request in (pending_request("a", "one"), pending_request("b", "one")):
