--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotqueue.py
@@ -55,7 +55,7 @@
         self._retries = 0
         self._finish_tags: dict[_Share, float] = {}
         self._virtual_times: dict[tuple[int, int], float] = {}  # By both priorities.
-        self._weights: Counter[float] = Counter()  # Of the pending requests.
+        self._heaviest = 0.0  # Weight since the tags were cleared.
 
     def __len__(self) -> int:
         """Return the number of pending requests."""
@@ -116,7 +116,6 @@
         if self._uses_tags(slot_request):
             pending.start_tag, pending.tag_cost = self._next_tags(slot_request, work_s)
             self._finish_tags[_share_of(slot_request)] = pending.start_tag + pending.tag_cost
-        self._weights[slot_request.account_weight if slot_request.account else 0.0] += 1
         key = _sort_key(pending, pending.start_tag, now, work_s)
         self._keys[slot_request.id] = key
         self._pending[slot_request.id] = pending
@@ -159,10 +158,6 @@
         slot_request = pending.slot_request
         self._by_priority[slot_request.account_priority, slot_request.priority] -= 1
         self._retries -= slot_request.is_retry
-        weight = slot_request.account_weight if slot_request.account else 0.0
-        self._weights[weight] -= 1
-        if not self._weights[weight]:
-            del self._weights[weight]
         return pending
 
     def remove_host(self, host: str) -> None:
@@ -189,6 +184,7 @@
         if not self._pending:
             self._finish_tags.clear()
             self._virtual_times.clear()
+            self._heaviest = 0.0
 
     def _uses_tags(self, slot_request: SlotRequest) -> bool:
         """Return whether a request gets a start tag; requests without an account share one."""
@@ -197,10 +193,11 @@
     def _next_tags(self, slot_request: SlotRequest, work_s: float) -> tuple[float, float]:
         """Return the start tag of a new request, and what it adds to that for the finish tag.
 
-        An account without a limit weighs as much as the heaviest one that waits.
+        An account without a limit weighs as much as the heaviest since the tags were cleared.
         """
         weight = slot_request.account_weight if slot_request.account else 0.0
-        weight = weight or max(self._weights, default=0.0) or 1.0
+        self._heaviest = max(self._heaviest, weight)
+        weight = weight or self._heaviest or 1.0
         share = _share_of(slot_request)
         virtual_time = self._virtual_times.get(share[:2], 0.0)
         start_tag = max(virtual_time, self._finish_tags.get(share, 0.0))
--- a/tests/test_entry_fairsharing.py
+++ b/tests/test_entry_fairsharing.py
@@ -172,6 +172,15 @@
         order = [pending.slot_request.id for pending in queue]
         self.assertEqual(["a", "x", "b", "c"], order)
 
+    def test_account_without_a_limit_is_charged_as_the_heaviest_when_nobody_waits(self) -> None:
+        """It was charged as of weight 1, and waited behind a heavy backlog for that."""
+        queue = SlotQueue()
+        for account, weight in (("limited", 50.0), ("unlimited", 0.0), ("", 0.0)):
+            queue.charge(pending_request("g", account, weight).slot_request, 1.0)
+        for name, account in (("a", "limited"), ("x", "unlimited"), ("p", "")):
+            queue.add(pending_request(name, account, 50.0 if name == "a" else 0.0), 0.0, 1.0)
+        self.assertEqual({1.0 / 50.0}, {pending.start_tag for pending in queue})
+
     def test_withdrawn_request_takes_nothing_from_its_account(self) -> None:
         queue = SlotQueue()
         for request in (pending_request("a", "one"), pending_request("b", "one")):
