--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -598,11 +598,12 @@
         if self._queue.shares_by_account:
             wait_per_request_s = self._mean_work_s / max(1.0, self._healthy_slots(now))
             latest_s = now + self._mean_work_s / 2
-            unservable += [
-                pending
-                for ahead, pending in enumerate(self._queue)
-                if latest_s + ahead * wait_per_request_s > pending.deadline_at
-            ]
+            ahead = 0  # Those that are kept.
+            for pending in self._queue:
+                if latest_s + ahead * wait_per_request_s > pending.deadline_at:
+                    unservable.append(pending)
+                else:
+                    ahead += 1
         return decisions + [self._refuse_waiting(pending, now) for pending in unservable]
 
     def _refuse_waiting(self, pending: PendingRequest, now: float) -> Refused:
--- a/tests/test_entry_fairsharing.py
+++ b/tests/test_entry_fairsharing.py
@@ -221,6 +221,28 @@
         )
 
 
+class PlaceInOrderTests(TestCase):
+    def test_refused_requests_are_not_ahead_of_later_ones(self) -> None:
+        """Requests that could be served were refused for the wait behind refused ones."""
+        broker = make_broker(target("t", slots=1))
+
+        def ask(id_: str, priority: int, time_left_s: float, goal_left_s: float) -> None:
+            request = slot_request(
+                id_, priority=priority, time_left_s=time_left_s, goal_left_s=goal_left_s
+            )
+            decision = broker.request_slot(dataclasses.replace(request, account="a"), 0.0)
+            self.assertNotIsInstance(decision, Refused)
+
+        ask("granted", 1, 60.0, 30.0)
+        for name in ("q0", "q1", "q2"):
+            ask(name, 2, 4.0, 3.0)
+        ask("z", 3, 4.5, 3.0)
+        for number in range(13):
+            ask(f"urgent{number}", 1, 60.0, 30.0)
+        refused = [d.slot_request_id for d in broker.tick(0.0) if isinstance(d, Refused)]
+        self.assertEqual(["q0", "q1", "q2"], refused)
+
+
 class FullQueueTests(TestCase):
     def test_last_request_of_the_heaviest_account_makes_room_in_a_full_queue(self) -> None:
         """A light account isn't refused because of the backlog of a heavy one."""
