--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -562,15 +562,16 @@
         wait_s = (requests_ahead + 1) * self._mean_work_s / max(1.0, self._healthy_slots(now))
         is_full = len(self._queue) >= MAX_QUEUE_LENGTH
         last = self._queue.last() if is_full and self._queue.shares_by_account else None
-        if last is not None and requests_ahead < len(self._queue):
-            # The last one is of the account that is furthest above its share.
-            self._evicted.append(self._refuse_waiting(last, now))
-            is_full = False
-        if is_full or wait_s > self._max_wait_s(slot_request):
+        if requests_ahead >= len(self._queue):
+            last = None
+        if (is_full and last is None) or wait_s > self._max_wait_s(slot_request):
             retry_after_s = max(self._retry_after_s(now), wait_s / 2)
             return Refused(
                 slot_request.id, slot_request.host, RefusalReason.OVERLOADED, retry_after_s
             )
+        if last is not None:
+            # The last one is of the account that is furthest above its share.
+            self._evicted.append(self._refuse_waiting(last, now))
         self._queue.add(pending, now, self._mean_work_s)
         self._queue.set_blocked(slot_request.id, self._choice.is_blocked(slot_request))
         return Queued(slot_request.id, slot_request.host)
--- a/tests/test_entry_fairsharing.py
+++ b/tests/test_entry_fairsharing.py
@@ -255,3 +255,15 @@
         self.assertNotIsInstance(broker.request_slot(request, 0.0), Refused)
         refused = [d.slot_request_id for d in broker.tick(0.1) if isinstance(d, Refused)]
         self.assertEqual(["3"], refused)
+
+    def test_request_that_is_refused_itself_takes_no_place_in_a_full_queue(self) -> None:
+        """A waiting request was evicted for a newcomer that was then refused for its wait."""
+        self.patch(slotbroker, "MAX_QUEUE_LENGTH", 3)
+        broker = make_broker(target("t", slots=1))
+        for number in range(4):
+            request = dataclasses.replace(slot_request(str(number)), account="heavy")
+            broker.request_slot(dataclasses.replace(request, goal_left_s=30.0), 0.0)
+        request = slot_request("new", time_left_s=0.4, goal_left_s=0.2)
+        decision = broker.request_slot(dataclasses.replace(request, account="light"), 0.0)
+        self.assertIsInstance(decision, Refused)
+        self.assertEqual([], [d for d in broker.tick(0.0) if isinstance(d, Refused)])
