--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -232,7 +232,7 @@
         self._active_floor.retain_targets(self._targets)
         self._limits.retain((name, r.entry.started_ms) for name, r in self._targets.items())
         self._candidates.set_records(self._targets)
-        return self.grant_queued(now)
+        return self._refuse_without_target(now) + self.grant_queued(now)
 
     def request_slot(self, slot_request: SlotRequest, now: float) -> Decision:
         """Grant, queue or refuse a slot request.
@@ -389,6 +389,7 @@
         if notice.is_leaving and not record.is_leaving:
             record.is_leaving = True
             self._candidates.update(record, now)
+            self._evicted += self._refuse_without_target(now)
 
     def clear_leases(self, now: float) -> None:
         """Drop all leases, before they are adopted again from the hosts."""
@@ -607,16 +608,31 @@
                     ahead += 1
         return decisions + [self._refuse_waiting(pending, now) for pending in unservable]
 
-    def _refuse_waiting(self, pending: PendingRequest, now: float) -> Refused:
+    def _refuse_without_target(self, now: float) -> list[Decision]:
+        """Remove and refuse held retries whose allowed targets have all left."""
+        stranded = [
+            pending
+            for pending in self._shedding
+            if pending.slot_request.allowed_targets
+            and not any(
+                name in self._targets and is_eligible(self._targets[name], pending.slot_request)
+                for name in pending.slot_request.allowed_targets
+            )
+        ]
+        for pending in stranded:
+            self._shedding.remove(pending.slot_request.id)
+        return [self._refuse_waiting(pending, now, RefusalReason.NO_TARGET) for pending in stranded]
+
+    def _refuse_waiting(
+        self,
+        pending: PendingRequest,
+        now: float,
+        reason: RefusalReason = RefusalReason.OVERLOADED,
+    ) -> Refused:
         """Remove and refuse a request that waits."""
         slot_request = pending.slot_request
         self._queue.remove(slot_request.id)
-        refusal = Refused(
-            slot_request.id,
-            slot_request.host,
-            RefusalReason.OVERLOADED,
-            self._retry_after_s(now),
-        )
+        refusal = Refused(slot_request.id, slot_request.host, reason, self._retry_after_s(now))
         self._remember_refusal(refusal, now)
         return refusal
 
--- a/tests/test_entry_shedding.py
+++ b/tests/test_entry_shedding.py
@@ -13,8 +13,16 @@
 from toucanspindle_entry.broker.slotbroker import SlotBroker
 from toucanspindle_entry.broker.slotmessages import decode_slot_request, encode_slot_request
 from toucanspindle_entry.broker.slotqueue import PendingRequest
-from toucanspindle_entry.broker.slottypes import AttemptReport, Grant, Queued, Refused
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    Decision,
+    Grant,
+    Queued,
+    RefusalReason,
+    Refused,
+)
 from toucanspindle_entry.targets.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targetnotices import TargetNotice
 
 from bench.serviceemulator import Emulator, LoadResult, ServiceShape
 from tests.entrycase import granted_target, make_broker, slot_request, target
@@ -127,6 +135,30 @@
         self.assertIsInstance(broker.request_slot(slot_request("r", is_retry=True), 0.0), Refused)
 
 
+class StrandedRetryTests(TestCase):
+    def held_retry(self) -> SlotBroker:
+        """Return a broker that holds a retry back, which only target `a` may get."""
+        broker = make_broker(target("a"), target("b"))
+        broker.adopt_retries(600, -0.5)
+        retry = slot_request("r", time_left_s=60.0, is_retry=True)
+        decision = broker.request_slot(dataclasses.replace(retry, allowed_targets=("a",)), 0.0)
+        self.assertIsInstance(decision, Queued)
+        return broker
+
+    def check_refused(self, decisions: list[Decision]) -> None:
+        refused = [(d.slot_request_id, d.reason) for d in decisions if isinstance(d, Refused)]
+        self.assertEqual([("r", RefusalReason.NO_TARGET)], refused)
+
+    def test_held_retry_is_refused_when_its_targets_are_gone(self) -> None:
+        """It used to wait until its deadline for a target that no longer exists."""
+        self.check_refused(self.held_retry().set_targets([target("b")], frozenset(), 0.1))
+
+    def test_held_retry_is_refused_when_its_targets_leave(self) -> None:
+        broker = self.held_retry()
+        broker.adopt_notice(TargetNotice("a", 1, is_leaving=True), 0.1)
+        self.check_refused(broker.tick(0.2))
+
+
 class BudgetWindowTests(TestCase):
     def test_window_that_is_only_added_to_stays_bounded(self) -> None:
         """Without shedding nothing asks for a balance, and buckets used to pile up."""
