--- a/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/broker/slotbroker.py
@@ -24,6 +24,7 @@
 from toucanspindle_entry.broker.fleetretrybudget import FleetRetryBudget
 from toucanspindle_entry.broker.hedging import HedgePolicy
 from toucanspindle_entry.broker.poisontracker import PoisonTracker
+from toucanspindle_entry.broker.retrycredit import BURST_SHARE
 from toucanspindle_entry.broker.sheddingcontrol import SheddingControl
 from toucanspindle_entry.broker.slotlease import LEASE_GRACE_S, Lease
 from toucanspindle_entry.broker.slotqueue import PendingRequest, SlotQueue
@@ -108,6 +109,11 @@
         self._retry_budget = FleetRetryBudget(
             bounds.retry_ratio, bounds.retry_burst, bounds.retry_window_s, rng
         )
+        # The usual rule grants at most the ratio of the later requests and what hosts create of the
+        # burst, so earlier retries up to the rest of the burst can't exceed the bound with it.
+        self._max_usual_retries = bounds.retry_burst * (1 - BURST_SHARE)
+        self._adopted_retries = 0
+        self._adopted_until = float("-inf")
         self._shedding = SheddingControl(bounds.retry_ratio, bounds.retry_window_s)
         self._active_floor = ActiveTargetFloor(bounds.floor_share)
         self._mean_work_s = INITIAL_WORK_S
@@ -226,7 +232,7 @@
         self._active_floor.retain_targets(self._targets)
         self._limits.retain((name, r.entry.started_ms) for name, r in self._targets.items())
         self._candidates.set_records(self._targets)
-        return self.grant_queued(now)
+        return self._refuse_without_target(now) + self.grant_queued(now)
 
     def request_slot(self, slot_request: SlotRequest, now: float) -> Decision:
         """Grant, queue or refuse a slot request.
@@ -362,8 +368,16 @@
             self._candidates.invalidate()
 
     def adopt_retries(self, count: int, sent_at: float) -> None:
-        """Count retries that a host sent before this broker took over."""
+        """Count retries that a host sent before this broker took over.
+
+        If there are more than the usual rule leaves room for, the earlier broker may have spent
+        saved credit, so the rule of the window applies until a window after the newest.
+        """
         self._retry_budget.window.adopt_spent(count, sent_at)
+        self._adopted_retries += count
+        self._adopted_until = max(self._adopted_until, sent_at)
+        if self._adopted_retries > self._max_usual_retries:
+            self._shedding.adopt_sent(self._adopted_until)
 
     def adopt_notice(self, notice: TargetNotice, now: float) -> None:
         """Heed what a target said of itself to any host; ignore another incarnation's notice."""
@@ -375,11 +389,14 @@
         if notice.is_leaving and not record.is_leaving:
             record.is_leaving = True
             self._candidates.update(record, now)
+            self._evicted += self._refuse_without_target(now)
 
     def clear_leases(self, now: float) -> None:
         """Drop all leases, before they are adopted again from the hosts."""
         self._leases.clear()
         self._retry_budget.window.forget_spent()
+        self._adopted_retries = 0
+        self._adopted_until = float("-inf")
         self._limits.forget_savings(now)
         for record in self._targets.values():
             record.clear_leases()
@@ -423,7 +440,8 @@
     def grant_queued(self, now: float, max_passed_over: int = MAX_PASSED_OVER) -> list[Decision]:
         """Grant free slots to queued requests in priority order; return the grants.
 
-        The search ends after `max_passed_over` requests in a row that no free target suits.
+        The search ends after `max_passed_over` requests in a row that no free target suits, without
+        those that only their body or their allowed targets keep from the free ones.
         """
         if not len(self._queue) and not len(self._shedding):
             return []
@@ -434,14 +452,23 @@
         """Grant free slots to the queue."""
         grants: list[tuple[PendingRequest, Grant]] = []
         passed_over = 0
+        blocked_bytes = float("inf")  # No target has room for a body of this size.
         for pending in self._queue:
             if not self._candidates.has_free_target or passed_over > max_passed_over:
                 break
             if pending.slot_request.is_retry and not self._has_retry_credit(now):
                 continue
+            slot_request = pending.slot_request
+            if slot_request.body_bytes >= blocked_bytes:
+                self._queue.set_blocked(slot_request.id, True)
+                continue
             target = self._choice.choose(pending, self._mean_work_s, now)
             if target is None:
-                passed_over += 1
+                is_blocked = self._choice.is_blocked(slot_request)
+                self._queue.set_blocked(slot_request.id, is_blocked)
+                passed_over += not is_blocked
+                if is_blocked and not (slot_request.allowed_targets or slot_request.excluded):
+                    blocked_bytes = slot_request.body_bytes
                 continue
             passed_over = 0
             grants.append((pending, self._grant(pending, target, now)))
@@ -481,7 +508,7 @@
                 grants.append((pending, self._grant(pending, target, now)))
                 passed_over = 0
             elif self._candidates.has_free_target or self._shedding.is_shedding:
-                passed_over += 1
+                passed_over += not self._choice.is_blocked(pending.slot_request)
             else:
                 queued.append(pending)
         for pending, _ in grants:
@@ -536,16 +563,18 @@
         wait_s = (requests_ahead + 1) * self._mean_work_s / max(1.0, self._healthy_slots(now))
         is_full = len(self._queue) >= MAX_QUEUE_LENGTH
         last = self._queue.last() if is_full and self._queue.shares_by_account else None
-        if last is not None and requests_ahead < len(self._queue):
-            # The last one is of the account that is furthest above its share.
-            self._evicted.append(self._refuse_waiting(last, now))
-            is_full = False
-        if is_full or wait_s > self._max_wait_s(slot_request):
+        if requests_ahead >= len(self._queue):
+            last = None
+        if (is_full and last is None) or wait_s > self._max_wait_s(slot_request):
             retry_after_s = max(self._retry_after_s(now), wait_s / 2)
             return Refused(
                 slot_request.id, slot_request.host, RefusalReason.OVERLOADED, retry_after_s
             )
+        if last is not None:
+            # The last one is of the account that is furthest above its share.
+            self._evicted.append(self._refuse_waiting(last, now))
         self._queue.add(pending, now, self._mean_work_s)
+        self._queue.set_blocked(slot_request.id, self._choice.is_blocked(slot_request))
         return Queued(slot_request.id, slot_request.host)
 
     def _max_wait_s(self, slot_request: SlotRequest) -> float:
@@ -571,23 +600,39 @@
         if self._queue.shares_by_account:
             wait_per_request_s = self._mean_work_s / max(1.0, self._healthy_slots(now))
             latest_s = now + self._mean_work_s / 2
-            unservable += [
-                pending
-                for ahead, pending in enumerate(self._queue)
-                if latest_s + ahead * wait_per_request_s > pending.deadline_at
-            ]
+            ahead = 0  # Those that are kept.
+            for pending in self._queue:
+                if latest_s + ahead * wait_per_request_s > pending.deadline_at:
+                    unservable.append(pending)
+                else:
+                    ahead += 1
         return decisions + [self._refuse_waiting(pending, now) for pending in unservable]
 
-    def _refuse_waiting(self, pending: PendingRequest, now: float) -> Refused:
+    def _refuse_without_target(self, now: float) -> list[Decision]:
+        """Remove and refuse held retries whose allowed targets have all left."""
+        stranded = [
+            pending
+            for pending in self._shedding
+            if pending.slot_request.allowed_targets
+            and not any(
+                name in self._targets and is_eligible(self._targets[name], pending.slot_request)
+                for name in pending.slot_request.allowed_targets
+            )
+        ]
+        for pending in stranded:
+            self._shedding.remove(pending.slot_request.id)
+        return [self._refuse_waiting(pending, now, RefusalReason.NO_TARGET) for pending in stranded]
+
+    def _refuse_waiting(
+        self,
+        pending: PendingRequest,
+        now: float,
+        reason: RefusalReason = RefusalReason.OVERLOADED,
+    ) -> Refused:
         """Remove and refuse a request that waits."""
         slot_request = pending.slot_request
         self._queue.remove(slot_request.id)
-        refusal = Refused(
-            slot_request.id,
-            slot_request.host,
-            RefusalReason.OVERLOADED,
-            self._retry_after_s(now),
-        )
+        refusal = Refused(slot_request.id, slot_request.host, reason, self._retry_after_s(now))
         self._remember_refusal(refusal, now)
         return refusal
 
--- a/tests/test_entry_fairsharing.py
+++ b/tests/test_entry_fairsharing.py
@@ -159,6 +159,28 @@
             ),
         )
 
+    def test_shares_of_a_priority_do_not_depend_on_those_of_others(self) -> None:
+        """An urgent account of small weight put a light one behind a heavy one's backlog."""
+        queue = SlotQueue()
+        for name in "uvw":
+            queue.add(pending_request(name, "urgent", 0.1), 0.0, 1.0)
+        for name in "abc":
+            queue.add(pending_request(name, "heavy", priority=2), 0.0, 1.0)
+        for name in "uvw":
+            queue.remove_granted(name)
+        queue.add(pending_request("x", "light", priority=2), 0.0, 1.0)
+        order = [pending.slot_request.id for pending in queue]
+        self.assertEqual(["a", "x", "b", "c"], order)
+
+    def test_account_without_a_limit_is_charged_as_the_heaviest_when_nobody_waits(self) -> None:
+        """It was charged as of weight 1, and waited behind a heavy backlog for that."""
+        queue = SlotQueue()
+        for account, weight in (("limited", 50.0), ("unlimited", 0.0), ("", 0.0)):
+            queue.charge(pending_request("g", account, weight).slot_request, 1.0)
+        for name, account in (("a", "limited"), ("x", "unlimited"), ("p", "")):
+            queue.add(pending_request(name, account, 50.0 if name == "a" else 0.0), 0.0, 1.0)
+        self.assertEqual({1.0 / 50.0}, {pending.start_tag for pending in queue})
+
     def test_withdrawn_request_takes_nothing_from_its_account(self) -> None:
         queue = SlotQueue()
         for request in (pending_request("a", "one"), pending_request("b", "one")):
@@ -199,6 +221,28 @@
         )
 
 
+class PlaceInOrderTests(TestCase):
+    def test_refused_requests_are_not_ahead_of_later_ones(self) -> None:
+        """Requests that could be served were refused for the wait behind refused ones."""
+        broker = make_broker(target("t", slots=1))
+
+        def ask(id_: str, priority: int, time_left_s: float, goal_left_s: float) -> None:
+            request = slot_request(
+                id_, priority=priority, time_left_s=time_left_s, goal_left_s=goal_left_s
+            )
+            decision = broker.request_slot(dataclasses.replace(request, account="a"), 0.0)
+            self.assertNotIsInstance(decision, Refused)
+
+        ask("granted", 1, 60.0, 30.0)
+        for name in ("q0", "q1", "q2"):
+            ask(name, 2, 4.0, 3.0)
+        ask("z", 3, 4.5, 3.0)
+        for number in range(13):
+            ask(f"urgent{number}", 1, 60.0, 30.0)
+        refused = [d.slot_request_id for d in broker.tick(0.0) if isinstance(d, Refused)]
+        self.assertEqual(["q0", "q1", "q2"], refused)
+
+
 class FullQueueTests(TestCase):
     def test_last_request_of_the_heaviest_account_makes_room_in_a_full_queue(self) -> None:
         """A light account isn't refused because of the backlog of a heavy one."""
@@ -211,3 +255,15 @@
         self.assertNotIsInstance(broker.request_slot(request, 0.0), Refused)
         refused = [d.slot_request_id for d in broker.tick(0.1) if isinstance(d, Refused)]
         self.assertEqual(["3"], refused)
+
+    def test_request_that_is_refused_itself_takes_no_place_in_a_full_queue(self) -> None:
+        """A waiting request was evicted for a newcomer that was then refused for its wait."""
+        self.patch(slotbroker, "MAX_QUEUE_LENGTH", 3)
+        broker = make_broker(target("t", slots=1))
+        for number in range(4):
+            request = dataclasses.replace(slot_request(str(number)), account="heavy")
+            broker.request_slot(dataclasses.replace(request, goal_left_s=30.0), 0.0)
+        request = slot_request("new", time_left_s=0.4, goal_left_s=0.2)
+        decision = broker.request_slot(dataclasses.replace(request, account="light"), 0.0)
+        self.assertIsInstance(decision, Refused)
+        self.assertEqual([], [d for d in broker.tick(0.0) if isinstance(d, Refused)])
--- a/tests/test_entry_shedding.py
+++ b/tests/test_entry_shedding.py
@@ -7,14 +7,22 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
-from toucanspindle_entry.broker.budgetwindow import BudgetWindow
+from toucanspindle_entry.broker.budgetwindow import BUCKET_S, BudgetWindow
 from toucanspindle_entry.broker.recentretries import RecentRetries
 from toucanspindle_entry.broker.sheddingcontrol import MIN_SAMPLES, SheddingControl
 from toucanspindle_entry.broker.slotbroker import SlotBroker
 from toucanspindle_entry.broker.slotmessages import decode_slot_request, encode_slot_request
 from toucanspindle_entry.broker.slotqueue import PendingRequest
-from toucanspindle_entry.broker.slottypes import AttemptReport, Grant, Queued, Refused
+from toucanspindle_entry.broker.slottypes import (
+    AttemptReport,
+    Decision,
+    Grant,
+    Queued,
+    RefusalReason,
+    Refused,
+)
 from toucanspindle_entry.targets.targethealth import AttemptOutcome
+from toucanspindle_entry.targets.targetnotices import TargetNotice
 
 from bench.serviceemulator import Emulator, LoadResult, ServiceShape
 from tests.entrycase import granted_target, make_broker, slot_request, target
@@ -104,7 +112,63 @@
         self.assertEqual([], result.shedding_s)
 
 
+class AdoptedRetriesTests(TestCase):
+    def test_new_broker_keeps_the_window_after_a_spell(self) -> None:
+        """Waiting retries used to be refused, and later ones sent beyond the window's bound."""
+        broker = make_broker(target("a", slots=500))
+        broker.adopt_retries(600, -0.5)
+        for n in range(300):
+            retry = slot_request(f"w{n}", time_left_s=20.0, is_retry=True)
+            self.assertIsInstance(broker.request_slot(retry, 0.0), Queued)
+        sent = 0
+        for n in range(400):
+            request = slot_request(f"f{n}", retry_credit=0.2)
+            broker.request_slot(request, n * 0.01)
+            again = slot_request(f"r{n}", is_retry=True, retry_credit=0.0)
+            sent += isinstance(broker.request_slot(again, n * 0.01), Grant)
+        self.assertEqual(0, sent)
+
+    def test_few_adopted_retries_leave_the_usual_rule(self) -> None:
+        broker = make_broker(target("a"))
+        broker.adopt_retries(20, -0.5)
+        broker.adopt_retries(16, -0.4)
+        self.assertIsInstance(broker.request_slot(slot_request("r", is_retry=True), 0.0), Refused)
+
+
+class StrandedRetryTests(TestCase):
+    def held_retry(self) -> SlotBroker:
+        """Return a broker that holds a retry back, which only target `a` may get."""
+        broker = make_broker(target("a"), target("b"))
+        broker.adopt_retries(600, -0.5)
+        retry = slot_request("r", time_left_s=60.0, is_retry=True)
+        decision = broker.request_slot(dataclasses.replace(retry, allowed_targets=("a",)), 0.0)
+        self.assertIsInstance(decision, Queued)
+        return broker
+
+    def check_refused(self, decisions: list[Decision]) -> None:
+        refused = [(d.slot_request_id, d.reason) for d in decisions if isinstance(d, Refused)]
+        self.assertEqual([("r", RefusalReason.NO_TARGET)], refused)
+
+    def test_held_retry_is_refused_when_its_targets_are_gone(self) -> None:
+        """It used to wait until its deadline for a target that no longer exists."""
+        self.check_refused(self.held_retry().set_targets([target("b")], frozenset(), 0.1))
+
+    def test_held_retry_is_refused_when_its_targets_leave(self) -> None:
+        broker = self.held_retry()
+        broker.adopt_notice(TargetNotice("a", 1, is_leaving=True), 0.1)
+        self.check_refused(broker.tick(0.2))
+
+
 class BudgetWindowTests(TestCase):
+    def test_window_that_is_only_added_to_stays_bounded(self) -> None:
+        """Without shedding nothing asks for a balance, and buckets used to pile up."""
+        window = BudgetWindow(WINDOW_S, 0.2)
+        for step in range(2000):
+            window.deposit(0.2, step * 0.1)
+            window.spend(0.1, step * 0.1)
+        for kept in (window._deposits, window._recent_deposits, window._spent):
+            self.assertLessEqual(len(kept._buckets), round(WINDOW_S / BUCKET_S) + 2)
+
     @given(st.lists(st.tuples(st.floats(0.0, 0.7), st.floats(0.0, 3.0), st.booleans())))
     def test_no_window_before_any_moment_has_more_spent_than_deposited(
         self, steps: list[tuple[float, float, bool]]
