Clamp a returned credit of a host alone to its bucket's capacity

A returned credit cut the bucket to one token, so a host with 26.5 tokens after a take had 1 after the return. The bucket now keeps its limits and the number of hosts.

--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
@@ -256,8 +256,12 @@
 
 @dataclass(slots=True)
 class _LoneBucket:
+    """The token bucket of an account; `limits` and `hosts` are those of the last use."""
+
     tokens: float
     used_at: float
+    limits: AccountLimits
+    hosts: int
 
 
 class LoneQuota:
@@ -284,7 +288,9 @@
         bucket = self._buckets.get(account)
         if bucket is None:
             start = self._rules.takeover_credit(limits) / hosts + self._rng.random()
-            bucket = self._buckets[account] = _LoneBucket(start, alone_since)
+            bucket = self._buckets[account] = _LoneBucket(start, alone_since, limits, hosts)
+        bucket.limits = limits
+        bucket.hosts = hosts
         filled = bucket.tokens + rate * max(0.0, now - bucket.used_at)
         bucket.tokens = min(filled, self._rules.capacity(limits, 1 / hosts))
         bucket.used_at = now
@@ -297,7 +303,8 @@
         """Take back the credit of a request that has not run."""
         bucket = self._buckets.get(account)
         if bucket is not None:
-            bucket.tokens = min(1.0, bucket.tokens + 1)
+            capacity = self._rules.capacity(bucket.limits, 1 / bucket.hosts)
+            bucket.tokens = min(capacity, bucket.tokens + 1)
 
     def sweep(self, now: float) -> None:
         """Forget the buckets that haven't been used for long."""
