Return the credit of an answer that arrives after the host gave up

Ids of unanswered questions are kept for 1 s, and a grant for one of them is returned once. Before, it was ignored, so the account had that much less until the bucket was full.

The new test fails without the change: no credit is returned.

--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
@@ -47,6 +47,8 @@
 MAX_KEEPERS_TRIED: Final = 2
 MAX_REFUSAL_S: Final = 1.0  # A refusal holds no longer, as the keeper may change meanwhile.
 ANSWER_MEMORY_S: Final = 1.0  # A resent question gets the same answer for this long.
+# A grant that arrives within this time after the host gave up on the question is returned.
+LATE_ANSWER_S: Final = 1.0
 SUSPENDED_AFTER_S: Final = 0.5  # The host was suspended if a tick is later than this.
 NO_CONTACT_S: Final = 0.8  # Three probes without an answer.
 # What was sent to this host while it was suspended is read within this time after it woke up.
@@ -72,6 +74,16 @@
     granted_at: float
 
 
+@dataclass(frozen=True)
+class _UnansweredQuestion:
+    """A question that this host gave up on."""
+
+    keeper: str
+    account: str
+    asked_at: float
+    gave_up_at: float
+
+
 @dataclass
 class _DebitTotal:
     """Credits of an account that another keeper may have granted as well, and when."""
@@ -153,6 +165,7 @@
         self._ids = itertools.count(1)
         self._states: dict[str, _AccountState] = {}
         self._questions: dict[str, tuple[str, asyncio.Future[QuotaAnswer]]] = {}
+        self._unanswered: dict[str, _UnansweredQuestion] = {}
         self._skipped_until: dict[str, float] = {}
         self._answers: dict[tuple[str, str], tuple[QuotaAnswer, float]] = {}
         self._debits: dict[str, _DebitTotal] = {}
@@ -306,6 +319,7 @@
         answered: asyncio.Future[QuotaAnswer] = loop.create_future()
         self._questions[question.id] = (keeper, answered)
         message = quotamessages.encode_question(question)
+        asked_at = self._clock.now()
         self.counts["questions"] += 1
         try:
             for wait_s in QUESTION_WAITS_S:
@@ -319,6 +333,10 @@
                     return answered.result()
         finally:
             del self._questions[question.id]
+            if not answered.done():
+                self._unanswered[question.id] = _UnansweredQuestion(
+                    keeper, question.account, asked_at, self._clock.now()
+                )
         return None
 
     def _apply(self, state: _AccountState, keeper: str, answer: QuotaAnswer) -> None:
@@ -402,6 +420,16 @@
         keeper, answered = self._questions.get(question_id, ("", None))
         if answered is not None and keeper == ip and not answered.done():
             answered.set_result(answer)
+        unanswered = self._unanswered.get(question_id)
+        if unanswered is None or unanswered.keeper != ip:
+            return
+        del self._unanswered[question_id]
+        now = self._clock.now()
+        if answer.granted and now - unanswered.gave_up_at <= LATE_ANSWER_S:
+            self.counts["late_grants"] += answer.granted
+            # Granted at some time since the question; too high an age can't exceed the quota.
+            age_s = now - unanswered.asked_at
+            self._send(ip, quotamessages.encode_return(unanswered.account, answer.granted, age_s))
 
     def _handle_debit(self, ip: str, message: Message) -> None:
         """Take off what another host has granted since its last message.
@@ -504,6 +532,10 @@
             if now - answered_at <= ANSWER_MEMORY_S:
                 break
             del self._answers[key]
+        for question_id, unanswered in list(self._unanswered.items()):
+            if now - unanswered.gave_up_at <= LATE_ANSWER_S:
+                break
+            del self._unanswered[question_id]
         self._lone.sweep(now)
         for change in self._keeper.sweep(now):
             log.info(
