Return each credit to the keeper that granted it

`acquire` hands out the credit and `give_back` takes it. Before, a return went to the last keeper, and was dropped if the credit was older than this keeper's first grant or a grant of the host alone.

--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
@@ -61,16 +61,21 @@
 DEBIT_REPEAT_S: Final = 0.3
 DEBIT_MEMORY_S: Final = 5.0  # A total ends this long after the last grant.
 MAX_DEBIT_PEERS: Final = 3
-STATE_MEMORY_S: Final = 30.0  # Requests that may give credit back take at most this long.
+STATE_MEMORY_S: Final = 2 * CREDIT_S  # `recent_use` is 0 after that.
 
 log = Logger("quotas")
 
 
-@dataclass
-class _Credit:
-    """A granted credit that isn't in use; `keeper` is empty if this host decided alone."""
+@dataclass(frozen=True)
+class QuotaCredit:
+    """The credit of one request, to be passed to `QuotaClient.give_back`; opaque to callers.
 
-    keeper: str
+    `keeper` granted it; it is empty if this host decided alone, and None if the account has no
+    limit.
+    """
+
+    account: str
+    keeper: str | None
     granted_at: float
 
 
@@ -100,18 +105,14 @@
     """What this host knows of an account's credit.
 
     `waiting` are the requests that wait for an answer.  `used` counts credits used since
-    `slot_at`, and `used_before` those in the CREDIT_S before.  `keeper` granted the last credit,
-    and has done so since `keeper_since`.  `has_batches` tells that credit was kept in advance.
+    `slot_at`, and `used_before` those in the CREDIT_S before.
     """
 
     account: ClientAccount
-    credits: deque[_Credit] = field(default_factory=deque)
-    waiting: deque[asyncio.Future[float | None]] = field(default_factory=deque)
+    credits: deque[QuotaCredit] = field(default_factory=deque)
+    waiting: deque[asyncio.Future[QuotaCredit | float]] = field(default_factory=deque)
     asking: asyncio.Task[None] | None = None
     refused_until: float = float("-inf")
-    keeper: str = ""
-    keeper_since: float = float("-inf")
-    has_batches: bool = False
     used: int = 0
     used_before: int = 0
     slot_at: float = float("-inf")
@@ -205,21 +206,21 @@
 
     # Requests of this host.
 
-    async def acquire(self, account: ClientAccount, deadline_in_s: float) -> float | None:
-        """Return None if a request may run, otherwise the seconds until credit is available."""
-        if account.rate_per_s <= 0:
-            return None
+    async def acquire(self, account: ClientAccount, deadline_in_s: float) -> QuotaCredit | float:
+        """Return the credit of a request, or the seconds until credit is available."""
         now = self._clock.now()
+        if account.rate_per_s <= 0:
+            return QuotaCredit(account.name, None, now)
         state = self._states.get(account.name)
         if state is None:
             state = self._states[account.name] = _AccountState(account)
         state.account = account
-        if not state.waiting and self._take_credit(state, now):
-            return None
+        if not state.waiting and (credit := self._take_credit(state, now)) is not None:
+            return credit
         if now < state.refused_until:
             self.counts["refused_again"] += 1
             return state.refused_until - now
-        future: asyncio.Future[float | None] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[QuotaCredit | float] = asyncio.get_running_loop().create_future()
         state.waiting.append(future)
         if state.asking is None:
             state.asking = asyncio.get_running_loop().create_task(self._serve_waiting(state))
@@ -233,30 +234,28 @@
             self._withdraw(state, future)
             raise
 
-    def give_back(self, account: ClientAccount, acquired_at: float) -> None:
-        """Return the credit that a request got at `acquired_at` and which certainly has not run."""
-        state = self._states.get(account.name)
-        if state is None or account.rate_per_s <= 0 or acquired_at < state.keeper_since:
+    def give_back(self, credit: QuotaCredit) -> None:
+        """Return the credit of a request that certainly has not run; call it once at most."""
+        if credit.keeper is None:
             return
         self.counts["given_back"] += 1
-        granted_at = acquired_at - (CREDIT_S if state.has_batches else 0.0)
-        self._return_credits(state, state.keeper, 1, granted_at)
+        self._return_credits(credit, 1)
 
-    def _take_credit(self, state: _AccountState, now: float) -> bool:
+    def _take_credit(self, state: _AccountState, now: float) -> QuotaCredit | None:
         while state.credits:
             credit = state.credits.popleft()
             if now - credit.granted_at <= CREDIT_S:
                 state.count_use(now)
-                return True
-            self._return_credits(state, credit.keeper, 1, credit.granted_at)
-        return False
+                return credit
+            self._return_credits(credit, 1)
+        return None
 
-    def _withdraw(self, state: _AccountState, future: asyncio.Future[float | None]) -> None:
-        """Forget a request that no longer waits; keep the credit that it may have got just now."""
+    def _withdraw(self, state: _AccountState, future: asyncio.Future[QuotaCredit | float]) -> None:
+        """Forget a request that no longer waits; return the credit that it may have got."""
         if not future.done():
             state.waiting.remove(future)
-        elif not future.cancelled() and future.result() is None:
-            self.give_back(state.account, self._clock.now())
+        elif not future.cancelled() and isinstance(credit := future.result(), QuotaCredit):
+            self.give_back(credit)
 
     async def _serve_waiting(self, state: _AccountState) -> None:
         """Ask until no request of an account waits."""
@@ -342,24 +341,20 @@
     def _apply(self, state: _AccountState, keeper: str, answer: QuotaAnswer) -> None:
         """Pass an answer on to the requests that wait; keep what they don't need."""
         now = self._clock.now()
-        if keeper != state.keeper:
-            state.keeper = keeper
-            state.keeper_since = now
+        credit = QuotaCredit(state.account.name, keeper, now)
         left = answer.granted
         while left and state.waiting:
-            state.waiting.popleft().set_result(None)
+            state.waiting.popleft().set_result(credit)
             state.count_use(now)
             left -= 1
-        if left:
-            state.has_batches = True
-            state.credits.extend(_Credit(keeper, now) for _ in range(left))
+        state.credits.extend(credit for _ in range(left))
         if answer.retry_after_s > 0:
             state.refused_until = now + min(answer.retry_after_s, MAX_REFUSAL_S)
             self.counts["refused"] += len(state.waiting)
             while state.waiting:
                 state.waiting.popleft().set_result(answer.retry_after_s)
 
-    def _decide_alone(self, state: _AccountState) -> float | None:
+    def _decide_alone(self, state: _AccountState) -> QuotaCredit | float:
         """Decide on a request by this host's own part of the quota."""
         now = self._clock.now()
         alone_since = now if self._alone_since is None else self._alone_since
@@ -372,25 +367,21 @@
         )
         if retry_after_s is None:
             self.counts["granted_alone"] += 1
-            state.keeper = ""
-            state.keeper_since = now
-            return None
+            return QuotaCredit(state.account.name, "", now)
         self.counts["refused_alone"] += 1
         return retry_after_s
 
-    def _return_credits(
-        self, state: _AccountState, keeper: str, count: int, granted_at: float
-    ) -> None:
-        """Return credits to the keeper that granted them."""
-        account = state.account.name
+    def _return_credits(self, credit: QuotaCredit, count: int) -> None:
+        """Return `count` equal credits to the keeper that granted them."""
         now = self._clock.now()
-        if not keeper:
-            self._lone.give_back(account)
-        elif keeper == self._own_ip:
-            self._keeper.give_back(account, count, granted_at, now)
+        if not credit.keeper:
+            self._lone.give_back(credit.account)
+        elif credit.keeper == self._own_ip:
+            self._keeper.give_back(credit.account, count, credit.granted_at, now)
         else:
-            age_s = max(0.0, now - granted_at)
-            self._send(keeper, quotamessages.encode_return(account, count, age_s))
+            age_s = max(0.0, now - credit.granted_at)
+            message = quotamessages.encode_return(credit.account, count, age_s)
+            self._send(credit.keeper, message)
 
     # Messages, and the keeper on this host.
 
@@ -568,9 +559,8 @@
             expired += 1
             if not state.credits or state.credits[0] != credit:
                 self.counts["expired"] += expired
-                self._return_credits(state, credit.keeper, expired, credit.granted_at)
+                self._return_credits(credit, expired)
                 expired = 0
-        # `keeper_since` is needed for as long as requests of the account may give credit back.
         is_idle = now - state.slot_at > STATE_MEMORY_S and now > state.refused_until
         if is_idle and not (state.credits or state.waiting or state.asking):
             del self._states[name]
--- a/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/callers/requestpath.py
@@ -26,7 +26,7 @@
 from toucanspindle_core.hostport import HostPort
 
 from toucanspindle_entry.accounts.planfreshness import PlanFreshness
-from toucanspindle_entry.accounts.quotaclient import QuotaClient
+from toucanspindle_entry.accounts.quotaclient import QuotaClient, QuotaCredit
 from toucanspindle_entry.bodybuffer import body_blocks
 from toucanspindle_entry.broker.slotclient import SlotClient, SlotGrant
 from toucanspindle_entry.broker.slottypes import AttemptReport, RefusalReason, Refused, SlotRequest
@@ -282,22 +282,21 @@
         if self._quotas is None or account is None or account.rate_per_s <= 0:
             return await self._run_attempts(progress)
         time_left_s = progress.deadline_at - self._clock.now()
-        retry_after_s = await self._quotas.acquire(account, time_left_s)
-        if retry_after_s is not None:
+        credit = await self._quotas.acquire(account, time_left_s)
+        if not isinstance(credit, QuotaCredit):
             self._slots.count_rejected(progress.service)
             return answers.error_response(
                 errorcodes.ACCOUNT_LIMITED,
                 "The account is over its rate limit; the request has not run.",
                 "send it again after the time in Retry-After",
                 429,
-                max(MIN_RETRY_AFTER_S, retry_after_s),
+                max(MIN_RETRY_AFTER_S, credit),
             )
-        acquired_at = self._clock.now()
         try:
             return await self._run_attempts(progress)
         finally:
             if not progress.may_have_run:
-                self._quotas.give_back(account, acquired_at)
+                self._quotas.give_back(credit)
 
     # Attempts.
 
--- a/tests/test_quota_client.py
+++ b/tests/test_quota_client.py
@@ -7,7 +7,7 @@
 
 from testtools import TestCase
 from toucanspindle_entry.accounts import quotamessages
-from toucanspindle_entry.accounts.quotaclient import QuotaClient
+from toucanspindle_entry.accounts.quotaclient import QuotaClient, QuotaCredit
 from toucanspindle_entry.accounts.quotakeeper import (
     AccountLimits,
     LoneQuota,
@@ -94,3 +94,21 @@
             self.assertEqual([(KEEPER, ["a", 2])], returns)
 
         self.play(script)
+
+    def test_credit_goes_back_to_the_keeper_that_granted_it(self) -> None:
+        """Guards against returns that are lost once this host has decided alone."""
+
+        async def script(client: QuotaClient, endpoint: FakeEndpoint) -> None:
+            granted = await client.acquire(ACCOUNT, 5.0)
+            assert isinstance(granted, QuotaCredit)
+            endpoint.silent = {KEEPER, SECOND_KEEPER}
+            await asyncio.sleep(1.0)
+            while not client.counts["granted_alone"]:
+                await client.acquire(ACCOUNT, 5.0)
+                await asyncio.sleep(0.1)
+            endpoint.sent.clear()
+            client.give_back(granted)
+            returns = [(ip, message[1:3]) for ip, message in endpoint.of_kind("quota-return")]
+            self.assertEqual([(KEEPER, ["a", 1])], returns)
+
+        self.play(script)
