Refuse a request at its deadline, and cap the refusals of a host alone

A request whose deadline passed while it waited for a keeper used credit of the host alone. It is now withdrawn and refused. Retry-After of a host alone is at most MAX_REFUSAL_S.

Both new tests fail without the change: a credit is granted at 0.05 s, and 5.5 s instead of 1 s.

--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
@@ -42,6 +42,8 @@
 # Credit held at the start of a window adds to what the window may run, by this times the rate.
 CREDIT_S: Final = 0.25
 QUESTION_WAITS_S: Final = (0.06, 0.14)  # Before the resend, and before the keeper counts as silent.
+# A keeper that was asked has answered by then or is skipped.
+TIMED_OUT_RETRY_AFTER_S: Final = sum(QUESTION_WAITS_S)
 MAX_TIMER_DELAY_S: Final = 0.03  # A host whose timers are later than this is behind itself.
 SILENT_KEEPER_SKIP_S: Final = 1.5
 MAX_KEEPERS_TRIED: Final = 2
@@ -229,7 +231,8 @@
                 return await asyncio.shield(future)
         except TimeoutError:
             self._withdraw(state, future)
-            return self._decide_alone(state)
+            self.counts["timed_out"] += 1
+            return TIMED_OUT_RETRY_AFTER_S
         except asyncio.CancelledError:
             self._withdraw(state, future)
             raise
@@ -369,7 +372,7 @@
             self.counts["granted_alone"] += 1
             return QuotaCredit(state.account.name, "", now)
         self.counts["refused_alone"] += 1
-        return retry_after_s
+        return min(retry_after_s, MAX_REFUSAL_S)
 
     def _return_credits(self, credit: QuotaCredit, count: int) -> None:
         """Return `count` equal credits to the keeper that granted them."""
--- a/tests/test_quota_client.py
+++ b/tests/test_quota_client.py
@@ -7,7 +7,7 @@
 
 from testtools import TestCase
 from toucanspindle_entry.accounts import quotamessages
-from toucanspindle_entry.accounts.quotaclient import QuotaClient, QuotaCredit
+from toucanspindle_entry.accounts.quotaclient import MAX_REFUSAL_S, QuotaClient, QuotaCredit
 from toucanspindle_entry.accounts.quotakeeper import (
     AccountLimits,
     LoneQuota,
@@ -16,7 +16,7 @@
 )
 from toucanspindle_entry.hosts.brokerchoice import rank_brokers
 from toucanspindle_entry.hosts.datagrams import DatagramEndpoint, Message
-from toucanspindle_entry.hosts.livehosts import LiveHosts
+from toucanspindle_entry.hosts.livehosts import ISOLATION_TIMEOUT_S, LiveHosts
 from toucanspindle_entry.model import ClientAccount, HostEntry
 
 from tests.entrycase import BOUNDS
@@ -112,3 +112,26 @@
             self.assertEqual([(KEEPER, ["a", 1])], returns)
 
         self.play(script)
+
+    def test_request_at_its_deadline_is_refused(self) -> None:
+        """Guards against credit of this host alone that is spent on a request out of time."""
+
+        async def script(client: QuotaClient, endpoint: FakeEndpoint) -> None:
+            endpoint.silent = {KEEPER, SECOND_KEEPER}
+            self.assertIsInstance(await client.acquire(ACCOUNT, 0.05), float)
+            self.assertEqual(0, client.counts["granted_alone"] + client.counts["refused_alone"])
+
+        self.play(script)
+
+    def test_refusal_of_a_host_alone_is_short(self) -> None:
+        """Guards against callers that wait for many seconds although a keeper is soon found."""
+
+        async def script(client: QuotaClient, _: FakeEndpoint) -> None:
+            account = ClientAccount("a", ("a",), 0, rate_per_s=0.1, burst=1.0)
+            await asyncio.sleep(ISOLATION_TIMEOUT_S + 0.1)
+            while isinstance(refused := await client.acquire(account, 5.0), QuotaCredit):
+                pass
+            self.assertEqual(1, client.counts["refused_alone"])
+            self.assertEqual(MAX_REFUSAL_S, refused)
+
+        self.play(script)
