--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
@@ -2,8 +2,8 @@
 
 Each account has a token bucket.  Other hosts may have granted credit that this one doesn't know
 of, so a bucket is full at its start only if this host has been the first in rank for a whole
-window.  Otherwise it starts with a part of what the bound allows beyond the quota; two takeovers
-in one window then keep the bound.
+window.  Otherwise it starts with a part of what the bound allows beyond the quota, see
+`QuotaRules.takeover_credit`.
 
 A returned credit counts only if the bucket hasn't been full since that credit was granted.  If it
 has, a new token has already replaced the credit, and both would be used.
--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotamessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotamessages.py
@@ -82,7 +82,7 @@
 
 
 def decode_debit(message: Message) -> tuple[str, int, float]:
-    """Return the account, the number of credits, and how long ago the first was granted."""
+    """Return the account, the total of credits, and how long ago the first was granted."""
     _, account, total, age_ms = message[:4]
     return str(account), _count(total), _amount(age_ms) / MS_PER_S
 
