Count a credit returned to a host alone only if its bucket wasn't full since

Its token has been replaced otherwise, so a surge that times out could run twice now that returns fill the bucket up to its capacity. The keeper's buckets have the same rule.

The new test fails without the rule: a credit is granted from an empty bucket.

--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
@@ -378,7 +378,7 @@
         """Return `count` equal credits to the keeper that granted them."""
         now = self._clock.now()
         if not credit.keeper:
-            self._lone.give_back(credit.account)
+            self._lone.give_back(credit.account, credit.granted_at, now)
         elif credit.keeper == self._own_ip:
             self._keeper.give_back(credit.account, count, credit.granted_at, now)
         else:
--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
@@ -256,12 +256,16 @@
 
 @dataclass(slots=True)
 class _LoneBucket:
-    """The token bucket of an account; `limits` and `hosts` are those of the last use."""
+    """The token bucket of an account; `limits` and `hosts` are those of the last use.
+
+    `full_at` is when it was last full.
+    """
 
     tokens: float
     used_at: float
     limits: AccountLimits
     hosts: int
+    full_at: float = float("-inf")
 
 
 class LoneQuota:
@@ -291,21 +295,31 @@
             bucket = self._buckets[account] = _LoneBucket(start, alone_since, limits, hosts)
         bucket.limits = limits
         bucket.hosts = hosts
-        filled = bucket.tokens + rate * max(0.0, now - bucket.used_at)
-        bucket.tokens = min(filled, self._rules.capacity(limits, 1 / hosts))
-        bucket.used_at = now
+        self._refill(bucket, now)
         if bucket.tokens < 1:
             return (1 - bucket.tokens) / rate
         bucket.tokens -= 1
         return None
 
-    def give_back(self, account: str) -> None:
-        """Take back the credit of a request that has not run."""
+    def give_back(self, account: str, granted_at: float, now: float) -> None:
+        """Take back the credit of a request that has not run, granted at `granted_at`."""
         bucket = self._buckets.get(account)
-        if bucket is not None:
+        if bucket is None:
+            return
+        self._refill(bucket, now)
+        if granted_at >= bucket.full_at:
             capacity = self._rules.capacity(bucket.limits, 1 / bucket.hosts)
             bucket.tokens = min(capacity, bucket.tokens + 1)
 
+    def _refill(self, bucket: _LoneBucket, now: float) -> None:
+        capacity = self._rules.capacity(bucket.limits, 1 / bucket.hosts)
+        rate = bucket.limits.rate_per_s / bucket.hosts
+        filled = bucket.tokens + rate * max(0.0, now - bucket.used_at)
+        if filled >= capacity:
+            bucket.full_at = now
+        bucket.tokens = min(filled, capacity)
+        bucket.used_at = now
+
     def sweep(self, now: float) -> None:
         """Forget the buckets that haven't been used for long."""
         for account, bucket in list(self._buckets.items()):
--- a/tests/test_quota_client.py
+++ b/tests/test_quota_client.py
@@ -33,12 +33,23 @@
         limits = AccountLimits(1, 100.0, 100.0)
         alone = LoneQuota(RULES, random.Random(1))
         self.assertIsNone(alone.take("a", limits, 4, 0.0, 60.0))
-        alone.give_back("a")
+        alone.give_back("a", 60.0, 60.0)
         taken = 0
         while alone.take("a", limits, 4, 0.0, 60.0) is None:
             taken += 1
         self.assertEqual(int(RULES.capacity(limits, 1 / 4)), taken)
 
+    def test_credit_returned_after_the_bucket_was_full_does_not_count(self) -> None:
+        """Guards against a surge that times out and runs twice: by its returns and new tokens."""
+        limits = AccountLimits(1, 100.0, 100.0)
+        alone = LoneQuota(RULES, random.Random(1))
+        for now in (60.0, 70.0):
+            while alone.take("a", limits, 4, 0.0, now) is None:
+                pass
+        for _ in range(20):
+            alone.give_back("a", 60.0, 70.0)
+        self.assertIsNotNone(alone.take("a", limits, 4, 0.0, 70.0))
+
 
 class FakeEndpoint:
     """Records the datagrams of one host; `silent` are the keepers that don't answer."""
