--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotakeeper.py
@@ -2,8 +2,8 @@
 
 Each account has a token bucket.  Other hosts may have granted credit that this one doesn't know
 of, so a bucket is full at its start only if this host has been the first in rank for a whole
-window.  Otherwise it starts with a part of what the bound allows beyond the quota; two takeovers
-in one window then keep the bound.
+window.  Otherwise it starts with a part of what the bound allows beyond the quota, see
+`QuotaRules.takeover_credit`.
 
 A returned credit counts only if the bucket hasn't been full since that credit was granted.  If it
 has, a new token has already replaced the credit, and both would be used.
@@ -256,8 +256,16 @@
 
 @dataclass(slots=True)
 class _LoneBucket:
+    """The token bucket of an account; `limits` and `hosts` are those of the last use.
+
+    `full_at` is when it was last full.
+    """
+
     tokens: float
     used_at: float
+    limits: AccountLimits
+    hosts: int
+    full_at: float = float("-inf")
 
 
 class LoneQuota:
@@ -284,20 +292,33 @@
         bucket = self._buckets.get(account)
         if bucket is None:
             start = self._rules.takeover_credit(limits) / hosts + self._rng.random()
-            bucket = self._buckets[account] = _LoneBucket(start, alone_since)
-        filled = bucket.tokens + rate * max(0.0, now - bucket.used_at)
-        bucket.tokens = min(filled, self._rules.capacity(limits, 1 / hosts))
-        bucket.used_at = now
+            bucket = self._buckets[account] = _LoneBucket(start, alone_since, limits, hosts)
+        bucket.limits = limits
+        bucket.hosts = hosts
+        self._refill(bucket, now)
         if bucket.tokens < 1:
             return (1 - bucket.tokens) / rate
         bucket.tokens -= 1
         return None
 
-    def give_back(self, account: str) -> None:
-        """Take back the credit of a request that has not run."""
+    def give_back(self, account: str, granted_at: float, now: float) -> None:
+        """Take back the credit of a request that has not run, granted at `granted_at`."""
         bucket = self._buckets.get(account)
-        if bucket is not None:
-            bucket.tokens = min(1.0, bucket.tokens + 1)
+        if bucket is None:
+            return
+        self._refill(bucket, now)
+        if granted_at >= bucket.full_at:
+            capacity = self._rules.capacity(bucket.limits, 1 / bucket.hosts)
+            bucket.tokens = min(capacity, bucket.tokens + 1)
+
+    def _refill(self, bucket: _LoneBucket, now: float) -> None:
+        capacity = self._rules.capacity(bucket.limits, 1 / bucket.hosts)
+        rate = bucket.limits.rate_per_s / bucket.hosts
+        filled = bucket.tokens + rate * max(0.0, now - bucket.used_at)
+        if filled >= capacity:
+            bucket.full_at = now
+        bucket.tokens = min(filled, capacity)
+        bucket.used_at = now
 
     def sweep(self, now: float) -> None:
         """Forget the buckets that haven't been used for long."""
