--- a/tests/test_entry_connectiontable.py
+++ b/tests/test_entry_connectiontable.py
@@ -85,6 +85,7 @@
                     control=4,
                     directory=5,
                     store="127.0.0.1:6",
+                    bounds="",
                 ).replace("MemoryMb = 300", f"MaxFds = {max_fds}")
             )
             settings, _ = load_settings(path)
