Keep digests of account keys in plans, and confirm a plan before an unreadable one

- Keyed requests were refused for as long as the store held a plan that can't be decoded, once a host had listed it: a listing doesn't tell whether a valid plan came before it.
The revision of the bad plan tells: if it is the one that the watch has passed over, nothing came since.
- The share of live hosts is no longer counted for each question about a quota.
- Tests: a calm with some rejections tries no sick targets for the floor, and one watcher of each failure domain lists the plan.

--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/keeperranking.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/keeperranking.py
@@ -42,6 +42,11 @@
             self._capacities = capacities
             self._ranked.clear()
 
+    @property
+    def alive_count(self) -> int:
+        """Number of live hosts, this one included, as of the last update."""
+        return len(self._alive) + 1
+
     def is_alive(self, ip: str) -> bool:
         """Return whether a host is alive; this one is."""
         return ip == self._own_ip or ip in self._alive
--- a/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/accounts/quotaclient.py
@@ -442,7 +442,7 @@
             first_since = self._trusted_since
         if is_new and now - age_s < max(first_since, self._trusted_since):
             return
-        live_share = (len(self._hosts.alive_ips()) + 1) / self._hosts.possible_hosts
+        live_share = self._ranking.alive_count / self._hosts.possible_hosts
         if is_new and live_share < MIN_DEBITED_SHARE:
             # A partition ends; each side has granted its own part of the limits.
             return
@@ -482,7 +482,7 @@
         hosts = self._hosts.possible_hosts
         first_since = self._ranking.first_since(account)
         if first_since is not None:
-            share = (len(self._hosts.alive_ips()) + 1) / hosts
+            share = self._ranking.alive_count / hosts
             if self._hosts.is_isolated(now):
                 share = 1 / hosts
             return KeeperRole(max(first_since, self._trusted_since), share)
--- a/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/entrynode.py
@@ -448,7 +448,7 @@
         self._request_handler.routes = routes
         self._quotas.set_plan(plan, routes.accounts)
         accounts = plan.accounts
-        key_count = sum(len(account.keys) for account in accounts or ())
+        key_count = sum(len(account.key_digests) for account in accounts or ())
         self._is_plan_small = accounts is not None and key_count <= MAX_LISTED_KEYS
         log.info("event=plan_in_force version={} routes={}", plan.version, len(plan.routes))
         self._announce_when_ready()
--- a/packages/toucanspindle-entry/toucanspindle_entry/model.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/model.py
@@ -44,13 +44,14 @@
 class ClientAccount:
     """A client account; its callers identify themselves with one of its keys.
 
+    `key_digests` are the digests of the keys, see `accountindex`.
     `priority` 0 is the most urgent, and goes before the priority of the route.  Over all hosts, the
     account may send `rate_per_s` requests a second and `burst` more at once; a rate of 0 is no
     limit.
     """
 
     name: str
-    keys: tuple[str, ...] = field(repr=False)
+    key_digests: tuple[str, ...] = field(repr=False)
     priority: int = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/objectstore.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/objectstore.py
@@ -21,10 +21,14 @@
 
 @dataclass(frozen=True)
 class StoreItem:
-    """A decoded object; `value` is None if the object can't be decoded."""
+    """A decoded object; `value` is None if the object can't be decoded.
+
+    `revision` is the store revision of the object's last change, or 0 if it isn't known.
+    """
 
     name: str
     value: Any
+    revision: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storemessages.py
@@ -135,7 +135,7 @@
     if accounts is None:
         return None
     return [
-        [account.name, account.keys, account.priority, account.rate_per_s, account.burst]
+        [account.name, account.key_digests, account.priority, account.rate_per_s, account.burst]
         for account in accounts
     ]
 
@@ -145,9 +145,9 @@
         return None
     return tuple(
         ClientAccount(
-            str(name), tuple(map(str, keys)), int(priority), float(rate_per_s), float(burst)
+            str(name), tuple(map(str, digests)), int(priority), float(rate_per_s), float(burst)
         )
-        for name, keys, priority, rate_per_s, burst in encoded
+        for name, digests, priority, rate_per_s, burst in encoded
     )
 
 
--- a/packages/toucanspindle-entry/toucanspindle_entry/store/storesnapshot.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/store/storesnapshot.py
@@ -238,7 +238,8 @@
             age_s = max(0.0, age_ms / storemessages.MS_PER_S)
             fetch.first_page = StoreSnapshot(StoreListing((), int(revision), int(era)), age_s)
             fetch.servers = [ip]
-        elif era != fetch.first_page.listing.era:
+        elif era != fetch.first_page.listing.era or revision < fetch.first_page.listing.revision:
+            # After a restart of its host a page may be older than the changes that are followed.
             fetch.is_refused = True
         fetch.items += items
         fetch.is_complete = not has_more
--- a/packages/toucanspindle-entry/toucanspindle_entry/storelisteners.py
+++ b/packages/toucanspindle-entry/toucanspindle_entry/storelisteners.py
@@ -15,7 +15,8 @@
     """Passes plans from the store on, also those that aren't newer than the one in force.
 
     `shown_version` is the version of the newest plan that the store has shown, or None without one.
-    `is_unreadable` tells that the plan which the store has now can't be decoded.
+    `is_unreadable` tells that the plan which the store has now can't be decoded.  Such a plan is
+    passed over, and the one before it stays the newest one.
     """
 
     def __init__(self, apply_plan: Callable[[FleetPlan], None]) -> None:
@@ -24,11 +25,15 @@
         self.plan_name: str | None = None
         self.shown_version: int | None = None
         self.is_unreadable = False
+        # Era and revision of the unreadable plan before which this host has seen all plans.
+        self._passed_over: tuple[int, int] | None = None
 
     def on_listing(self, listing: StoreListing, grace_until: float | None) -> None:  # noqa: ARG002
         """Pass the plan of a listing on."""
-        # A plan that can't be decoded counts as none here: a valid one may have come before it.
-        self.shown_version = None
+        # A plan that can't be decoded counts as none here, unless it is the one passed over: a
+        # valid one may have come before it.
+        if all((listing.era, item.revision) != self._passed_over for item in listing.items):
+            self.shown_version = None
         self.is_unreadable = True
         for item in listing.items:
             if isinstance(item.value, FleetPlan):
@@ -44,6 +49,7 @@
                 self.shown_version = None
             elif change.name in {self.plan_name, ""}:  # An unreadable object may have no name.
                 self.is_unreadable = True
+                self._passed_over = (changes.era, change.revision) if change.revision else None
 
     def _apply(self, name: str, plan: FleetPlan) -> None:
         self.plan_name = name
--- a/tests/test_entry_accounts.py
+++ b/tests/test_entry_accounts.py
@@ -6,6 +6,7 @@
 import logbook
 import orjson
 from testtools import TestCase
+from toucanspindle_entry.accounts.accountindex import key_digest
 from toucanspindle_entry.callers.callermessages import CallerRequest
 from toucanspindle_entry.callers.routeindex import RouteIndex
 from toucanspindle_entry.model import ClientAccount, FleetPlan
@@ -18,7 +19,7 @@
 from tests.test_platform_wire import PLAN_OBJECT, with_field
 
 KEY: Final = "k3y-of-blue"
-BLUE: Final = ClientAccount("blue", (KEY,), 0, 113.0, 50.0)
+BLUE: Final = ClientAccount("blue", (key_digest(KEY),), 0, 113.0, 50.0)
 ACCOUNTS: Final = (BLUE, ClientAccount("idle", ()))
 
 
@@ -78,7 +79,10 @@
             plan = decode(tenants)
             change = StoreChange("main", plan, removed=False, revision=8)
             progress = StoreProgress(7, 8, 0.0, 0.0, (change,))
-            state = orjson.loads(orjson.dumps(encode_progress(ObjectKind.PLAN, progress)))
+            message = orjson.dumps(encode_progress(ObjectKind.PLAN, progress))
+            # A key needn't reach another host: its digest finds the account.
+            self.assertNotIn(KEY.encode(), message)
+            state = orjson.loads(message)
             self.assertEqual((ObjectKind.PLAN, progress), decode_progress(state))
 
     def test_no_representation_shows_a_key(self) -> None:
--- a/tests/test_entry_planfreshness.py
+++ b/tests/test_entry_planfreshness.py
@@ -11,9 +11,16 @@
 from toucanspindle_entry.entrymetrics import EntryMetrics
 from toucanspindle_entry.hosts.hostprober import HostProber, HostStatus
 from toucanspindle_entry.hosts.livehosts import LiveHosts
-from toucanspindle_entry.model import HostEntry
-from toucanspindle_entry.store.objectstore import ObjectKind, StoreChanges
+from toucanspindle_entry.model import FleetPlan, HostEntry
+from toucanspindle_entry.store.objectstore import (
+    ObjectKind,
+    StoreChange,
+    StoreChanges,
+    StoreItem,
+    StoreListing,
+)
 from toucanspindle_entry.store.storewatch import StoreProgress, StoreWatch
+from toucanspindle_entry.storelisteners import PlanListener
 
 from deployedfleet import SETTINGS
 from platformsettings import load_settings
@@ -188,6 +195,22 @@
         self.assertEqual([(0.0, 1, 0), (1.0, 2, 1), (2.0, 3, 1), (3.0, 4, 1)], answers)
 
 
+class UnreadablePlanTests(TestCase):
+    # Guards against a host that refuses keys for as long as the store holds a bad plan, once it has
+    # had to list the plan.
+    def test_unreadable_plan_that_was_seen_to_come_leaves_the_one_before_the_newest(self) -> None:
+        for era, revision, shown in ((0, 9, 2), (0, 10, None), (1, 9, None)):
+            listener = PlanListener(lambda _plan: None)
+            good = StoreItem("main", FleetPlan(2, (), frozenset()), 7)
+            listener.on_listing(StoreListing((good,), 7), None)
+            bad = StoreChange("main", None, removed=False, revision=9)
+            listener.on_changes(StoreChanges((bad,), 9), None)
+            listing = StoreListing((StoreItem("main", None, revision),), 12, era)
+            listener.on_listing(listing, None)
+            self.assertEqual(shown, listener.shown_version, (era, revision))
+            self.assertTrue(listener.is_unreadable)
+
+
 class UnconfirmedKeyTests(FaultyTargetCase):
     def test_known_key_is_refused_with_retry_after_and_public_routes_are_served(self) -> None:
         async def answer(number: int, request_id: bytes, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_entry_slotbroker.py
+++ b/tests/test_entry_slotbroker.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
+from toucanspindle_entry.broker.activetargetfloor import ActiveTargetFloor
 from toucanspindle_entry.broker.poisontracker import ANSWER_EXEMPTION_S, PoisonTracker
 from toucanspindle_entry.broker.retrycredit import RetryCreditSource
 from toucanspindle_entry.broker.slotbroker import MAX_PASSED_OVER, SlotBroker
@@ -621,6 +622,21 @@
             used = {name for at, name in grants if start <= at < start + 2}
             self.assertGreaterEqual(len(used & recovering), 0.7 * len(recovering), start)
 
+    # Guards against attempts at sick targets for the floor while it isn't evaluated: in a calm with
+    # some rejections each of them may fail a request.
+    def test_few_failures_and_rejections_together_leave_sick_targets_alone(self) -> None:
+        """4 in 100 requests fail and 5 in 100 are rejected for a quota: under a tenth together."""
+        floor = ActiveTargetFloor(0.7)
+        names = [f"t{n}" for n in range(10)]
+        for n in range(95):
+            now = n * 0.02
+            floor.record_request_end(n % 25 == 0, now)
+            floor.record_rejected(int(n % 19 == 0), now)
+        # None of the targets was used; at a high failure rate all would be due.
+        self.assertEqual([], floor.targets_due(names, lambda _name: False, 1.9))
+        floor.record_rejected(5, 1.9)
+        self.assertEqual(names, floor.targets_due(names, lambda _name: False, 1.9))
+
     def test_floor_is_kept_in_each_second_at_a_normal_failure_rate(self) -> None:
         """All hosts lose power at once: only the targets used in the last second count."""
         rng = random.Random(3)
--- a/tests/test_entry_storecalls.py
+++ b/tests/test_entry_storecalls.py
@@ -5,15 +5,17 @@
 """
 
 import asyncio
+import dataclasses
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 from testtools import TestCase
-from toucanspindle_entry.model import TargetState
+from toucanspindle_entry.model import ClientAccount, TargetState
 from toucanspindle_entry.store.objectstore import ObjectKind
 
 from tests.entrycase import target
-from tests.nodefleet import NodeFleet, VirtualNode, plan
+from tests.nodefleet import DOMAINS, NodeFleet, VirtualNode, plan
 from tests.test_entry_storerelay import MAX_LAG_S, RelayFleet
 from tests.virtualtime import run_in_virtual_time
 
@@ -93,6 +95,37 @@
         self.assertEqual(SMALL, least_known)
 
 
+class PlanConfirmationTests(TestCase):
+    # Guards against listings of the plan by each watcher, where those of one for each failure
+    # domain confirm it for all hosts.
+    def test_one_watcher_of_each_domain_lists_the_plan(self) -> None:
+        async def main() -> None:
+            fleet = NodeFleet()
+            accounts = (ClientAccount("a", ("digest",)),)
+            confirmed = dataclasses.replace(plan(1), accounts=accounts)
+            fleet.store.put(ObjectKind.PLAN, "main", confirmed)
+            await fleet.start_all(LARGE, spread_s=1.0)
+            await asyncio.sleep(5.0)
+            fleet.store.callers.clear()
+            ages: list[float] = []
+            for _ in range(40):
+                await asyncio.sleep(0.5)
+                now = asyncio.get_running_loop().time()
+                ages += [node._freshness.age_s(now) for node in fleet.nodes.values()]
+            listings = Counter(
+                {ip: n for (ip, call), n in fleet.store.callers.items() if call == "list plan"}
+            )
+            # 20 s of listings after the emulated store's waits of up to 3 s.
+            first = sum(n for _, n in listings.most_common(len(DOMAINS)))
+            self.assertGreaterEqual(first, len(DOMAINS) * 6)
+            # The others list less than half as often: only if the first one's news come late.
+            self.assertLess(sum(listings.values()) - first, first / 2)
+            self.assertLess(max(ages), 2.0)
+            await fleet.close()
+
+        run_in_virtual_time(main())
+
+
 class SnapshotTests(TestCase):
     """Hosts that start beside hosts that know the targets."""
 
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from toucanspindle_entry.accounts.accountindex import key_digest
 from toucanspindle_entry.accounts.quotakeeper import AccountLimits
 from toucanspindle_entry.hosts.brokerchoice import rank_brokers
 from toucanspindle_entry.model import ClientAccount
@@ -26,7 +27,8 @@
 
 RATES: Final = {"big": 100.0, "medium": 20.0, **{f"small{n}": 3.0 for n in range(12)}}
 ACCOUNTS: Final = tuple(
-    ClientAccount(name, (name,), 0, rate_per_s=rate, burst=rate) for name, rate in RATES.items()
+    ClientAccount(name, (key_digest(name),), 0, rate_per_s=rate, burst=rate)
+    for name, rate in RATES.items()
 )
 SURGING: Final = ("big", "small0")
 SHAPE: Final = FleetShape(
@@ -204,7 +206,7 @@
 
     def test_plan_without_limits_sends_no_message(self) -> None:
         """Guards against a cost for fleets that ask for no quotas."""
-        for accounts in (None, (ClientAccount("big", ("big",)),)):
+        for accounts in (None, (ClientAccount("big", (key_digest("big"),)),)):
 
             async def play(fleet: EmulatedFleet) -> None:
                 fleet.account_rates = {"big": 20.0}
