Review: case 10, a request that crashes servers is forgotten with the processes

Cause: the crashes of a request are kept in the memory of the hosts alone, so killing all of them at once forgets which requests have crashed three targets. Change: a script kills all machines twice while such a request comes again.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Runs the case once; see claim.txt.  Exits with 1 if the rule was broken, 0 if it held, 2 if the
+# case couldn't run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
