--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -210,7 +210,7 @@
 
     def __init__(self, address):
         self.address = address
-        self.era = 0
+        self.era = 1
         self.is_away = False
         self._listener = Listener(address, self._serve)
         self._objects = {}
@@ -281,8 +281,7 @@
 
     def _answer(self, status, value):
         headers = [("Content-Type", "application/json")]
-        if self.era:
-            headers.append(("Store-Era", str(self.era)))
+        headers.append(("Store-Era", str(self.era)))
         return encode_answer(status, headers, json.dumps(value).encode())
 
     async def _serve(self, reader, writer):
